--- /dev/null
+++ b/millweir/__init__.py
@@ -0,0 +1,1 @@
+"""millweir: an outbound gateway that calls many partners' systems within their limits."""
--- /dev/null
+++ b/millweir/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""The bench wire on standard input and output."""
--- /dev/null
+++ b/millweir/adapter/settings.py
@@ -0,0 +1,73 @@
+"""Read the wire's settings text into Settings; unknown keys are skipped, absent ones are neutral."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from millweir.interface import Effect, Profile, Settings, Tenant
+
+EFFECTS = {"pure": Effect.REPLAYABLE, "token": Effect.REFERENCED, "side_effect": Effect.SINGLE_USE}
+
+
+def read_settings(text: bytes) -> Settings:
+    """Turn the JSON text of `config` into Settings."""
+    given: dict[str, Any] = json.loads(text)
+    ceilings = given.get("ceilings") or {}
+    family = given.get("family-info") or {}
+    rules = given.get("obligations") or {}
+    prices = given.get("charges") or {}
+    report = given.get("report") or {}
+    profiles = tuple(
+        Profile(
+            name=grade.get("name", ""),
+            gain=grade.get("credit", 1.0),
+            quoted=grade["objective-us"] * 1000,
+            give_up=grade["give-up-us"] * 1000,
+            late_share=grade.get("late-share", 0.0),
+            effect=EFFECTS[grade.get("semantics", "side_effect")],
+            repeat_known=(grade.get("dedup-window-us") or 0) * 1000,
+            repeat_known_by_zone=grade.get("key-scope", "all") != "all",
+            in_order=bool(grade.get("one-at-a-time", False)),
+        )
+        for grade in given["grades"]
+    )
+    tenants = tuple(Tenant(t.get("name", ""), t.get("quota-rps") or 0.0) for t in given.get("customers") or ())
+    source = given.get("weight-source", "silent")
+    return Settings(
+        relays=given.get("balancers", 1),
+        profiles=profiles,
+        tenants=tenants,
+        zone=given.get("locality", 0),
+        period=(given.get("period-us") or 0) * 1000,
+        slots=family.get("slots", 1),
+        max_open=ceilings.get("max-open", 0),
+        max_trips=ceilings.get("max-attempts", 1),
+        second_copies=bool(ceilings.get("second-copies", False)),
+        cancel=bool(ceilings.get("cancel", False)),
+        probes=bool(ceilings.get("probes", False)),
+        retry_after=bool(ceilings.get("retry-after", False)),
+        max_retry_after=(ceilings.get("max-retry-after-us") or 0) * 1000,
+        streams=ceilings.get("streams-per-conn", 1),
+        idle_close=(ceilings.get("idle-close-us") or 0) * 1000,
+        connect_timeout=(ceilings.get("connect-timeout-us") or 0) * 1000,
+        halves=family.get("late") == "by_half",
+        bundle_max=tuple(family.get("bundle-max") or ()),
+        apart=tuple(family.get("kind-apart") or ()),
+        carriage=tuple(family.get("carriage") or ()),
+        refused_price=family.get("refused-price", 0.0),
+        cross_zone_price=prices.get("cross-zone", 0.0),
+        over_share=given.get("over-share-worth", 1.0),
+        must_ask=given.get("membership-mode") == "ask",
+        must_ask_in=(rules.get("must-ask-in-us") or 0) * 1000,
+        rates_listed=source in ("nominal", "rough"),
+        rates_rough=source == "rough",
+        reports=tuple(report.get("fields") or ()),
+        drain_grace=(rules.get("drain-grace-us") or 0) * 1000,
+        answer_slack=(rules.get("answer-slack-us") or 0) * 1000,
+        fall_multiple=rules.get("fall-multiple", 0.0),
+        fall_time=(rules.get("fall-us") or 0) * 1000,
+        cold_from=rules.get("cold-from", 1.0),
+        cold_time=(rules.get("cold-us") or 0) * 1000,
+        key_quiet=(rules.get("key-quiet-us") or 0) * 1000,
+    )
--- /dev/null
+++ b/millweir/control.py
@@ -0,0 +1,486 @@
+"""Every decision of a relay: which packet goes to which host, when, and what it is told in the end.
+
+Make one Relay with a port, the settings, a seed and the clock; call one method for each thing that happens,
+then round_over once all that came in together has been told.  It acts by calling the port.  The types, the
+settings and the port are in millweir/interface.py, the bare records in millweir/records.py.  Times are whole
+nanoseconds.  docs/design.md says what comes from the sliding log of the paper and what departs from it.
+"""
+
+from __future__ import annotations
+
+import random
+from heapq import heappop, heappush
+
+from millweir.interface import MILLISECOND, SECOND, Change, Effect, Entry, Outcome, Phase, Port, Settings
+from millweir.records import Call, Destination, Host, Key, Packet, Route, Trip
+
+WINDOW = SECOND  # of the send log, as in the paper's code
+CUT, RAISE = 0.5, 1.25  # limit after a refusal, of the current count; after a window without one
+FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -0.64, 2.3, 1.2  # log odds for sick (half fail) or well (1 in 20)
+SICK = 4.6  # log odds of a hundred to one: set aside
+PATIENCE_SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
+ROUTE_SHARE = 3  # one route may fill one in so many of the slots
+ROUGH = 1.5  # a rough rate is up to half too high
+NEVER = 1 << 62
+NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
+MAY_RUN_ON = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
+
+
+class Relay:
+    """One relay: it sees only its own traffic and shares nothing."""
+
+    def __init__(self, port: Port, settings: Settings, seed: int, now: int) -> None:
+        self._port = port
+        self._sample = random.Random(seed).sample
+        self._profiles = settings.profiles
+        self._relays = max(1, settings.relays)
+        self._slots = settings.slots
+        self._route_slots = max(2, settings.slots // ROUTE_SHARE)
+        self._max_open = settings.max_open
+        self._max_trips = settings.max_trips
+        self._second_copies = settings.second_copies
+        self._max_wait = settings.max_retry_after if settings.retry_after else 0
+        self._margin = 2 * settings.period
+        self._halves = settings.halves
+        self._bundle = settings.bundle_max
+        self._apart = settings.apart
+        self._zone = settings.zone
+        self._over_share = settings.over_share
+        self._quotas = [tenant.quota / self._relays for tenant in settings.tenants]
+        self._shares = [(quota, now) for quota in self._quotas]
+        self._known_rates = settings.rates_listed
+        self._limit_field = settings.reports.index("x1") if "x1" in settings.reports else None
+        self._grace = settings.drain_grace - 2 * settings.period
+        self._quiet = settings.key_quiet
+        self._fall_time = settings.fall_time
+        self._aim = min((profile.quoted for profile in settings.profiles), default=SECOND)
+        rough = ROUGH if settings.rates_rough else 1.0
+        self._cold_share = min(1.0, settings.fall_multiple * settings.cold_from / (rough * self._relays))
+        self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
+        self._asked_at, self._asks = 0, 0
+        self._hosts: dict[bytes, Host] = {}
+        self._destinations: dict[int, Destination] = {}
+        self._packets: dict[int, Packet] = {}
+        self._open = 0
+        self._keys: dict[int, Key] = {}
+        self._out = 0
+        self._agenda: list[tuple[int, int, Packet | Call]] = []
+        self._entered = 0
+        self._alarm_at = 0
+        self._wake = NEVER
+        self._now = now
+        if self._ask_every:
+            self._watch()
+
+    # The list of hosts.
+
+    def list_told(self, now: int, change: Change, entries: tuple[Entry, ...]) -> None:
+        """News of the list: changes, or the whole of it, in which case what is not in it is gone."""
+        self._now = now
+        if change is Change.FAILED:
+            self._asks += 1
+            return
+        if change is not Change.CACHED:
+            self._asks = 0
+        named = {entry.host for entry in entries}
+        if change is not Change.DELTA:
+            for ident, host in self._hosts.items():
+                if ident not in named:
+                    self._leave(host, Phase.GONE)
+        for entry in entries:
+            host = self._hosts.get(entry.host)
+            if host is None:
+                if entry.phase is Phase.GONE:
+                    continue
+                self._hosts[entry.host] = host = self._meet(entry)
+            elif entry.phase is Phase.READY:
+                host.phase, host.left_at = Phase.READY, 0
+            self._leave(host, entry.phase)
+            if self._known_rates and entry.rate > 0 and entry.rate != host.route.listed:
+                host.route.listed = entry.rate
+
+    def _meet(self, entry: Entry) -> Host:
+        home = self._home(entry.destination)
+        route = None if entry.kind < len(self._apart) and self._apart[entry.kind] else home.route
+        if route is None:
+            # Every relay starting at the whole rate, restarted ones above all, would be a burst on a destination
+            # of unknown state; each starts at its even share and the ordinary raise finds what others leave.
+            top = entry.rate * WINDOW / SECOND if self._known_rates and entry.rate > 0 else float(NEVER)
+            route = Route(entry.rate if self._known_rates else 1.0, max(1.0, top / self._relays), top, self._now)
+            home.route = route
+        host = Host(entry, home, route)
+        home.hosts.append(host)
+        return host
+
+    def _leave(self, host: Host, phase: Phase) -> None:
+        if phase is not Phase.READY:
+            host.left_at = host.left_at or self._now
+            host.phase = phase
+
+    def _home(self, ident: int) -> Destination:
+        home = self._destinations.get(ident)
+        if home is None:
+            home = self._destinations[ident] = Destination(ident)
+        return home
+
+    def _watch(self) -> None:
+        self._asked_at = self._now
+        self._port.watch()
+
+    # Packets and their ends.
+
+    def packet_taken(self, now: int, ident: int, profile: int, tenant: int, key: int, hard_stop: int,
+                     destination: int, again: bool) -> None:
+        """A packet was handed in; it is held until round_over finds room for it."""
+        self._now = now
+        packet = Packet(ident, self._profiles[profile], self._home(destination), hard_stop)
+        packet.aim_at = hard_stop - packet.profile.give_up + packet.profile.quoted
+        packet.gain = packet.profile.gain * self._worth_of_share(tenant)
+        if packet.profile.in_order and key:
+            packet.key = self._keys.setdefault(key, Key())
+            packet.key.line.append(packet)
+        self._packets[ident] = packet
+        self._open += 1
+        packet.destination.held[ident] = packet
+        self._enter(hard_stop - self._margin, packet)
+        if self._max_open and self._open >= self._max_open:
+            self._make_room()
+
+    def _worth_of_share(self, tenant: int) -> float:
+        """Guards against one tenant's flood: what lies beyond its share is worth little and goes last."""
+        if tenant >= len(self._quotas) or self._quotas[tenant] <= 0:
+            return 1.0
+        quota = self._quotas[tenant]
+        left, at = self._shares[tenant]
+        left = min(2 * quota, left + quota * (self._now - at) / SECOND)
+        within = left >= 1
+        self._shares[tenant] = (left - within, self._now)
+        return 1.0 if within else self._over_share
+
+    def _make_room(self) -> None:
+        """Guards the packet table: when it is full, the held packet worth least now comes again later."""
+        later = self._now + WINDOW
+        worst = min((p for home in self._destinations.values() for p in home.held.values() if not self._risky(p)),
+                    key=lambda p: self._worth(p, later), default=None)
+        if worst is not None:
+            self._finish(worst)
+
+    def _finish(self, packet: Packet) -> None:
+        """Rule 1: the one place that gives an answer; dismissed where no trip may have run, else errored."""
+        if self._risky(packet):
+            self._port.error(packet)
+        else:
+            self._port.dismiss(packet, self._advice(packet))
+        self._end(packet)
+
+    def _advice(self, packet: Packet) -> int:
+        route = packet.destination.route
+        if not self._max_wait or route is None:
+            return self._max_wait
+        rate = max(0.1, min(route.limit, route.listed) * SECOND / WINDOW)
+        wait = max(route.wait_until - self._now, int(len(packet.destination.held) * SECOND / rate))
+        return max(MILLISECOND, min(self._max_wait, wait))
+
+    def _end(self, packet: Packet) -> None:
+        packet.ended = True
+        self._open -= 1
+        packet.destination.held.pop(packet.id, None)
+        self._forget(packet)
+
+    def _forget(self, packet: Packet) -> None:
+        if packet.ended and not packet.out and self._packets.pop(packet.id, None) and packet.key:
+            packet.key.line.remove(packet)
+
+    def packet_withdrawn(self, now: int, ident: int) -> None:
+        """Nobody wants the packet any more."""
+        self._now = now
+        packet = self._packets.get(ident)
+        if packet is not None and not packet.ended:
+            self._end(packet)
+
+    # Trips.
+
+    def trip_ended(self, now: int, ident: int, number: int, outcome: Outcome, finished: bool, latency: int,
+                   wait: int, report: tuple[float, ...]) -> None:
+        """A trip has its outcome; unless that finished the packet, its answer is still owed."""
+        self._now = now
+        packet = self._packets.get(ident)
+        if packet is None or number >= len(packet.trips) or packet.trips[number].over:
+            return
+        trip = packet.trips[number]
+        trip.over, trip.void = True, outcome in NEVER_RAN
+        packet.out -= 1
+        self._judge_call(trip.call, outcome, latency, wait, report)
+        if packet.key and outcome in MAY_RUN_ON:
+            packet.key.rest_until = now + self._quiet
+        if packet.ended:
+            self._forget(packet)
+        elif finished:
+            self._end(packet)
+        elif packet.out == 0:
+            if self._may_go_again(packet):
+                packet.destination.held[ident] = packet
+            else:
+                self._finish(packet)
+
+    def _risky(self, packet: Packet) -> bool:
+        return any(not trip.void for trip in packet.trips)
+
+    def _may_go_again(self, packet: Packet) -> bool:
+        """Rule 2: the one guard on further trips."""
+        if packet.ended or len(packet.trips) >= self._max_trips:
+            return False
+        if packet.hard_stop - self._margin <= self._now:
+            return False
+        if packet.out and not self._second_copies:
+            return False
+        first = min((trip.call.sent_at for trip in packet.trips if not trip.void), default=None)
+        if first is None or packet.profile.effect is Effect.REPLAYABLE:
+            return True
+        if packet.profile.effect is Effect.SINGLE_USE:
+            return False
+        return self._now < first + packet.profile.repeat_known - self._margin
+
+    def _judge_call(self, call: Call, outcome: Outcome, latency: int, wait: int, report: tuple[float, ...]) -> None:
+        """One call has one fate, though each packet in it tells of it."""
+        host, route = call.host, call.host.route
+        call.left -= 1
+        if not call.left:
+            host.out -= 1
+            route.out -= 1
+            self._out -= 1
+            if call.late:
+                host.overdue -= 1
+        if wait > 0 and outcome is Outcome.FULL:
+            route.wait_until = max(route.wait_until, self._now + wait)  # rule 6
+        if call.judged:
+            return
+        call.judged = True
+        if self._limit_field is not None and len(report) > self._limit_field and report[self._limit_field] > 0:
+            route.top = report[self._limit_field] * WINDOW / SECOND
+            route.limit = min(route.limit, route.top)
+        if outcome is Outcome.FULFILLED:
+            if host.latency:
+                host.spread += (abs(latency - host.latency) - host.spread) // 4
+                host.latency += (latency - host.latency) // 8
+            else:
+                host.latency, host.spread = latency, latency // 2
+            self._went_well(host, call)
+        elif outcome is Outcome.FULL:
+            if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
+                route.limit = max(1.0, CUT * self._count(route))
+                route.cut_at = self._now
+            route.raised_at = self._now
+            # A wait longer than any span of the limit tells of a destination that is shut.
+            self._went_ill(host, SICK if wait > 2 * WINDOW else REFUSED_WEIGHT)
+        elif outcome is Outcome.UNCONNECTED:
+            host.links = max(1, host.out)
+            host.clear_at = self._now + WINDOW
+            if not host.out:
+                self._went_ill(host, FAILED_WEIGHT)
+        elif outcome is not Outcome.MOOT and outcome is not Outcome.CANCELLED and not call.late:
+            self._went_ill(host, FAILED_WEIGHT)
+
+    def _went_well(self, host: Host, call: Call) -> None:
+        host.doubt = max(0.0, host.doubt + FULFILLED_WEIGHT)
+        if not host.pace or call.sent_at < host.stepped_at:
+            return
+        if self._now - host.stepped_at >= self._fall_time:
+            host.pace *= 2
+            host.level += 1
+            host.stepped_at = self._now
+            if host.pace >= host.route.listed:
+                host.pace, host.level, host.doubt = 0.0, 0, 0.0
+        elif not host.level:
+            host.level = 1
+
+    def _went_ill(self, host: Host, weight: float) -> None:
+        """Sequential test on outcomes; a host found sick is set aside and gets a trickle (rule 4)."""
+        host.doubt = min(SICK, host.doubt + weight)
+        if host.pace or host.doubt >= SICK:
+            host.pace = max(0.05, self._cold_share * host.route.listed / len(host.destination.hosts))
+            host.level = 0
+            host.stepped_at = self._now
+            host.next_at = max(host.next_at, self._now + int(SECOND / host.pace))
+            for other in host.destination.hosts:
+                if other.route is host.route and not other.pace:
+                    other.doubt = max(other.doubt, SICK / 2)
+
+    def probe_ended(self, now: int, ident: bytes, outcome: Outcome, latency: int, report: tuple[float, ...]) -> None:
+        """A probe has its outcome; none is sent so far."""
+        self._now = now
+
+    # The round.
+
+    def round_over(self, now: int) -> None:
+        """All that came in together has been told: send what has room, then sleep until something is due."""
+        self._now = now
+        self._wake = NEVER
+        self._settle_due()
+        rooms = []
+        for home in self._destinations.values():
+            if home.held:
+                rooms.append((home, self._hosts_with_room(home)))
+        while self._out < self._slots:
+            best, best_loss, best_hosts = None, -1.0, []
+            for home, hosts in rooms:
+                if hosts:
+                    packet, loss = self._next_packet(home, hosts)
+                    if packet is not None and loss > best_loss:
+                        best, best_loss, best_hosts = packet, loss, hosts
+            if best is None:
+                break
+            home = best.destination
+            host = self._favoured(best_hosts)
+            self._call(host, best, best_hosts)
+            rooms = [(h, self._hosts_with_room(h) if h is home else hosts) for h, hosts in rooms if h.held]
+        if self._ask_every:
+            self._keep_asking()
+        if self._agenda:
+            self._wake = min(self._wake, self._agenda[0][0])
+        if self._wake < NEVER and not now < self._alarm_at <= self._wake:
+            self._alarm_at = max(self._wake, now + MILLISECOND)
+            self._port.alarm(self._alarm_at - now)
+
+    def _enter(self, at: int, what: Packet | Call) -> None:
+        self._entered += 1
+        heappush(self._agenda, (at, self._entered, what))
+
+    def _settle_due(self) -> None:
+        """Packets near their hard stop get their answer; calls out too long count against their host."""
+        while self._agenda and self._agenda[0][0] <= self._now:
+            what = heappop(self._agenda)[2]
+            if isinstance(what, Packet):
+                if not what.ended:
+                    self._finish(what)
+            elif what.left and not what.late:
+                what.late = True
+                what.host.overdue += 1
+                self._went_ill(what.host, FAILED_WEIGHT)
+
+    def _keep_asking(self) -> None:
+        """Guards against being deemed told of drains that were never heard of: a failed watch is asked again."""
+        if self._asks and self._now >= self._asked_at + min(self._ask_every, SECOND << min(self._asks, 8) >> 2):
+            self._watch()
+        if self._asks:
+            self._wake = min(self._wake, self._asked_at + self._ask_every)
+
+    def _hosts_with_room(self, home: Destination) -> list[Host]:
+        """Hosts of the destination that may be sent a call now; notes when the next one may."""
+        hosts = [host for host in home.hosts if host.phase is Phase.READY]
+        if not hosts:  # nothing has replaced them yet: the grace may still be used
+            hosts = [host for host in home.hosts
+                     if host.phase is Phase.DRAINING and self._now < host.left_at + self._grace]
+        return [host for host in hosts if self._has_room(host)]
+
+    def _count(self, route: Route) -> int:
+        log = route.log
+        while log and log[0] <= self._now - WINDOW:
+            log.popleft()
+        return len(log)
+
+    def _has_room(self, host: Host) -> bool:
+        """The design's test: told waits, then the windowed count against the limit; then what guards slots."""
+        route, now = host.route, self._now
+        opens = max(route.wait_until, host.next_at if host.pace else 0, host.clear_at if host.out else 0)
+        if opens > now:
+            self._wake = min(self._wake, opens)
+            return False
+        count = self._count(route)
+        if now - route.raised_at >= WINDOW and route.limit < route.top:
+            route.limit = min(route.top, max(route.limit * RAISE, route.limit + 1))
+            route.raised_at = now
+        if count + 1 > route.limit:
+            if count:
+                self._wake = min(self._wake, route.log[0] + WINDOW)
+                return False
+        if host.links and host.out >= host.links:
+            return False
+        if host.pace and host.out - host.overdue > host.level:
+            return False
+        return route.out < self._route_slots
+
+    def _next_packet(self, home: Destination, hosts: list[Host]) -> tuple[Packet | None, float]:
+        """The held packet that loses most by waiting on; a host on trial gets one that can bear it."""
+        best, most = None, -1.0
+        soon = self._now + min(host.latency for host in hosts)
+        trial = all(host.pace and not host.level for host in hosts)
+        for packet in list(home.held.values()):
+            if not self._may_go_again(packet):
+                if not packet.out:
+                    self._finish(packet)
+                continue
+            if packet.key and (packet.key.line[0] is not packet or
+                               (self._now < packet.key.rest_until and not packet.trips)):
+                if packet.key.line[0] is packet:
+                    self._wake = min(self._wake, packet.key.rest_until)
+                continue
+            loss = self._worth(packet, soon) - self._worth(packet, soon + self._aim) + 0.001 * packet.gain
+            if trial and packet.profile.effect is Effect.SINGLE_USE:
+                loss = 0.0001 / (1 + packet.gain)
+            if loss > most:
+                best, most = packet, loss
+        return best, most
+
+    def _worth(self, packet: Packet, at: int) -> float:
+        """What the packet is worth when fulfilled at that time."""
+        late = at - packet.aim_at
+        profile = packet.profile
+        if late <= 0:
+            return packet.gain
+        if at >= packet.hard_stop:
+            return 0.0
+        if self._halves:
+            return packet.gain * max(profile.late_share, 0.5 ** (late / profile.quoted))
+        return packet.gain * (1 - (1 - profile.late_share) * late / max(1, profile.give_up - profile.quoted))
+
+    def _favoured(self, hosts: list[Host]) -> Host:
+        """Of two hosts drawn at random, the one that this relay's own counts favour."""
+        if len(hosts) == 1:
+            return hosts[0]
+        one, two = self._sample(hosts, 2)
+        return one if self._burden(one) <= self._burden(two) else two
+
+    def _burden(self, host: Host) -> tuple[bool, float]:
+        return host.pace > 0, (1 + host.out + 2 * host.doubt) * (1 + host.latency)
+
+    def _call(self, host: Host, first: Packet, hosts: list[Host]) -> None:
+        """One call: the packet, and held ones that lose most by waiting, as many as travel together."""
+        now, route = self._now, host.route
+        call = Call(host, now)
+        packet: Packet | None = first
+        most = self._bundle[host.kind] if host.kind < len(self._bundle) else 1
+        while packet is not None:
+            packet.destination.held.pop(packet.id)
+            packet.trips.append(Trip(call))
+            packet.out += 1
+            call.left += 1
+            self._port.send(packet, host, self._time_out(packet, host))
+            if call.left >= most:
+                break
+            packet, _ = self._next_packet(first.destination, hosts)
+        route.log.append(now)
+        route.out += 1
+        host.out += 1
+        self._out += 1
+        if host.pace:
+            host.next_at = now + int(SECOND / host.pace)
+        self._enter(now + self._patience(host), call)
+
+    def _patience(self, host: Host) -> int:
+        if not host.latency:
+            return self._aim
+        return max(self._aim // 4, host.latency + PATIENCE_SPREADS * host.spread)
+
+    def _time_out(self, packet: Packet, host: Host) -> int:
+        """Repeatable packets come back in time for another trip; a single-use one has nothing to come back for."""
+        if packet.profile.effect is Effect.SINGLE_USE:
+            return 0
+        wait = max(self._aim, 2 * self._patience(host)) * len(packet.trips)
+        if packet.profile.effect is Effect.REFERENCED:
+            wait = min(wait, packet.profile.repeat_known - 2 * self._margin)
+        return wait if self._now + wait < packet.hard_stop else 0
+
+    def alarm_rang(self, now: int) -> None:
+        """An alarm; round_over, which follows, finds what is due."""
+        self._now = now
--- /dev/null
+++ b/millweir/interface.py
@@ -0,0 +1,154 @@
+"""What the decision module is handed: settings as given, outcomes, and the port through which it acts.
+
+Times are whole nanoseconds, rates are per second.  This file decides nothing.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from millweir.records import Host, Packet
+
+SECOND = 1_000_000_000
+MILLISECOND = 1_000_000
+
+
+class Effect(Enum):
+    """What a repeat of a packet would do."""
+
+    REPLAYABLE = "replayable"
+    REFERENCED = "referenced"
+    SINGLE_USE = "single-use"
+
+
+class Outcome(Enum):
+    """How a trip ended."""
+
+    FULFILLED = "fulfilled"
+    FAULT = "fault"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    UNCONNECTED = "unconnected"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+
+class Change(Enum):
+    """What a piece of list news is."""
+
+    DELTA = "delta"
+    FULL = "full"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+class Phase(Enum):
+    """What the list says of a host."""
+
+    GONE = "gone"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """A class of packets."""
+
+    name: str
+    gain: float
+    quoted: int
+    give_up: int
+    late_share: float
+    effect: Effect
+    repeat_known: int
+    repeat_known_by_zone: bool
+    in_order: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A customer and the packets a second, over all relays, that lie within its share."""
+
+    name: str
+    quota: float
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """The settings as given at start."""
+
+    relays: int
+    profiles: tuple[Profile, ...]
+    tenants: tuple[Tenant, ...]
+    zone: int
+    period: int
+    slots: int
+    max_open: int
+    max_trips: int
+    second_copies: bool
+    cancel: bool
+    probes: bool
+    retry_after: bool
+    max_retry_after: int
+    streams: int
+    idle_close: int
+    connect_timeout: int
+    halves: bool
+    bundle_max: tuple[int, ...]
+    apart: tuple[bool, ...]
+    carriage: tuple[float, ...]
+    refused_price: float
+    cross_zone_price: float
+    over_share: float
+    must_ask: bool
+    must_ask_in: int
+    rates_listed: bool
+    rates_rough: bool
+    reports: tuple[str, ...]
+    drain_grace: int
+    answer_slack: int
+    fall_multiple: float
+    fall_time: int
+    cold_from: float
+    cold_time: int
+    key_quiet: int
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One line of the list of hosts."""
+
+    host: bytes
+    zone: int
+    kind: int
+    destination: int
+    phase: Phase
+    rate: float
+
+
+class Port(Protocol):
+    """How the decision module acts."""
+
+    def send(self, packet: Packet, host: Host, time_out: int) -> None:
+        """Start a trip; a time_out of 0 runs to the hard stop."""
+
+    def cancel(self, packet: Packet, number: int) -> None:
+        """Stop waiting for one trip."""
+
+    def dismiss(self, packet: Packet, wait: int) -> None:
+        """Final answer: not done, may come again after the wait (0: no advice)."""
+
+    def error(self, packet: Packet) -> None:
+        """Final answer: given up, nothing promised about its effect."""
+
+    def probe(self, host: Host) -> None:
+        """Check a host."""
+
+    def alarm(self, delay: int) -> None:
+        """Ring after the delay."""
+
+    def watch(self) -> None:
+        """Ask to be told of list changes."""
--- /dev/null
+++ b/millweir/records.py
@@ -0,0 +1,123 @@
+"""Bare records of the decision module; every decision on them is in control.py."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from millweir.interface import Entry, Phase, Profile
+
+
+class Route:
+    """What one limit holds for: a destination, or one host of it where routes are apart."""
+
+    __slots__ = ("cut_at", "limit", "listed", "log", "out", "raised_at", "report_at", "top", "wait_until")
+
+    def __init__(self, listed: float, limit: float, top: float, now: int) -> None:
+        self.listed = listed
+        self.limit = limit
+        self.top = top
+        self.log: deque[int] = deque()
+        self.out = 0
+        self.wait_until = 0
+        self.raised_at = now
+        self.cut_at = 0
+        self.report_at = 0
+
+
+class Host:
+    """All that is known of one host."""
+
+    __slots__ = (
+        "clear_at", "destination", "doubt", "fresh", "id", "kind", "latency", "left_at", "level", "links",
+        "next_at", "out", "overdue", "pace", "phase", "route", "spread", "stepped_at", "went_well", "zone",
+    )
+
+    def __init__(self, entry: Entry, destination: Destination, route: Route) -> None:
+        self.id = entry.host
+        self.zone = entry.zone
+        self.kind = entry.kind
+        self.destination = destination
+        self.route = route
+        self.phase: Phase = entry.phase
+        self.left_at = 0
+        self.out = 0
+        self.overdue = 0
+        self.latency = 0
+        self.spread = 0
+        self.links = 0
+        self.clear_at = 0
+        self.doubt = 0.0
+        self.pace = 0.0
+        self.level = 0
+        self.next_at = 0
+        self.stepped_at = 0
+        self.went_well = False
+        self.fresh = True
+
+
+class Destination:
+    """Where packets are bound, with its hosts and the packets held for it."""
+
+    __slots__ = ("held", "hosts", "id", "route")
+
+    def __init__(self, ident: int) -> None:
+        self.id = ident
+        self.hosts: list[Host] = []
+        self.held: dict[int, Packet] = {}
+        self.route: Route | None = None
+
+
+class Key:
+    """Packets of one key in the order taken."""
+
+    __slots__ = ("line", "rest_until")
+
+    def __init__(self) -> None:
+        self.line: deque[Packet] = deque()
+        self.rest_until = 0
+
+
+class Call:
+    """One call out to a host; packets sent to it in one turn share it."""
+
+    __slots__ = ("host", "judged", "late", "left", "sent_at")
+
+    def __init__(self, host: Host, sent_at: int) -> None:
+        self.host = host
+        self.sent_at = sent_at
+        self.left = 0
+        self.late = False
+        self.judged = False
+
+
+class Trip:
+    """One packet's part in a call."""
+
+    __slots__ = ("call", "over", "void")
+
+    def __init__(self, call: Call) -> None:
+        self.call = call
+        self.over = False
+        self.void = False
+
+
+class Packet:
+    """A packet that this relay took."""
+
+    __slots__ = (
+        "aim_at", "destination", "ended", "gain", "hard_stop", "id", "key", "out", "profile", "trips",
+    )
+
+    def __init__(self, ident: int, profile: Profile, destination: Destination, hard_stop: int) -> None:
+        self.id = ident
+        self.profile = profile
+        self.destination = destination
+        self.hard_stop = hard_stop
+        self.aim_at = 0
+        self.gain = 0.0
+        self.key: Key | None = None
+        self.trips: list[Trip] = []
+        self.out = 0
+        self.ended = False
