--- a/millweir/adapter/settings.py
+++ b/millweir/adapter/settings.py
@@ -32,7 +32,8 @@
         )
         for grade in given["grades"]
     )
-    tenants = tuple(Tenant(t.get("name", ""), t.get("quota-rps") or 0.0) for t in given.get("customers") or ())
+    customers = given.get("customers") or ()
+    tenants = tuple(Tenant(row.get("name", ""), row.get("quota-rps") or 0.0) for row in customers)
     source = given.get("weight-source", "silent")
     return Settings(
         relays=given.get("balancers", 1),
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -16,7 +16,7 @@
 
 WINDOW = SECOND  # of the send log, as in the paper's code
 CUT, RAISE = 0.5, 1.25  # limit after a refusal, of the current count; after a window without one
-FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -0.64, 2.3, 1.2  # log odds for sick (half fail) or well (1 in 20)
+FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -0.64, 2.3, 1.2  # log odds: half fail against 1 in 20
 SICK = 4.6  # log odds of a hundred to one: set aside
 PATIENCE_SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
 ROUTE_SHARE = 3  # one route may fill one in so many of the slots
@@ -103,10 +103,11 @@
         home = self._home(entry.destination)
         route = None if entry.kind < len(self._apart) and self._apart[entry.kind] else home.route
         if route is None:
-            # Every relay starting at the whole rate, restarted ones above all, would be a burst on a destination
-            # of unknown state; each starts at its even share and the ordinary raise finds what others leave.
-            top = entry.rate * WINDOW / SECOND if self._known_rates and entry.rate > 0 else float(NEVER)
-            route = Route(entry.rate if self._known_rates else 1.0, max(1.0, top / self._relays), top, self._now)
+            # Every relay at the whole rate, above all after a restart, would be a burst on a destination of
+            # unknown state: each starts at its even share, and the ordinary raise finds what others leave.
+            known = self._known_rates and entry.rate > 0
+            top = entry.rate * WINDOW / SECOND if known else float(NEVER)
+            route = Route(entry.rate if known else 1.0, max(1.0, top / self._relays), top, self._now)
             home.route = route
         host = Host(entry, home, route)
         home.hosts.append(host)
@@ -160,8 +161,8 @@
     def _make_room(self) -> None:
         """Guards the packet table: when it is full, the held packet worth least now comes again later."""
         later = self._now + WINDOW
-        worst = min((p for home in self._destinations.values() for p in home.held.values() if not self._risky(p)),
-                    key=lambda p: self._worth(p, later), default=None)
+        held = (p for home in self._destinations.values() for p in home.held.values() if not self._risky(p))
+        worst = min(held, key=lambda p: self._worth(p, later), default=None)
         if worst is not None:
             self._finish(worst)
 
@@ -241,7 +242,8 @@
             return False
         return self._now < first + packet.profile.repeat_known - self._margin
 
-    def _judge_call(self, call: Call, outcome: Outcome, latency: int, wait: int, report: tuple[float, ...]) -> None:
+    def _judge_call(self, call: Call, outcome: Outcome, latency: int, wait: int,
+                    report: tuple[float, ...]) -> None:
         """One call has one fate, though each packet in it tells of it."""
         host, route = call.host, call.host.route
         call.left -= 1
@@ -256,8 +258,9 @@
         if call.judged:
             return
         call.judged = True
-        if self._limit_field is not None and len(report) > self._limit_field and report[self._limit_field] > 0:
-            route.top = report[self._limit_field] * WINDOW / SECOND
+        field = self._limit_field
+        if field is not None and len(report) > field and report[field] > 0:
+            route.top = report[field] * WINDOW / SECOND
             route.limit = min(route.limit, route.top)
         if outcome is Outcome.FULFILLED:
             if host.latency:
@@ -306,7 +309,8 @@
                 if other.route is host.route and not other.pace:
                     other.doubt = max(other.doubt, SICK / 2)
 
-    def probe_ended(self, now: int, ident: bytes, outcome: Outcome, latency: int, report: tuple[float, ...]) -> None:
+    def probe_ended(self, now: int, ident: bytes, outcome: Outcome, latency: int,
+                    report: tuple[float, ...]) -> None:
         """A probe has its outcome; none is sent so far."""
         self._now = now
 
@@ -359,11 +363,13 @@
                 self._went_ill(what.host, FAILED_WEIGHT)
 
     def _keep_asking(self) -> None:
-        """Guards against being deemed told of drains that were never heard of: a failed watch is asked again."""
-        if self._asks and self._now >= self._asked_at + min(self._ask_every, SECOND << min(self._asks, 8) >> 2):
-            self._watch()
+        """Guards against being deemed told of drains that were never heard of: a failed watch is renewed."""
         if self._asks:
-            self._wake = min(self._wake, self._asked_at + self._ask_every)
+            again = self._asked_at + min(self._ask_every, SECOND << min(self._asks, 8) >> 2)
+            if again <= self._now:
+                self._watch()
+                again = self._now + self._ask_every
+            self._wake = min(self._wake, again)
 
     def _hosts_with_room(self, home: Destination) -> list[Host]:
         """Hosts of the destination that may be sent a call now; notes when the next one may."""
@@ -380,7 +386,7 @@
         return len(log)
 
     def _has_room(self, host: Host) -> bool:
-        """The design's test: told waits, then the windowed count against the limit; then what guards slots."""
+        """Told waits, the windowed count against the limit, as designed; then what guards slots."""
         route, now = host.route, self._now
         opens = max(route.wait_until, host.next_at if host.pace else 0, host.clear_at if host.out else 0)
         if opens > now:
@@ -390,10 +396,9 @@
         if now - route.raised_at >= WINDOW and route.limit < route.top:
             route.limit = min(route.top, max(route.limit * RAISE, route.limit + 1))
             route.raised_at = now
-        if count + 1 > route.limit:
-            if count:
-                self._wake = min(self._wake, route.log[0] + WINDOW)
-                return False
+        if count and count + 1 > route.limit:
+            self._wake = min(self._wake, route.log[0] + WINDOW)
+            return False
         if host.links and host.out >= host.links:
             return False
         if host.pace and host.out - host.overdue > host.level:
@@ -473,14 +478,10 @@
         return max(self._aim // 4, host.latency + PATIENCE_SPREADS * host.spread)
 
     def _time_out(self, packet: Packet, host: Host) -> int:
-        """Repeatable packets come back in time for another trip; a single-use one has nothing to come back for."""
+        """Repeatable packets come back in time for another trip; a single-use one can have no other."""
         if packet.profile.effect is Effect.SINGLE_USE:
             return 0
         wait = max(self._aim, 2 * self._patience(host)) * len(packet.trips)
         if packet.profile.effect is Effect.REFERENCED:
             wait = min(wait, packet.profile.repeat_known - 2 * self._margin)
         return wait if self._now + wait < packet.hard_stop else 0
-
-    def alarm_rang(self, now: int) -> None:
-        """An alarm; round_over, which follows, finds what is due."""
-        self._now = now
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,140 @@
+"""The decision module: seeded random runs that check every rule at every act, and plain cases."""
+
+import random
+
+import pytest
+from rig import STEP, Rig, Tenant, entry, well
+
+from millweir.interface import MILLISECOND, SECOND, Change, Effect, Outcome, Phase
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_rules_hold_under_random_trouble(seed):
+    chance = random.Random(seed)
+    slots, max_open = chance.choice((2, 5, 12)), chance.choice((8, 40))
+    rig = Rig(seed, second_copies=seed % 3 != 0, slots=slots, max_open=max_open)
+    listed = list(rig.entries)
+    mood = {}
+
+    def decide(s):
+        if rig.now - s.at < chance.randrange(20, 400) * MILLISECOND:
+            return None
+        if chance.random() > mood.get(s.host.destination.id, 0.1):
+            return Outcome.FULFILLED
+        how = chance.choice([o for o in Outcome if o is not Outcome.FULFILLED] + [None])
+        return (how, chance.choice((0, 300, 3000)) * MILLISECOND) if how is Outcome.FULL else how
+
+    for _ in range(800):
+        for _ in range(chance.choice((0, 0, 0, 0, 1, 2))):
+            rig.take(chance.randrange(4), chance.randrange(3), chance.randrange(4))
+        if chance.random() < 0.02:
+            mood[chance.randrange(3)] = chance.choice((0.05, 0.5, 1.0))
+        if chance.random() < 0.02:
+            old = chance.choice(listed)
+            phase = chance.choice((Phase.DRAINING, Phase.GONE, Phase.READY, Phase.READY, Phase.READY))
+            rig.list(Change.DELTA, [entry(old.destination, old.host[3], old.kind, phase)])
+        rig.pass_time(chance.choice((1, 1, 10)) * STEP, decide)
+    rig.pass_time(20 * SECOND, decide)
+    assert rig.answers.keys() == rig.taken.keys()
+    assert sum(how == "fulfilled" for how in rig.answers.values()) > 30
+
+
+def test_same_events_same_actions():
+    def run():
+        rig = Rig(7)
+        for n in range(60):
+            rig.take(n % 4, n % 3, n % 5)
+            rig.pass_time(10 * STEP, well()(rig))
+        return [(s.packet.id, s.host.id, s.at, s.time_out) for s in rig.sent]
+
+    assert run() == run()
+
+
+def test_log_bounds_calls_in_any_window_and_holds_the_rest():
+    rig = Rig(entries=[entry(0, 0, kind=1)], relays=1, slots=50)
+    for _ in range(20):
+        rig.take(0)
+    rig.pass_time(10 * SECOND, well()(rig))
+    times = [s.at for s in rig.sent]
+    assert len(times) == 20
+    assert all(sum(at <= other < at + SECOND for other in times) <= 4 for at in times)
+    assert max(times) < rig.now - 4 * SECOND
+
+
+def test_one_call_carries_held_packets_and_counts_once():
+    rig = Rig(entries=[entry(0, 0)], relays=1)
+    for _ in range(20):
+        rig.take(0)
+    rig.round()
+    assert len(rig.sent) == 15  # three of the nine slots, five packets each
+    assert len(rig.relay._hosts[rig.entries[0].host].route.log) == 3
+
+
+def test_refusal_cuts_the_limit_once_and_quiet_windows_raise_it():
+    rig = Rig(entries=[entry(0, 0, kind=1, rate=8.0)], relays=1, slots=50)
+    for _ in range(8):
+        rig.take(0)
+    rig.round()
+    route = rig.relay._hosts[rig.entries[0].host].route
+    rig.now += STEP
+    for s in rig.out():
+        rig.end(s, Outcome.FULL)
+    assert route.limit == 4
+    rig.pass_time(3 * SECOND, well()(rig))
+    assert 4 < route.limit <= 8
+
+
+def test_a_packet_that_never_ran_is_dismissed_and_one_that_may_have_is_errored():
+    rig = Rig()
+    held = rig.take(1, destination=9)
+    ran = rig.take([p.effect for p in rig.settings.profiles].index(Effect.SINGLE_USE), destination=0)
+    rig.pass_time(17 * SECOND)
+    assert rig.answers == {held: "dismissed", ran: "errored"}
+
+
+def test_a_returning_destination_is_not_pushed_over():
+    rig = Rig(entries=[entry(0, 0, kind=1, rate=10.0)], relays=2, slots=30)
+
+    def busy(span, decide):
+        until = rig.now + span
+        while rig.now < until:
+            rig.take(0)
+            rig.pass_time(100 * MILLISECOND, decide)
+
+    busy(3 * SECOND, well()(rig))
+    busy(6 * SECOND, lambda s: Outcome.FAULT if rig.now - s.at > 50 * MILLISECOND else None)
+    back = rig.now
+    busy(12 * SECOND, well()(rig))
+    first = [s for s in rig.sent if back <= s.at < back + 2 * SECOND]
+    assert len(first) <= 2.0 * 0.2 * 10 * 2 / 2 + 1  # this relay's half of the budget at the coldest, and one
+    assert sum(s.at > rig.now - SECOND for s in rig.sent) >= 5  # and it does come back to full use
+
+
+def test_a_hanging_destination_leaves_slots_to_others():
+    rig = Rig(entries=[entry(0, 0, kind=1), entry(2, 0)], relays=1, slots=9)
+    for _ in range(40):
+        rig.take(1, 0)
+        rig.take(0, 2)
+        rig.pass_time(200 * MILLISECOND, lambda s: s.host.destination.id == 2 and well()(rig)(s))
+    hung = [s for s in rig.out() if s.host.destination.id == 0]
+    assert len(hung) <= 4
+    assert sum(s.outcome is Outcome.FULFILLED for s in rig.sent) >= 38
+
+
+def test_what_lies_beyond_a_tenants_share_goes_last():
+    tenants = (Tenant("a", 2.0), Tenant("b", 2.0))
+    rig = Rig(entries=[entry(0, 0, kind=1)], relays=1, tenants=tenants, max_open=99)
+    flood = [rig.take(0, tenant=0) for _ in range(30)]
+    fair = [rig.take(0, tenant=1) for _ in range(2)]
+    rig.pass_time(SECOND, well()(rig))
+    assert all(rig.answers.get(ident) == "fulfilled" for ident in fair)
+    assert sum(rig.answers.get(ident) == "fulfilled" for ident in flood) == 2
+
+
+def test_failed_watch_is_asked_again_later_and_later():
+    rig = Rig(must_ask=True, must_ask_in=10 * SECOND)
+    for _ in range(4):
+        rig.list(Change.FAILED, [])
+        rig.pass_time(3 * SECOND)
+    gaps = [b - a for a, b in zip(rig.watches, rig.watches[1:], strict=False)]
+    assert len(gaps) >= 3 and max(gaps) < 10 * SECOND
