--- a/millweir/control.py
+++ b/millweir/control.py
@@ -64,6 +64,8 @@
         self._open = 0
         self._keys: dict[int, Key] = {}
         self._out = 0
+        self._cancels = settings.cancel
+        self._overdue: dict[Call, None] = {}
         self._agenda: list[tuple[int, int, Packet | Call]] = []
         self._entered = 0
         self._alarm_at = 0
@@ -253,6 +255,7 @@
             self._out -= 1
             if call.late:
                 host.overdue -= 1
+                del self._overdue[call]
         if wait > 0 and outcome is Outcome.FULL:
             route.wait_until = max(route.wait_until, self._now + wait)  # rule 6
         if call.judged:
@@ -338,6 +341,8 @@
             host = self._favoured(best_hosts)
             self._call(host, best, best_hosts)
             rooms = [(h, self._hosts_with_room(h) if h is home else hosts) for h, hosts in rooms if h.held]
+        if self._cancels and self._out >= self._slots:
+            self._free_slots(sum(bool(hosts) for _, hosts in rooms))
         if self._ask_every:
             self._keep_asking()
         if self._agenda:
@@ -346,6 +351,26 @@
             self._alarm_at = max(self._wake, now + MILLISECOND)
             self._port.alarm(self._alarm_at - now)
 
+    def _free_slots(self, wanted: int) -> None:
+        """Guards the slots: with all of them taken, calls out far too long give way to packets that could go.
+
+        Covers hung, silent and very slow hosts, and answers that are lost; it harms where a host that stood
+        still would have answered after all, since a single-use packet is then errored.
+        """
+        for call in self._overdue:
+            if wanted <= 0:
+                break
+            if not call.given_up and self._now < call.sent_at + 2 * self._patience(call.host):
+                self._wake = min(self._wake, call.sent_at + 2 * self._patience(call.host))
+                continue
+            wanted -= 1
+            if not call.given_up:
+                call.given_up = True
+                for packet in call.packets:
+                    for number, trip in enumerate(packet.trips):
+                        if trip.call is call and not trip.over:
+                            self._port.cancel(packet, number)
+
     def _enter(self, at: int, what: Packet | Call) -> None:
         self._entered += 1
         heappush(self._agenda, (at, self._entered, what))
@@ -360,6 +385,7 @@
             elif what.left and not what.late:
                 what.late = True
                 what.host.overdue += 1
+                self._overdue[what] = None
                 self._went_ill(what.host, FAILED_WEIGHT)
 
     def _keep_asking(self) -> None:
@@ -460,6 +486,7 @@
             packet.trips.append(Trip(call))
             packet.out += 1
             call.left += 1
+            call.packets.append(packet)
             self._port.send(packet, host, self._time_out(packet, host))
             if call.left >= most:
                 break
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -82,7 +82,7 @@
 class Call:
     """One call out to a host; packets sent to it in one turn share it."""
 
-    __slots__ = ("host", "judged", "late", "left", "sent_at")
+    __slots__ = ("given_up", "host", "judged", "late", "left", "packets", "sent_at")
 
     def __init__(self, host: Host, sent_at: int) -> None:
         self.host = host
@@ -90,6 +90,8 @@
         self.left = 0
         self.late = False
         self.judged = False
+        self.given_up = False
+        self.packets: list[Packet] = []
 
 
 class Trip:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -61,6 +61,7 @@
         self.now = start
         self.alarms, self.watches = [], []
         self.sent, self.taken, self.answers = [], {}, {}
+        self.cancelled = []
         self.left, self.waits, self.rests, self.lines = {}, {}, {}, {}
         self.entries = entries or [entry(d, n, kind=d % 2) for d in range(3) for n in range(2)]
         self.relay = Relay(self, self.settings, seed, self.now)
@@ -99,6 +100,10 @@
     def error(self, packet):
         self.answer(packet, "errored")
 
+    def cancel(self, packet, number):
+        assert self.settings.cancel
+        self.cancelled.append((packet, number))
+
     def answer(self, packet, how):
         assert packet.id not in self.answers, "answered twice"
         self.answers[packet.id] = how
@@ -162,6 +167,9 @@
         until = self.now + span
         while self.now < until:
             self.now += STEP
+            for s in self.out():
+                if (s.packet, s.number) in self.cancelled and s.outcome is None:
+                    self.end(s, Outcome.CANCELLED)
             for s in self.out():
                 if s.outcome is None:
                     limit = min(s.time_out or s.packet.hard_stop, s.packet.hard_stop - s.at)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -138,3 +138,13 @@
         rig.pass_time(3 * SECOND)
     gaps = [b - a for a, b in zip(rig.watches, rig.watches[1:], strict=False)]
     assert len(gaps) >= 3 and max(gaps) < 10 * SECOND
+
+
+def test_calls_out_far_too_long_give_their_slots_to_packets_that_can_go():
+    rig = Rig(entries=[entry(d, 0, kind=1) for d in (0, 1, 2)], relays=1, slots=4)
+    for n in range(30):
+        rig.take(2, n % 2)
+        rig.take(2, 2)
+        rig.pass_time(500 * MILLISECOND, lambda s: s.host.destination.id == 2 and well()(rig)(s))
+    assert rig.cancelled
+    assert sum(s.outcome is Outcome.FULFILLED for s in rig.sent) >= 25
