--- a/millweir/adapter/wire.py
+++ b/millweir/adapter/wire.py
@@ -32,7 +32,7 @@
 CANCEL = struct.Struct("<HIB")
 DISMISS = struct.Struct("<HII")
 ERROR = struct.Struct("<HI")
-PROBE = struct.Struct("<H6s")
+FREE_LINKS = PROBE = struct.Struct("<H6s")
 ALARM = struct.Struct("<HQI")
 WATCH = struct.Struct("<HB")
 TEXT = struct.Struct("<HH")
@@ -79,6 +79,9 @@
     def probe(self, host: Host) -> None:
         self._out += PROBE.pack(1010, host.id)
 
+    def free_links(self, host: Host) -> None:
+        self._out += FREE_LINKS.pack(1120, host.id)
+
     def alarm(self, delay: int) -> None:
         self._out += ALARM.pack(1100, 0, min(-(-delay // 1000), MOST_US))
 
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -21,6 +21,7 @@
 PATIENCE_SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
 ROUTE_SHARE = 3  # one route may fill one in so many of the slots
 ROUGH = 1.5  # a rough rate is up to half too high
+STALE_KEPT = 30 * SECOND  # how long it is remembered that idle links to a host go stale
 NEVER = 1 << 62
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
 MAY_RUN_ON = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
@@ -249,6 +250,7 @@
         """One call has one fate, though each packet in it tells of it."""
         host, route = call.host, call.host.route
         call.left -= 1
+        host.used_at = self._now
         if not call.left:
             host.out -= 1
             route.out -= 1
@@ -284,6 +286,12 @@
             host.clear_at = self._now + WINDOW
             if not host.out:
                 self._went_ill(host, FAILED_WEIGHT)
+        elif outcome is Outcome.RESET and call.idle > SECOND // 2 and latency < host.latency:
+            # Guards against idle links cut on the way without a word: the next packet on one is lost.  Links
+            # idle for longer are closed first; harms, by handshakes, where the host itself broke the link.
+            host.stale_after = min(host.stale_after or call.idle, call.idle)
+            host.stale_at = self._now
+            self._went_ill(host, REFUSED_WEIGHT)
         elif outcome is not Outcome.MOOT and outcome is not Outcome.CANCELLED and not call.late:
             self._went_ill(host, FAILED_WEIGHT)
 
@@ -479,6 +487,12 @@
         """One call: the packet, and held ones that lose most by waiting, as many as travel together."""
         now, route = self._now, host.route
         call = Call(host, now)
+        call.idle = now - max(host.used_at, host.freed_at) if host.used_at else 0
+        if host.stale_after and now - host.freed_at >= host.stale_after * 0.8:
+            if now - host.stale_at > STALE_KEPT:
+                host.stale_after = 0
+            self._port.free_links(host)
+            host.freed_at, call.idle = now, 0
         packet: Packet | None = first
         most = self._bundle[host.kind] if host.kind < len(self._bundle) else 1
         while packet is not None:
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -147,6 +147,9 @@
     def probe(self, host: Host) -> None:
         """Check a host."""
 
+    def free_links(self, host: Host) -> None:
+        """Close this relay's idle connections to a host."""
+
     def alarm(self, delay: int) -> None:
         """Ring after the delay."""
 
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -30,8 +30,9 @@
     """All that is known of one host."""
 
     __slots__ = (
-        "clear_at", "destination", "doubt", "fresh", "id", "kind", "latency", "left_at", "level", "links",
-        "next_at", "out", "overdue", "pace", "phase", "route", "spread", "stepped_at", "went_well", "zone",
+        "clear_at", "destination", "doubt", "freed_at", "id", "kind", "latency", "left_at", "level", "links",
+        "next_at", "out", "overdue", "pace", "phase", "route", "spread", "stale_after", "stale_at",
+        "stepped_at", "used_at", "zone",
     )
 
     def __init__(self, entry: Entry, destination: Destination, route: Route) -> None:
@@ -53,8 +54,10 @@
         self.level = 0
         self.next_at = 0
         self.stepped_at = 0
-        self.went_well = False
-        self.fresh = True
+        self.used_at = 0
+        self.freed_at = 0
+        self.stale_after = 0
+        self.stale_at = 0
 
 
 class Destination:
@@ -82,7 +85,7 @@
 class Call:
     """One call out to a host; packets sent to it in one turn share it."""
 
-    __slots__ = ("given_up", "host", "judged", "late", "left", "packets", "sent_at")
+    __slots__ = ("given_up", "host", "idle", "judged", "late", "left", "packets", "sent_at")
 
     def __init__(self, host: Host, sent_at: int) -> None:
         self.host = host
@@ -91,6 +94,7 @@
         self.late = False
         self.judged = False
         self.given_up = False
+        self.idle = 0
         self.packets: list[Packet] = []
 
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -59,7 +59,7 @@
         self.chance = random.Random(seed)
         self.settings = settings(**given)
         self.now = start
-        self.alarms, self.watches = [], []
+        self.alarms, self.watches, self.freed = [], [], []
         self.sent, self.taken, self.answers = [], {}, {}
         self.cancelled = []
         self.left, self.waits, self.rests, self.lines = {}, {}, {}, {}
@@ -112,6 +112,9 @@
         assert delay > 0
         self.alarms.append(self.now + delay)
 
+    def free_links(self, host):
+        self.freed.append((self.now, host.id))
+
     def watch(self):
         self.watches.append(self.now)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -148,3 +148,25 @@
         rig.pass_time(500 * MILLISECOND, lambda s: s.host.destination.id == 2 and well()(rig)(s))
     assert rig.cancelled
     assert sum(s.outcome is Outcome.FULFILLED for s in rig.sent) >= 25
+
+
+def test_links_that_go_stale_when_idle_are_closed_before_use():
+    rig = Rig(entries=[entry(0, 0, kind=1)], relays=1)
+    last = {"used": 0, "freed": 0}
+
+    def decide(s):
+        if rig.now - s.at < 50 * MILLISECOND:
+            return None
+        fresh = any(at == s.at for at, _ in rig.freed)
+        stale = s.at - last["used"] > SECOND and last["used"] and not fresh
+        if stale:
+            return Outcome.RESET
+        if rig.now - s.at < 100 * MILLISECOND:
+            return None
+        last["used"] = rig.now
+        return Outcome.FULFILLED
+
+    for _ in range(10):
+        rig.take(2)
+        rig.pass_time(3 * SECOND, decide)
+    assert [s.outcome for s in rig.sent].count(Outcome.RESET) == 1
