--- a/millweir/control.py
+++ b/millweir/control.py
@@ -21,7 +21,9 @@
 PATIENCE_SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
 ROUTE_SHARE = 3  # one route may fill one in so many of the slots
 ROUGH = 1.5  # a rough rate is up to half too high
-STALE_KEPT = 30 * SECOND  # how long it is remembered that idle links to a host go stale
+STALE_KEPT = 30 * SECOND  # how long it is remembered that idle links go stale
+STALE_LEAST = SECOND // 2  # links idle for less are not held stale
+STALE_PROOF, STALE_HOSTS = 5 * SECOND, 3  # what is told of all hosts: within that time, by so many of them
 NEVER = 1 << 62
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
 MAY_RUN_ON = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
@@ -59,6 +61,9 @@
         self._cold_share = min(1.0, settings.fall_multiple * settings.cold_from / (rough * self._relays))
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
         self._asked_at, self._asks = 0, 0
+        self._stale_after, self._stale_at = 0, 0
+        self._idle_lost: dict[Host, tuple[int, int]] = {}
+        self._idle_answered: list[tuple[int, int]] = []
         self._hosts: dict[bytes, Host] = {}
         self._destinations: dict[int, Destination] = {}
         self._packets: dict[int, Packet] = {}
@@ -250,7 +255,8 @@
         """One call has one fate, though each packet in it tells of it."""
         host, route = call.host, call.host.route
         call.left -= 1
-        host.used_at = self._now
+        if outcome in (Outcome.FULFILLED, Outcome.FULL, Outcome.FAULT):
+            host.used_at = self._now
         if not call.left:
             host.out -= 1
             route.out -= 1
@@ -274,6 +280,8 @@
             else:
                 host.latency, host.spread = latency, latency // 2
             self._went_well(host, call)
+            if call.idle >= STALE_LEAST:
+                self._idle_answered.append((self._now, call.idle))
         elif outcome is Outcome.FULL:
             if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
                 route.limit = max(1.0, CUT * self._count(route))
@@ -286,15 +294,47 @@
             host.clear_at = self._now + WINDOW
             if not host.out:
                 self._went_ill(host, FAILED_WEIGHT)
-        elif outcome is Outcome.RESET and call.idle > SECOND // 2 and latency < host.latency:
-            # Guards against idle links cut on the way without a word: the next packet on one is lost.  Links
-            # idle for longer are closed first; harms, by handshakes, where the host itself broke the link.
-            host.stale_after = min(host.stale_after or call.idle, call.idle)
-            host.stale_at = self._now
-            self._went_ill(host, REFUSED_WEIGHT)
+        elif outcome is Outcome.RESET and latency < host.latency:
+            self._link_lost(call, reset=True)
         elif outcome is not Outcome.MOOT and outcome is not Outcome.CANCELLED and not call.late:
             self._went_ill(host, FAILED_WEIGHT)
 
+    def _link_lost(self, call: Call, reset: bool) -> None:
+        """Guards against idle links cut on the way: the next packet on one is reset, or never answered.
+
+        Links idle for as long are closed before the next call: to the host after a reset, to every host once
+        three hosts lost calls on links idle for longer than any that was answered of late.  A call lost on a
+        fresh link speaks against it.  It harms, by handshakes, where links break for another cause.
+        """
+        host = call.host
+        if call.idle < STALE_LEAST:
+            if call.fresh:
+                host.stale_after = 0
+            self._went_ill(host, FAILED_WEIGHT)
+            return
+        self._went_ill(host, REFUSED_WEIGHT if reset else FAILED_WEIGHT)
+        if reset:
+            host.stale_after, host.stale_at = min(host.stale_after or call.idle, call.idle), self._now
+        self._idle_lost[host] = (self._now, call.idle)
+        self._idle_answered = [(at, idle) for at, idle in self._idle_answered if at > self._now - STALE_PROOF]
+        longest = max((idle for _, idle in self._idle_answered), default=0)
+        recent = self._now - STALE_PROOF
+        lost = [idle for at, idle in self._idle_lost.values() if at > recent and idle > longest]
+        if len(lost) >= STALE_HOSTS:
+            self._stale_after, self._stale_at = min(lost), self._now
+
+    def _refresh_links(self, host: Host, call: Call) -> None:
+        if self._now - host.stale_at > STALE_KEPT:
+            host.stale_after = 0
+        if self._now - self._stale_at > STALE_KEPT:
+            self._stale_after = 0
+        quiet_since = max(host.used_at, host.freed_at)
+        call.idle = self._now - quiet_since if quiet_since else 0
+        bound = host.stale_after or self._stale_after
+        if bound and self._now - host.freed_at >= bound * 0.8:
+            self._port.free_links(host)
+            host.freed_at, call.idle, call.fresh = self._now, 0, True
+
     def _went_well(self, host: Host, call: Call) -> None:
         host.doubt = max(0.0, host.doubt + FULFILLED_WEIGHT)
         if not host.pace or call.sent_at < host.stepped_at:
@@ -394,7 +434,7 @@
                 what.late = True
                 what.host.overdue += 1
                 self._overdue[what] = None
-                self._went_ill(what.host, FAILED_WEIGHT)
+                self._link_lost(what, reset=False)
 
     def _keep_asking(self) -> None:
         """Guards against being deemed told of drains that were never heard of: a failed watch is renewed."""
@@ -487,12 +527,7 @@
         """One call: the packet, and held ones that lose most by waiting, as many as travel together."""
         now, route = self._now, host.route
         call = Call(host, now)
-        call.idle = now - max(host.used_at, host.freed_at) if host.used_at else 0
-        if host.stale_after and now - host.freed_at >= host.stale_after * 0.8:
-            if now - host.stale_at > STALE_KEPT:
-                host.stale_after = 0
-            self._port.free_links(host)
-            host.freed_at, call.idle = now, 0
+        self._refresh_links(host, call)
         packet: Packet | None = first
         most = self._bundle[host.kind] if host.kind < len(self._bundle) else 1
         while packet is not None:
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -85,7 +85,7 @@
 class Call:
     """One call out to a host; packets sent to it in one turn share it."""
 
-    __slots__ = ("given_up", "host", "idle", "judged", "late", "left", "packets", "sent_at")
+    __slots__ = ("fresh", "given_up", "host", "idle", "judged", "late", "left", "packets", "sent_at")
 
     def __init__(self, host: Host, sent_at: int) -> None:
         self.host = host
@@ -95,6 +95,7 @@
         self.judged = False
         self.given_up = False
         self.idle = 0
+        self.fresh = False
         self.packets: list[Packet] = []
 
 
