Sequential test between 1 in 5 and 4 in 5 failing, not 1 in 20 and half

Cause: hosts failing less than half of their calls are no outage, and their trickle lost more than the failures.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -16,7 +16,7 @@
 
 WINDOW = SECOND  # of the send log, as in the paper's code
 CUT, RAISE = 0.5, 1.25  # limit after a refusal, of the current count; after a window without one
-FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -0.64, 2.3, 1.2  # log odds: half fail against 1 in 20
+FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
 SICK = 4.6  # log odds of a hundred to one: set aside
 PATIENCE_SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
 ROUTE_SHARE = 3  # one route may fill one in so many of the slots
