--- a/millweir/control.py
+++ b/millweir/control.py
@@ -295,11 +295,11 @@
             if not host.out:
                 self._went_ill(host, FAILED_WEIGHT)
         elif outcome is Outcome.RESET and latency < host.latency:
-            self._link_lost(call, reset=True)
+            self._link_lost(call, FAILED_WEIGHT, reset=True)
         elif outcome is not Outcome.MOOT and outcome is not Outcome.CANCELLED and not call.late:
             self._went_ill(host, FAILED_WEIGHT)
 
-    def _link_lost(self, call: Call, reset: bool) -> None:
+    def _link_lost(self, call: Call, weight: float, reset: bool) -> None:
         """Guards against idle links cut on the way: the next packet on one is reset, or never answered.
 
         Links idle for as long are closed before the next call: to the host after a reset, to every host once
@@ -310,9 +310,9 @@
         if call.idle < STALE_LEAST:
             if call.fresh:
                 host.stale_after = 0
-            self._went_ill(host, FAILED_WEIGHT)
+            self._went_ill(host, weight)
             return
-        self._went_ill(host, REFUSED_WEIGHT if reset else FAILED_WEIGHT)
+        self._went_ill(host, REFUSED_WEIGHT if reset else weight)
         if reset:
             host.stale_after, host.stale_at = min(host.stale_after or call.idle, call.idle), self._now
         self._idle_lost[host] = (self._now, call.idle)
@@ -434,7 +434,8 @@
                 what.late = True
                 what.host.overdue += 1
                 self._overdue[what] = None
-                self._link_lost(what, reset=False)
+                silent = what.host.used_at < what.sent_at  # it answered nothing in all that time
+                self._link_lost(what, SICK / 2 if silent else FAILED_WEIGHT, reset=False)
 
     def _keep_asking(self) -> None:
         """Guards against being deemed told of drains that were never heard of: a failed watch is renewed."""
