--- a/millweir/control.py
+++ b/millweir/control.py
@@ -10,12 +10,13 @@
 
 import random
 from heapq import heappop, heappush
+from math import ceil
 
 from millweir.interface import MILLISECOND, SECOND, Change, Effect, Entry, Outcome, Phase, Port, Settings
 from millweir.records import Call, Destination, Host, Key, Packet, Route, Trip
 
 WINDOW = SECOND  # of the send log, as in the paper's code
-CUT, RAISE = 0.5, 1.25  # limit after a refusal, of the current count; after a window without one
+CUT, RAISE = 0.5, 0.25  # limit after a refusal, of the count; a window without one adds, of the even share
 FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
 SICK = 4.6  # log odds of a hundred to one: set aside
 PATIENCE_SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
@@ -115,7 +116,7 @@
             # unknown state: each starts at its even share, and the ordinary raise finds what others leave.
             known = self._known_rates and entry.rate > 0
             top = entry.rate * WINDOW / SECOND if known else float(NEVER)
-            route = Route(entry.rate if known else 1.0, max(1.0, top / self._relays), top, self._now)
+            route = Route(entry.rate if known else 1.0, top / self._relays, top, self._now)
             home.route = route
         host = Host(entry, home, route)
         home.hosts.append(host)
@@ -284,11 +285,15 @@
                 self._idle_answered.append((self._now, call.idle))
         elif outcome is Outcome.FULL:
             if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
-                route.limit = max(1.0, CUT * self._count(route))
+                starved = route.limit <= route.share * CUT
+                route.limit = max(route.share * CUT, CUT * len(route.log))
                 route.cut_at = self._now
+                if starved:  # refused though hardly anything was sent: no limit of ours explains it
+                    self._went_ill(host, REFUSED_WEIGHT)
             route.raised_at = self._now
             # A wait longer than any span of the limit tells of a destination that is shut.
-            self._went_ill(host, SICK if wait > 2 * WINDOW else REFUSED_WEIGHT)
+            if wait > 2 * WINDOW:
+                self._went_ill(host, SICK)
         elif outcome is Outcome.UNCONNECTED:
             host.links = max(1, host.out)
             host.clear_at = self._now + WINDOW
@@ -454,11 +459,13 @@
                      if host.phase is Phase.DRAINING and self._now < host.left_at + self._grace]
         return [host for host in hosts if self._has_room(host)]
 
-    def _count(self, route: Route) -> int:
-        log = route.log
-        while log and log[0] <= self._now - WINDOW:
-            log.popleft()
-        return len(log)
+    def _log_opens(self, route: Route) -> int:
+        """When the send log next has room: its window stretches so that a whole count gives the exact limit."""
+        count = ceil(route.limit) if route.limit < NEVER else NEVER
+        window = int(WINDOW * count / route.limit)
+        while route.log and route.log[0] <= self._now - window:
+            route.log.popleft()
+        return route.log[0] + window if len(route.log) >= count else 0
 
     def _has_room(self, host: Host) -> bool:
         """Told waits, the windowed count against the limit, as designed; then what guards slots."""
@@ -467,12 +474,12 @@
         if opens > now:
             self._wake = min(self._wake, opens)
             return False
-        count = self._count(route)
         if now - route.raised_at >= WINDOW and route.limit < route.top:
-            route.limit = min(route.top, max(route.limit * RAISE, route.limit + 1))
+            route.limit = min(route.top, route.limit + RAISE * route.share)
             route.raised_at = now
-        if count and count + 1 > route.limit:
-            self._wake = min(self._wake, route.log[0] + WINDOW)
+        opens = self._log_opens(route)
+        if opens > now:
+            self._wake = min(self._wake, opens)
             return False
         if host.links and host.out >= host.links:
             return False
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -12,18 +12,18 @@
 class Route:
     """What one limit holds for: a destination, or one host of it where routes are apart."""
 
-    __slots__ = ("cut_at", "limit", "listed", "log", "out", "raised_at", "report_at", "top", "wait_until")
+    __slots__ = ("cut_at", "limit", "listed", "log", "out", "raised_at", "share", "top", "wait_until")
 
-    def __init__(self, listed: float, limit: float, top: float, now: int) -> None:
+    def __init__(self, listed: float, share: float, top: float, now: int) -> None:
         self.listed = listed
-        self.limit = limit
+        self.limit = share
+        self.share = share
         self.top = top
         self.log: deque[int] = deque()
         self.out = 0
         self.wait_until = 0
         self.raised_at = now
         self.cut_at = 0
-        self.report_at = 0
 
 
 class Host:
