--- a/millweir/control.py
+++ b/millweir/control.py
@@ -10,12 +10,12 @@
 
 import random
 from heapq import heappop, heappush
-from math import ceil
 
 from millweir.interface import MILLISECOND, SECOND, Change, Effect, Entry, Outcome, Phase, Port, Settings
 from millweir.records import Call, Destination, Host, Key, Packet, Route, Trip
 
-WINDOW = SECOND  # of the send log, as in the paper's code
+WINDOW = 3 * SECOND // 10  # of the send log; longer where the limit lets less than one call through in it
+ROUND = SECOND  # without a refusal, before the limit is raised
 CUT, RAISE = 0.5, 0.25  # limit after a refusal, of the count; a window without one adds, of the even share
 FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
 SICK = 4.6  # log odds of a hundred to one: set aside
@@ -115,7 +115,7 @@
             # Every relay at the whole rate, above all after a restart, would be a burst on a destination of
             # unknown state: each starts at its even share, and the ordinary raise finds what others leave.
             known = self._known_rates and entry.rate > 0
-            top = entry.rate * WINDOW / SECOND if known else float(NEVER)
+            top = entry.rate if known else float(NEVER)
             route = Route(entry.rate if known else 1.0, top / self._relays, top, self._now)
             home.route = route
         host = Host(entry, home, route)
@@ -169,7 +169,7 @@
 
     def _make_room(self) -> None:
         """Guards the packet table: when it is full, the held packet worth least now comes again later."""
-        later = self._now + WINDOW
+        later = self._now + ROUND
         held = (p for home in self._destinations.values() for p in home.held.values() if not self._risky(p))
         worst = min(held, key=lambda p: self._worth(p, later), default=None)
         if worst is not None:
@@ -187,7 +187,7 @@
         route = packet.destination.route
         if not self._max_wait or route is None:
             return self._max_wait
-        rate = max(0.1, min(route.limit, route.listed) * SECOND / WINDOW)
+        rate = max(0.1, min(route.limit, route.listed))
         wait = max(route.wait_until - self._now, int(len(packet.destination.held) * SECOND / rate))
         return max(MILLISECOND, min(self._max_wait, wait))
 
@@ -272,7 +272,7 @@
         call.judged = True
         field = self._limit_field
         if field is not None and len(report) > field and report[field] > 0:
-            route.top = report[field] * WINDOW / SECOND
+            route.top = report[field]
             route.limit = min(route.limit, route.top)
         if outcome is Outcome.FULFILLED:
             if host.latency:
@@ -281,22 +281,23 @@
             else:
                 host.latency, host.spread = latency, latency // 2
             self._went_well(host, call)
+            route.raised_at = min(route.raised_at, self._now)
             if call.idle >= STALE_LEAST:
                 self._idle_answered.append((self._now, call.idle))
         elif outcome is Outcome.FULL:
             if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
                 starved = route.limit <= route.share * CUT
-                route.limit = max(route.share * CUT, CUT * len(route.log))
+                route.limit = max(route.share * CUT, CUT * min(route.limit, route.top))
                 route.cut_at = self._now
                 if starved:  # refused though hardly anything was sent: no limit of ours explains it
                     self._went_ill(host, REFUSED_WEIGHT)
-            route.raised_at = self._now
+            route.raised_at = NEVER  # no window is free of refusals before a call went well
             # A wait longer than any span of the limit tells of a destination that is shut.
-            if wait > 2 * WINDOW:
+            if wait > 2 * ROUND:
                 self._went_ill(host, SICK)
         elif outcome is Outcome.UNCONNECTED:
             host.links = max(1, host.out)
-            host.clear_at = self._now + WINDOW
+            host.clear_at = self._now + ROUND
             if not host.out:
                 self._went_ill(host, FAILED_WEIGHT)
         elif outcome is Outcome.RESET and latency < host.latency:
@@ -460,9 +461,9 @@
         return [host for host in hosts if self._has_room(host)]
 
     def _log_opens(self, route: Route) -> int:
-        """When the send log next has room: its window stretches so that a whole count gives the exact limit."""
-        count = ceil(route.limit) if route.limit < NEVER else NEVER
-        window = int(WINDOW * count / route.limit)
+        """When the send log next has room; its window is such that a whole count gives the exact limit."""
+        count = max(1, round(route.limit * WINDOW / SECOND))
+        window = int(SECOND * count / route.limit)
         while route.log and route.log[0] <= self._now - window:
             route.log.popleft()
         return route.log[0] + window if len(route.log) >= count else 0
@@ -474,7 +475,7 @@
         if opens > now:
             self._wake = min(self._wake, opens)
             return False
-        if now - route.raised_at >= WINDOW and route.limit < route.top:
+        if now - route.raised_at >= ROUND and route.limit < route.top:
             route.limit = min(route.top, route.limit + RAISE * route.share)
             route.raised_at = now
         opens = self._log_opens(route)
