--- a/millweir/adapter/wire.py
+++ b/millweir/adapter/wire.py
@@ -32,7 +32,7 @@
 CANCEL = struct.Struct("<HIB")
 DISMISS = struct.Struct("<HII")
 ERROR = struct.Struct("<HI")
-FREE_LINKS = PROBE = struct.Struct("<H6s")
+FREE_LINKS = struct.Struct("<H6s")
 ALARM = struct.Struct("<HQI")
 WATCH = struct.Struct("<HB")
 TEXT = struct.Struct("<HH")
@@ -76,9 +76,6 @@
     def error(self, packet: Packet) -> None:
         self._out += ERROR.pack(1060, packet.id)
 
-    def probe(self, host: Host) -> None:
-        self._out += PROBE.pack(1010, host.id)
-
     def free_links(self, host: Host) -> None:
         self._out += FREE_LINKS.pack(1120, host.id)
 
@@ -166,10 +163,10 @@
                             latency * 1000, wait * 1_000_000, report)
             return at + 4 * n
         if code == 1020:
-            ident, profile, tenant, key, not_after, _, bound, marks = ORDER.unpack_from(body, at)
+            ident, profile, tenant, key, not_after, _, bound, _ = ORDER.unpack_from(body, at)
             if relay is not None:
                 self._guard(number, relay.packet_taken, now, ident, profile, tenant, key, not_after * 1000,
-                            int(bound), bool(marks & 2))
+                            int(bound))
             return at + ORDER.size
         if code == 1060:
             REMINDER.unpack_from(body, at)
@@ -191,14 +188,8 @@
                 self._guard(number, relay.list_told, now, change, rows)
             return at + TARGETS.size
         if code == 1070:
-            reason, host, latency, n = PROBED.unpack_from(body, at)
-            at += PROBED.size
-            report = FLOATS[n].unpack_from(body, at)
-            if reason not in OUTCOMES:
-                raise Malformed(f"probed before byte {at} has unknown reason {reason}")
-            if relay is not None:
-                self._guard(number, relay.probe_ended, now, host, OUTCOMES[reason], latency * 1000, report)
-            return at + 4 * n
+            *_, n = PROBED.unpack_from(body, at)  # the module sends no probes
+            return at + PROBED.size + 4 * n
         if code == 1000:
             salt, size = POWER_ON.unpack_from(body, at)
             at += POWER_ON.size
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -10,6 +10,7 @@
 
 import random
 from heapq import heappop, heappush
+from itertools import count
 
 from millweir.interface import MILLISECOND, SECOND, Change, Effect, Entry, Outcome, Phase, Port, Settings
 from millweir.records import Call, Destination, Host, Key, Packet, Route, Trip
@@ -25,6 +26,9 @@
 STALE_KEPT = 30 * SECOND  # how long it is remembered that idle links go stale
 STALE_LEAST = SECOND // 2  # links idle for less are not held stale
 STALE_PROOF, STALE_HOSTS = 5 * SECOND, 3  # what is told of all hosts: within that time, by so many of them
+SHARE_DEPTH = 2  # seconds of a tenant's share that it may send at once
+FORGOTTEN_AFTER = 60 * SECOND  # a host that left the list
+LEAST_PACE = 0.05  # calls a second to a host set aside, whatever its listed rate
 NEVER = 1 << 62
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
 MAY_RUN_ON = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
@@ -38,17 +42,12 @@
         self._sample = random.Random(seed).sample
         self._profiles = settings.profiles
         self._relays = max(1, settings.relays)
-        self._slots = settings.slots
-        self._route_slots = max(2, settings.slots // ROUTE_SHARE)
-        self._max_open = settings.max_open
-        self._max_trips = settings.max_trips
-        self._second_copies = settings.second_copies
+        self._slots, self._route_slots = settings.slots, max(2, settings.slots // ROUTE_SHARE)
+        self._max_open, self._max_trips = settings.max_open, settings.max_trips
         self._max_wait = settings.max_retry_after if settings.retry_after else 0
         self._margin = 2 * settings.period
         self._halves = settings.halves
-        self._bundle = settings.bundle_max
-        self._apart = settings.apart
-        self._zone = settings.zone
+        self._bundle, self._apart = settings.bundle_max, settings.apart
         self._over_share = settings.over_share
         self._quotas = [tenant.quota / self._relays for tenant in settings.tenants]
         self._shares = [(quota, now) for quota in self._quotas]
@@ -61,52 +60,49 @@
         rough = ROUGH if settings.rates_rough else 1.0
         self._cold_share = min(1.0, settings.fall_multiple * settings.cold_from / (rough * self._relays))
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
-        self._asked_at, self._asks = 0, 0
+        self._failed_asks = 0
+        self._cancels = settings.cancel
         self._stale_after, self._stale_at = 0, 0
-        self._idle_lost: dict[Host, tuple[int, int]] = {}
         self._idle_answered: list[tuple[int, int]] = []
         self._hosts: dict[bytes, Host] = {}
         self._destinations: dict[int, Destination] = {}
         self._packets: dict[int, Packet] = {}
-        self._open = 0
         self._keys: dict[int, Key] = {}
-        self._out = 0
-        self._cancels = settings.cancel
+        self._open = self._out = 0
         self._overdue: dict[Call, None] = {}
-        self._agenda: list[tuple[int, int, Packet | Call]] = []
-        self._entered = 0
-        self._alarm_at = 0
-        self._wake = NEVER
-        self._now = now
+        self._agenda: list[tuple[int, int, Packet | Call | Key | None]] = []
+        self._order = count().__next__
+        self._now, self._wake, self._alarm_at = now, NEVER, 0
         if self._ask_every:
-            self._watch()
-
-    # The list of hosts.
+            port.watch()
 
     def list_told(self, now: int, change: Change, entries: tuple[Entry, ...]) -> None:
         """News of the list: changes, or the whole of it, in which case what is not in it is gone."""
         self._now = now
         if change is Change.FAILED:
-            self._asks += 1
+            # Guards against being deemed told of drains never heard of: a failed watch is renewed.
+            self._failed_asks += 1
+            self._enter(now + min(self._ask_every, SECOND << min(self._failed_asks, 8) >> 2), None)
             return
         if change is not Change.CACHED:
-            self._asks = 0
-        named = {entry.host for entry in entries}
+            self._failed_asks = 0
+        gone = {entry.host for entry in entries if entry.phase is Phase.GONE}
         if change is not Change.DELTA:
-            for ident, host in self._hosts.items():
-                if ident not in named:
-                    self._leave(host, Phase.GONE)
+            gone = self._hosts.keys() - {entry.host for entry in entries}
+        for ident, host in list(self._hosts.items()):
+            # A host that left is kept for a while, lest a list that flaps lose its told wait or its doubt.
+            listed = host in host.destination.hosts
+            if ident in gone and listed:
+                host.left_at = host.left_at or now
+                host.destination.hosts.remove(host)
+            elif not listed and now - host.left_at > FORGOTTEN_AFTER and not host.out:
+                del self._hosts[ident]
         for entry in entries:
-            host = self._hosts.get(entry.host)
-            if host is None:
-                if entry.phase is Phase.GONE:
-                    continue
-                self._hosts[entry.host] = host = self._meet(entry)
-            elif entry.phase is Phase.READY:
-                host.phase, host.left_at = Phase.READY, 0
-            self._leave(host, entry.phase)
-            if self._known_rates and entry.rate > 0 and entry.rate != host.route.listed:
-                host.route.listed = entry.rate
+            if entry.phase is not Phase.GONE:
+                host = self._hosts.get(entry.host) or self._meet(entry)
+                host.left_at = 0 if entry.phase is Phase.READY else host.left_at or now
+                if host not in host.destination.hosts:
+                    host.destination.hosts.append(host)
 
     def _meet(self, entry: Entry) -> Host:
         home = self._home(entry.destination)
@@ -116,38 +112,21 @@
             # unknown state: each starts at its even share, and the ordinary raise finds what others leave.
             known = self._known_rates and entry.rate > 0
             top = entry.rate if known else float(NEVER)
-            route = Route(entry.rate if known else 1.0, top / self._relays, top, self._now)
-            home.route = route
-        host = Host(entry, home, route)
-        home.hosts.append(host)
-        return host
-
-    def _leave(self, host: Host, phase: Phase) -> None:
-        if phase is not Phase.READY:
-            host.left_at = host.left_at or self._now
-            host.phase = phase
+            route = home.route = Route(entry.rate if known else 1.0, top / self._relays, top, self._now)
+        return self._hosts.setdefault(entry.host, Host(entry, home, route))
 
     def _home(self, ident: int) -> Destination:
-        home = self._destinations.get(ident)
-        if home is None:
-            home = self._destinations[ident] = Destination(ident)
-        return home
-
-    def _watch(self) -> None:
-        self._asked_at = self._now
-        self._port.watch()
-
-    # Packets and their ends.
+        return self._destinations.get(ident) or self._destinations.setdefault(ident, Destination())
 
     def packet_taken(self, now: int, ident: int, profile: int, tenant: int, key: int, hard_stop: int,
-                     destination: int, again: bool) -> None:
+                     destination: int) -> None:
         """A packet was handed in; it is held until round_over finds room for it."""
         self._now = now
         packet = Packet(ident, self._profiles[profile], self._home(destination), hard_stop)
         packet.aim_at = hard_stop - packet.profile.give_up + packet.profile.quoted
         packet.gain = packet.profile.gain * self._worth_of_share(tenant)
         if packet.profile.in_order and key:
-            packet.key = self._keys.setdefault(key, Key())
+            packet.key = self._keys.get(key) or self._keys.setdefault(key, Key(key))
             packet.key.line.append(packet)
         self._packets[ident] = packet
         self._open += 1
@@ -160,12 +139,10 @@
         """Guards against one tenant's flood: what lies beyond its share is worth little and goes last."""
         if tenant >= len(self._quotas) or self._quotas[tenant] <= 0:
             return 1.0
-        quota = self._quotas[tenant]
-        left, at = self._shares[tenant]
-        left = min(2 * quota, left + quota * (self._now - at) / SECOND)
-        within = left >= 1
-        self._shares[tenant] = (left - within, self._now)
-        return 1.0 if within else self._over_share
+        quota, (left, at) = self._quotas[tenant], self._shares[tenant]
+        left = min(SHARE_DEPTH * quota, left + quota * (self._now - at) / SECOND)
+        self._shares[tenant] = (left - (left >= 1), self._now)
+        return 1.0 if left >= 1 else self._over_share
 
     def _make_room(self) -> None:
         """Guards the packet table: when it is full, the held packet worth least now comes again later."""
@@ -185,11 +162,11 @@
 
     def _advice(self, packet: Packet) -> int:
         route = packet.destination.route
-        if not self._max_wait or route is None:
+        if route is None:
             return self._max_wait
-        rate = max(0.1, min(route.limit, route.listed))
+        rate = max(LEAST_PACE, min(route.limit, route.listed))
         wait = max(route.wait_until - self._now, int(len(packet.destination.held) * SECOND / rate))
-        return max(MILLISECOND, min(self._max_wait, wait))
+        return min(self._max_wait, max(MILLISECOND, wait))
 
     def _end(self, packet: Packet) -> None:
         packet.ended = True
@@ -200,6 +177,7 @@
     def _forget(self, packet: Packet) -> None:
         if packet.ended and not packet.out and self._packets.pop(packet.id, None) and packet.key:
             packet.key.line.remove(packet)
+            self._enter(packet.key.rest_until, packet.key)
 
     def packet_withdrawn(self, now: int, ident: int) -> None:
         """Nobody wants the packet any more."""
@@ -208,8 +186,6 @@
         if packet is not None and not packet.ended:
             self._end(packet)
 
-    # Trips.
-
     def trip_ended(self, now: int, ident: int, number: int, outcome: Outcome, finished: bool, latency: int,
                    wait: int, report: tuple[float, ...]) -> None:
         """A trip has its outcome; unless that finished the packet, its answer is still owed."""
@@ -227,22 +203,17 @@
             self._forget(packet)
         elif finished:
             self._end(packet)
-        elif packet.out == 0:
-            if self._may_go_again(packet):
-                packet.destination.held[ident] = packet
-            else:
-                self._finish(packet)
+        elif self._may_go_again(packet):
+            packet.destination.held[ident] = packet
+        else:
+            self._finish(packet)
 
     def _risky(self, packet: Packet) -> bool:
         return any(not trip.void for trip in packet.trips)
 
     def _may_go_again(self, packet: Packet) -> bool:
         """Rule 2: the one guard on further trips."""
-        if packet.ended or len(packet.trips) >= self._max_trips:
-            return False
-        if packet.hard_stop - self._margin <= self._now:
-            return False
-        if packet.out and not self._second_copies:
+        if len(packet.trips) >= self._max_trips or packet.hard_stop - self._margin <= self._now:
             return False
         first = min((trip.call.sent_at for trip in packet.trips if not trip.void), default=None)
         if first is None or packet.profile.effect is Effect.REPLAYABLE:
@@ -321,11 +292,12 @@
         self._went_ill(host, REFUSED_WEIGHT if reset else weight)
         if reset:
             host.stale_after, host.stale_at = min(host.stale_after or call.idle, call.idle), self._now
-        self._idle_lost[host] = (self._now, call.idle)
-        self._idle_answered = [(at, idle) for at, idle in self._idle_answered if at > self._now - STALE_PROOF]
-        longest = max((idle for _, idle in self._idle_answered), default=0)
+        host.idle_lost, host.idle_lost_at = call.idle, self._now
         recent = self._now - STALE_PROOF
-        lost = [idle for at, idle in self._idle_lost.values() if at > recent and idle > longest]
+        self._idle_answered = [(at, idle) for at, idle in self._idle_answered if at > recent]
+        longest = max((idle for _, idle in self._idle_answered), default=0)
+        lost = [host.idle_lost for host in self._hosts.values()
+                if host.idle_lost_at > recent and host.idle_lost > longest]
         if len(lost) >= STALE_HOSTS:
             self._stale_after, self._stale_at = min(lost), self._now
 
@@ -343,45 +315,32 @@
 
     def _went_well(self, host: Host, call: Call) -> None:
         host.doubt = max(0.0, host.doubt + FULFILLED_WEIGHT)
-        if not host.pace or call.sent_at < host.stepped_at:
-            return
-        if self._now - host.stepped_at >= self._fall_time:
-            host.pace *= 2
-            host.level += 1
-            host.stepped_at = self._now
+        if host.pace and call.sent_at >= host.stepped_at:
+            host.level = max(1, host.level)
+            if self._now - host.stepped_at >= self._fall_time:
+                host.pace, host.level, host.stepped_at = 2 * host.pace, host.level + 1, self._now
             if host.pace >= host.route.listed:
                 host.pace, host.level, host.doubt = 0.0, 0, 0.0
-        elif not host.level:
-            host.level = 1
 
     def _went_ill(self, host: Host, weight: float) -> None:
         """Sequential test on outcomes; a host found sick is set aside and gets a trickle (rule 4)."""
         host.doubt = min(SICK, host.doubt + weight)
         if host.pace or host.doubt >= SICK:
-            host.pace = max(0.05, self._cold_share * host.route.listed / len(host.destination.hosts))
+            peers = [other for other in host.destination.hosts if other.route is host.route]
+            host.pace = max(LEAST_PACE, self._cold_share * host.route.listed / max(1, len(peers)))
             host.level = 0
             host.stepped_at = self._now
             host.next_at = max(host.next_at, self._now + int(SECOND / host.pace))
-            for other in host.destination.hosts:
-                if other.route is host.route and not other.pace:
+            for other in peers:
+                if not other.pace:
                     other.doubt = max(other.doubt, SICK / 2)
 
-    def probe_ended(self, now: int, ident: bytes, outcome: Outcome, latency: int,
-                    report: tuple[float, ...]) -> None:
-        """A probe has its outcome; none is sent so far."""
-        self._now = now
-
-    # The round.
-
     def round_over(self, now: int) -> None:
         """All that came in together has been told: send what has room, then sleep until something is due."""
         self._now = now
         self._wake = NEVER
         self._settle_due()
-        rooms = []
-        for home in self._destinations.values():
-            if home.held:
-                rooms.append((home, self._hosts_with_room(home)))
+        rooms = [(home, self._hosts_with_room(home)) for home in self._destinations.values() if home.held]
         while self._out < self._slots:
             best, best_loss, best_hosts = None, -1.0, []
             for home, hosts in rooms:
@@ -391,14 +350,11 @@
                         best, best_loss, best_hosts = packet, loss, hosts
             if best is None:
                 break
-            home = best.destination
-            host = self._favoured(best_hosts)
-            self._call(host, best, best_hosts)
-            rooms = [(h, self._hosts_with_room(h) if h is home else hosts) for h, hosts in rooms if h.held]
+            self._call(self._favoured(best_hosts), best, best_hosts)
+            rooms = [(home, self._hosts_with_room(home) if home is best.destination else hosts)
+                     for home, hosts in rooms if home.held]
         if self._cancels and self._out >= self._slots:
             self._free_slots(sum(bool(hosts) for _, hosts in rooms))
-        if self._ask_every:
-            self._keep_asking()
         if self._agenda:
             self._wake = min(self._wake, self._agenda[0][0])
         if self._wake < NEVER and not now < self._alarm_at <= self._wake:
@@ -414,28 +370,30 @@
         for call in self._overdue:
             if wanted <= 0:
                 break
-            if not call.given_up and self._now < call.sent_at + 2 * self._patience(call.host):
-                self._wake = min(self._wake, call.sent_at + 2 * self._patience(call.host))
+            if not call.given_up and self._now < call.yields_at:
+                self._wake = min(self._wake, call.yields_at)
                 continue
             wanted -= 1
             if not call.given_up:
                 call.given_up = True
-                for packet in call.packets:
-                    for number, trip in enumerate(packet.trips):
-                        if trip.call is call and not trip.over:
-                            self._port.cancel(packet, number)
+                for packet, number in call.trips:
+                    self._port.cancel(packet, number)
 
-    def _enter(self, at: int, what: Packet | Call) -> None:
-        self._entered += 1
-        heappush(self._agenda, (at, self._entered, what))
+    def _enter(self, at: int, what: Packet | Call | Key | None) -> None:
+        heappush(self._agenda, (at, self._order(), what))
 
     def _settle_due(self) -> None:
         """Packets near their hard stop get their answer; calls out too long count against their host."""
         while self._agenda and self._agenda[0][0] <= self._now:
             what = heappop(self._agenda)[2]
-            if isinstance(what, Packet):
+            if what is None:
+                self._port.watch()
+            elif isinstance(what, Packet):
                 if not what.ended:
                     self._finish(what)
+            elif isinstance(what, Key):
+                if not what.line and what.rest_until <= self._now:
+                    self._keys.pop(what.id, None)
             elif what.left and not what.late:
                 what.late = True
                 what.host.overdue += 1
@@ -443,30 +401,20 @@
                 silent = what.host.used_at < what.sent_at  # it answered nothing in all that time
                 self._link_lost(what, SICK / 2 if silent else FAILED_WEIGHT, reset=False)
 
-    def _keep_asking(self) -> None:
-        """Guards against being deemed told of drains that were never heard of: a failed watch is renewed."""
-        if self._asks:
-            again = self._asked_at + min(self._ask_every, SECOND << min(self._asks, 8) >> 2)
-            if again <= self._now:
-                self._watch()
-                again = self._now + self._ask_every
-            self._wake = min(self._wake, again)
-
     def _hosts_with_room(self, home: Destination) -> list[Host]:
         """Hosts of the destination that may be sent a call now; notes when the next one may."""
-        hosts = [host for host in home.hosts if host.phase is Phase.READY]
-        if not hosts:  # nothing has replaced them yet: the grace may still be used
-            hosts = [host for host in home.hosts
-                     if host.phase is Phase.DRAINING and self._now < host.left_at + self._grace]
+        hosts = [host for host in home.hosts if not host.left_at]
+        if not hosts:  # nothing has replaced them yet: rule 3 still allows the grace
+            hosts = [host for host in home.hosts if self._now < host.left_at + self._grace]
         return [host for host in hosts if self._has_room(host)]
 
     def _log_opens(self, route: Route) -> int:
         """When the send log next has room; its window is such that a whole count gives the exact limit."""
-        count = max(1, round(route.limit * WINDOW / SECOND))
-        window = int(SECOND * count / route.limit)
+        most = max(1, round(route.limit * WINDOW / SECOND))
+        window = int(SECOND * most / route.limit)
         while route.log and route.log[0] <= self._now - window:
             route.log.popleft()
-        return route.log[0] + window if len(route.log) >= count else 0
+        return route.log[0] + window if len(route.log) >= most else 0
 
     def _has_room(self, host: Host) -> bool:
         """Told waits, the windowed count against the limit, as designed; then what guards slots."""
@@ -482,9 +430,7 @@
         if opens > now:
             self._wake = min(self._wake, opens)
             return False
-        if host.links and host.out >= host.links:
-            return False
-        if host.pace and host.out - host.overdue > host.level:
+        if host.links and host.out >= host.links or host.pace and host.out - host.overdue > host.level:
             return False
         return route.out < self._route_slots
 
@@ -495,13 +441,12 @@
         trial = all(host.pace and not host.level for host in hosts)
         for packet in list(home.held.values()):
             if not self._may_go_again(packet):
-                if not packet.out:
-                    self._finish(packet)
+                self._finish(packet)
+                continue
+            if packet.key and packet.key.line[0] is not packet:  # rule 5
                 continue
-            if packet.key and (packet.key.line[0] is not packet or
-                               (self._now < packet.key.rest_until and not packet.trips)):
-                if packet.key.line[0] is packet:
-                    self._wake = min(self._wake, packet.key.rest_until)
+            if packet.key and self._now < packet.key.rest_until and not packet.trips:
+                self._wake = min(self._wake, packet.key.rest_until)
                 continue
             loss = self._worth(packet, soon) - self._worth(packet, soon + self._aim) + 0.001 * packet.gain
             if trial and packet.profile.effect is Effect.SINGLE_USE:
@@ -544,7 +489,7 @@
             packet.trips.append(Trip(call))
             packet.out += 1
             call.left += 1
-            call.packets.append(packet)
+            call.trips.append((packet, len(packet.trips) - 1))
             self._port.send(packet, host, self._time_out(packet, host))
             if call.left >= most:
                 break
@@ -555,12 +500,12 @@
         self._out += 1
         if host.pace:
             host.next_at = now + int(SECOND / host.pace)
+        call.yields_at = now + 2 * self._patience(host)
         self._enter(now + self._patience(host), call)
 
     def _patience(self, host: Host) -> int:
-        if not host.latency:
-            return self._aim
-        return max(self._aim // 4, host.latency + PATIENCE_SPREADS * host.spread)
+        known = host.latency + PATIENCE_SPREADS * host.spread
+        return max(self._aim // 4, known) if host.latency else self._aim
 
     def _time_out(self, packet: Packet, host: Host) -> int:
         """Repeatable packets come back in time for another trip; a single-use one can have no other."""
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -144,9 +144,6 @@
     def error(self, packet: Packet) -> None:
         """Final answer: given up, nothing promised about its effect."""
 
-    def probe(self, host: Host) -> None:
-        """Check a host."""
-
     def free_links(self, host: Host) -> None:
         """Close this relay's idle connections to a host."""
 
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from millweir.interface import Entry, Phase, Profile
+    from millweir.interface import Entry, Profile
 
 
 class Route:
@@ -30,9 +30,9 @@
     """All that is known of one host."""
 
     __slots__ = (
-        "clear_at", "destination", "doubt", "freed_at", "id", "kind", "latency", "left_at", "level", "links",
-        "next_at", "out", "overdue", "pace", "phase", "route", "spread", "stale_after", "stale_at",
-        "stepped_at", "used_at", "zone",
+        "clear_at", "destination", "doubt", "freed_at", "id", "idle_lost", "idle_lost_at", "kind", "latency",
+        "left_at", "level", "links", "next_at", "out", "overdue", "pace", "route", "spread", "stale_after",
+        "stale_at", "stepped_at", "used_at", "zone",
     )
 
     def __init__(self, entry: Entry, destination: Destination, route: Route) -> None:
@@ -41,7 +41,6 @@
         self.kind = entry.kind
         self.destination = destination
         self.route = route
-        self.phase: Phase = entry.phase
         self.left_at = 0
         self.out = 0
         self.overdue = 0
@@ -58,15 +57,16 @@
         self.freed_at = 0
         self.stale_after = 0
         self.stale_at = 0
+        self.idle_lost = 0
+        self.idle_lost_at = 0
 
 
 class Destination:
     """Where packets are bound, with its hosts and the packets held for it."""
 
-    __slots__ = ("held", "hosts", "id", "route")
+    __slots__ = ("held", "hosts", "route")
 
-    def __init__(self, ident: int) -> None:
-        self.id = ident
+    def __init__(self) -> None:
         self.hosts: list[Host] = []
         self.held: dict[int, Packet] = {}
         self.route: Route | None = None
@@ -75,9 +75,10 @@
 class Key:
     """Packets of one key in the order taken."""
 
-    __slots__ = ("line", "rest_until")
+    __slots__ = ("id", "line", "rest_until")
 
-    def __init__(self) -> None:
+    def __init__(self, ident: int) -> None:
+        self.id = ident
         self.line: deque[Packet] = deque()
         self.rest_until = 0
 
@@ -85,7 +86,9 @@
 class Call:
     """One call out to a host; packets sent to it in one turn share it."""
 
-    __slots__ = ("fresh", "given_up", "host", "idle", "judged", "late", "left", "packets", "sent_at")
+    __slots__ = (
+        "fresh", "given_up", "host", "idle", "judged", "late", "left", "sent_at", "trips", "yields_at",
+    )
 
     def __init__(self, host: Host, sent_at: int) -> None:
         self.host = host
@@ -96,7 +99,8 @@
         self.given_up = False
         self.idle = 0
         self.fresh = False
-        self.packets: list[Packet] = []
+        self.yields_at = 0
+        self.trips: list[tuple[Packet, int]] = []
 
 
 class Trip:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -121,7 +121,7 @@
     # What happens to the module.
 
     def route(self, host):
-        return host.id if self.settings.apart[host.kind] else host.destination.id
+        return host.id if self.settings.apart[host.kind] else host.id[2]
 
     def out(self):
         return [s for s in self.sent if s.outcome is None]
@@ -141,7 +141,7 @@
         if self.taken[ident]["key"]:
             self.lines.setdefault(key, []).append(ident)
         stop = self.taken[ident]["hard_stop"]
-        self.relay.packet_taken(self.now, ident, kind, tenant, key, stop, destination, False)
+        self.relay.packet_taken(self.now, ident, kind, tenant, key, stop, destination)
         return ident
 
     def end(self, sent, outcome, wait=0, report=()):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -19,7 +19,7 @@
     def decide(s):
         if rig.now - s.at < chance.randrange(20, 400) * MILLISECOND:
             return None
-        if chance.random() > mood.get(s.host.destination.id, 0.1):
+        if chance.random() > mood.get(s.host.id[2], 0.1):
             return Outcome.FULFILLED
         how = chance.choice([o for o in Outcome if o is not Outcome.FULFILLED] + [None])
         return (how, chance.choice((0, 300, 3000)) * MILLISECOND) if how is Outcome.FULL else how
@@ -115,8 +115,8 @@
     for _ in range(40):
         rig.take(1, 0)
         rig.take(0, 2)
-        rig.pass_time(200 * MILLISECOND, lambda s: s.host.destination.id == 2 and well()(rig)(s))
-    hung = [s for s in rig.out() if s.host.destination.id == 0]
+        rig.pass_time(200 * MILLISECOND, lambda s: s.host.id[2] == 2 and well()(rig)(s))
+    hung = [s for s in rig.out() if s.host.id[2] == 0]
     assert len(hung) <= 4
     assert sum(s.outcome is Outcome.FULFILLED for s in rig.sent) >= 38
 
@@ -145,7 +145,7 @@
     for n in range(30):
         rig.take(2, n % 2)
         rig.take(2, 2)
-        rig.pass_time(500 * MILLISECOND, lambda s: s.host.destination.id == 2 and well()(rig)(s))
+        rig.pass_time(500 * MILLISECOND, lambda s: s.host.id[2] == 2 and well()(rig)(s))
     assert rig.cancelled
     assert sum(s.outcome is Outcome.FULFILLED for s in rig.sent) >= 25
 
