--- a/millweir/control.py
+++ b/millweir/control.py
@@ -340,21 +340,15 @@
         self._now = now
         self._wake = NEVER
         self._settle_due()
-        rooms = [(home, self._hosts_with_room(home)) for home in self._destinations.values() if home.held]
-        while self._out < self._slots:
-            best, best_loss, best_hosts = None, -1.0, []
-            for home, hosts in rooms:
-                if hosts:
-                    packet, loss = self._next_packet(home, hosts)
-                    if packet is not None and loss > best_loss:
-                        best, best_loss, best_hosts = packet, loss, hosts
-            if best is None:
-                break
-            self._call(self._favoured(best_hosts), best, best_hosts)
-            rooms = [(home, self._hosts_with_room(home) if home is best.destination else hosts)
-                     for home, hosts in rooms if home.held]
+        ready = [load for home in self._destinations.values() if home.held and (load := self._load(home))]
+        while ready and self._out < self._slots:
+            best = max(ready, key=lambda load: load[0])
+            _, home, hosts, packets = best
+            self._call(self._favoured(hosts), packets)
+            again = self._load(home)
+            ready = [load if load is not best else again for load in ready if load is not best or again]
         if self._cancels and self._out >= self._slots:
-            self._free_slots(sum(bool(hosts) for _, hosts in rooms))
+            self._free_slots(len(ready))
         if self._agenda:
             self._wake = min(self._wake, self._agenda[0][0])
         if self._wake < NEVER and not now < self._alarm_at <= self._wake:
@@ -434,11 +428,18 @@
             return False
         return route.out < self._route_slots
 
-    def _next_packet(self, home: Destination, hosts: list[Host]) -> tuple[Packet | None, float]:
-        """The held packet that loses most by waiting on; a host on trial gets one that can bear it."""
-        best, most = None, -1.0
-        soon = self._now + min(host.latency for host in hosts)
-        trial = all(host.pace and not host.level for host in hosts)
+    def _load(self, home: Destination) -> tuple[float, Destination, list[Host], list[Packet]] | None:
+        """What the next call to a destination would carry: the held packets that lose most by waiting on.
+
+        Calls are weighed by the gain they save for each second of a slot, so that with few slots left full
+        bundles and quick hosts go before slow ones.
+        """
+        hosts = self._hosts_with_room(home)
+        if not hosts:
+            return None
+        took = min(host.latency for host in hosts) or self._aim // 8
+        soon, trial = self._now + took, all(host.pace and not host.level for host in hosts)
+        ranked = []
         for packet in list(home.held.values()):
             if not self._may_go_again(packet):
                 self._finish(packet)
@@ -449,11 +450,14 @@
                 self._wake = min(self._wake, packet.key.rest_until)
                 continue
             loss = self._worth(packet, soon) - self._worth(packet, soon + self._aim) + 0.001 * packet.gain
-            if trial and packet.profile.effect is Effect.SINGLE_USE:
+            if trial and packet.profile.effect is Effect.SINGLE_USE:  # a host on trial gets what can bear it
                 loss = 0.0001 / (1 + packet.gain)
-            if loss > most:
-                best, most = packet, loss
-        return best, most
+            ranked.append((loss, packet))
+        ranked.sort(key=lambda pair: -pair[0])
+        most = self._bundle[hosts[0].kind] if hosts[0].kind < len(self._bundle) else 1
+        ranked = ranked[:1 if trial else most]
+        saved = sum(loss for loss, _ in ranked) * SECOND / took
+        return (saved, home, hosts, [packet for _, packet in ranked]) if ranked else None
 
     def _worth(self, packet: Packet, at: int) -> float:
         """What the packet is worth when fulfilled at that time."""
@@ -477,23 +481,18 @@
     def _burden(self, host: Host) -> tuple[bool, float]:
         return host.pace > 0, (1 + host.out + 2 * host.doubt) * (1 + host.latency)
 
-    def _call(self, host: Host, first: Packet, hosts: list[Host]) -> None:
-        """One call: the packet, and held ones that lose most by waiting, as many as travel together."""
+    def _call(self, host: Host, packets: list[Packet]) -> None:
+        """One call with all that travels in it; it is logged once."""
         now, route = self._now, host.route
         call = Call(host, now)
         self._refresh_links(host, call)
-        packet: Packet | None = first
-        most = self._bundle[host.kind] if host.kind < len(self._bundle) else 1
-        while packet is not None:
+        for packet in packets:
             packet.destination.held.pop(packet.id)
+            call.trips.append((packet, len(packet.trips)))
             packet.trips.append(Trip(call))
             packet.out += 1
             call.left += 1
-            call.trips.append((packet, len(packet.trips) - 1))
             self._port.send(packet, host, self._time_out(packet, host))
-            if call.left >= most:
-                break
-            packet, _ = self._next_packet(first.destination, hosts)
         route.log.append(now)
         route.out += 1
         host.out += 1
