--- a/millweir/control.py
+++ b/millweir/control.py
@@ -45,8 +45,7 @@
         self._slots, self._route_slots = settings.slots, max(2, settings.slots // ROUTE_SHARE)
         self._max_open, self._max_trips = settings.max_open, settings.max_trips
         self._max_wait = settings.max_retry_after if settings.retry_after else 0
-        self._margin = 2 * settings.period
-        self._halves = settings.halves
+        self._margin, self._halves = 2 * settings.period, settings.halves
         self._bundle, self._apart = settings.bundle_max, settings.apart
         self._over_share = settings.over_share
         self._quotas = [tenant.quota / self._relays for tenant in settings.tenants]
@@ -54,15 +53,16 @@
         self._known_rates = settings.rates_listed
         self._limit_field = settings.reports.index("x1") if "x1" in settings.reports else None
         self._grace = settings.drain_grace - 2 * settings.period
-        self._quiet = settings.key_quiet
-        self._fall_time = settings.fall_time
+        self._quiet, self._fall_time = settings.key_quiet, settings.fall_time
         self._aim = min((profile.quoted for profile in settings.profiles), default=SECOND)
         rough = ROUGH if settings.rates_rough else 1.0
         self._cold_share = min(1.0, settings.fall_multiple * settings.cold_from / (rough * self._relays))
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
-        self._failed_asks = 0
-        self._cancels = settings.cancel
+        self._cancels, self._failed_asks = settings.cancel, 0
         self._stale_after, self._stale_at = 0, 0
+        self._tight_kinds: dict[int, int] = {}
+        self._connect_time = settings.connect_timeout
+        self._spare_idle = 2 * settings.idle_close // self._relays
         self._idle_answered: list[tuple[int, int]] = []
         self._hosts: dict[bytes, Host] = {}
         self._destinations: dict[int, Destination] = {}
@@ -70,7 +70,7 @@
         self._keys: dict[int, Key] = {}
         self._open = self._out = 0
         self._overdue: dict[Call, None] = {}
-        self._agenda: list[tuple[int, int, Packet | Call | Key | None]] = []
+        self._agenda: list[tuple[int, int, Packet | Call | Host | Key | None]] = []
         self._order = count().__next__
         self._now, self._wake, self._alarm_at = now, NEVER, 0
         if self._ask_every:
@@ -175,7 +175,7 @@
         self._forget(packet)
 
     def _forget(self, packet: Packet) -> None:
-        if packet.ended and not packet.out and self._packets.pop(packet.id, None) and packet.key:
+        if not packet.out and self._packets.pop(packet.id, None) and packet.key:
             packet.key.line.remove(packet)
             self._enter(packet.key.rest_until, packet.key)
 
@@ -236,6 +236,8 @@
             if call.late:
                 host.overdue -= 1
                 del self._overdue[call]
+            if not host.out and self._tight_kinds.get(host.kind, -NEVER) > self._now - STALE_KEPT:
+                self._enter(self._now + self._spare_idle, host)
         if wait > 0 and outcome is Outcome.FULL:
             route.wait_until = max(route.wait_until, self._now + wait)  # rule 6
         if call.judged:
@@ -267,9 +269,12 @@
             if wait > 2 * ROUND:
                 self._went_ill(host, SICK)
         elif outcome is Outcome.UNCONNECTED:
-            host.links = max(1, host.out)
-            host.clear_at = self._now + ROUND
-            if not host.out:
+            if latency * 2 < self._connect_time:
+                # Guards against connection tables filled by idle links of many relays: turned away at once,
+                # the host is up.  New links to it pause for a while; idle ones to its kind are kept for less.
+                host.links, host.clear_at = host.out, self._now + ROUND
+                self._tight_kinds[host.kind] = self._now
+            else:
                 self._went_ill(host, FAILED_WEIGHT)
         elif outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
@@ -291,7 +296,7 @@
             return
         self._went_ill(host, REFUSED_WEIGHT if reset else weight)
         if reset:
-            host.stale_after, host.stale_at = min(host.stale_after or call.idle, call.idle), self._now
+            host.stale_after, host.stale_at = call.idle, self._now
         host.idle_lost, host.idle_lost_at = call.idle, self._now
         recent = self._now - STALE_PROOF
         self._idle_answered = [(at, idle) for at, idle in self._idle_answered if at > recent]
@@ -302,13 +307,10 @@
             self._stale_after, self._stale_at = min(lost), self._now
 
     def _refresh_links(self, host: Host, call: Call) -> None:
-        if self._now - host.stale_at > STALE_KEPT:
-            host.stale_after = 0
-        if self._now - self._stale_at > STALE_KEPT:
-            self._stale_after = 0
+        recent = self._now - STALE_KEPT
         quiet_since = max(host.used_at, host.freed_at)
         call.idle = self._now - quiet_since if quiet_since else 0
-        bound = host.stale_after or self._stale_after
+        bound = host.stale_after * (host.stale_at > recent) or self._stale_after * (self._stale_at > recent)
         if bound and self._now - host.freed_at >= bound * 0.8:
             self._port.free_links(host)
             host.freed_at, call.idle, call.fresh = self._now, 0, True
@@ -373,7 +375,7 @@
                 for packet, number in call.trips:
                     self._port.cancel(packet, number)
 
-    def _enter(self, at: int, what: Packet | Call | Key | None) -> None:
+    def _enter(self, at: int, what: Packet | Call | Host | Key | None) -> None:
         heappush(self._agenda, (at, self._order(), what))
 
     def _settle_due(self) -> None:
@@ -388,6 +390,10 @@
             elif isinstance(what, Key):
                 if not what.line and what.rest_until <= self._now:
                     self._keys.pop(what.id, None)
+            elif isinstance(what, Host):
+                if not what.out and self._now - max(what.used_at, what.freed_at) >= self._spare_idle:
+                    what.freed_at = self._now
+                    self._port.free_links(what)
             elif what.left and not what.late:
                 what.late = True
                 what.host.overdue += 1
@@ -413,7 +419,8 @@
     def _has_room(self, host: Host) -> bool:
         """Told waits, the windowed count against the limit, as designed; then what guards slots."""
         route, now = host.route, self._now
-        opens = max(route.wait_until, host.next_at if host.pace else 0, host.clear_at if host.out else 0)
+        opens = max(route.wait_until, host.next_at if host.pace else 0,
+                    host.clear_at if host.out >= host.links else 0)
         if opens > now:
             self._wake = min(self._wake, opens)
             return False
@@ -424,7 +431,7 @@
         if opens > now:
             self._wake = min(self._wake, opens)
             return False
-        if host.links and host.out >= host.links or host.pace and host.out - host.overdue > host.level:
+        if host.pace and host.out - host.overdue > host.level:
             return False
         return route.out < self._route_slots
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -170,3 +170,14 @@
         rig.take(2)
         rig.pass_time(3 * SECOND, decide)
     assert [s.outcome for s in rig.sent].count(Outcome.RESET) == 1
+
+
+def test_links_to_a_kind_whose_hosts_turn_connections_away_are_not_kept_idle():
+    rig = Rig(entries=[entry(0, 0, kind=1), entry(2, 0, kind=1)], relays=10)
+    rig.take(0, 0)
+    rig.pass_time(100 * MILLISECOND, lambda s: Outcome.UNCONNECTED if rig.now > s.at + STEP else None)
+    turned = len(rig.sent)
+    rig.take(0, 2)
+    rig.pass_time(4 * SECOND, well()(rig))
+    assert turned == 1 and rig.answers == {1: "fulfilled", 2: "fulfilled"}
+    assert {ident for _, ident in rig.freed} == {row.host for row in rig.entries}
