A limit is raised only where it held packets back; slow failed connects are told once

Cause: limits raised without need let all relays burst together; a burst of connects to a silent host was many failures.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -274,7 +274,7 @@
                 # the host is up.  New links to it pause for a while; idle ones to its kind are kept for less.
                 host.links, host.clear_at = host.out, self._now + ROUND
                 self._tight_kinds[host.kind] = self._now
-            else:
+            elif not host.out:  # calls out together fail together: that is told once
                 self._went_ill(host, FAILED_WEIGHT)
         elif outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
@@ -424,11 +424,12 @@
         if opens > now:
             self._wake = min(self._wake, opens)
             return False
-        if now - route.raised_at >= ROUND and route.limit < route.top:
+        if now - route.raised_at >= ROUND and route.limit < route.top and route.pressed:
             route.limit = min(route.top, route.limit + RAISE * route.share)
-            route.raised_at = now
+            route.raised_at, route.pressed = now, False
         opens = self._log_opens(route)
         if opens > now:
+            route.pressed = True
             self._wake = min(self._wake, opens)
             return False
         if host.pace and host.out - host.overdue > host.level:
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -12,7 +12,9 @@
 class Route:
     """What one limit holds for: a destination, or one host of it where routes are apart."""
 
-    __slots__ = ("cut_at", "limit", "listed", "log", "out", "raised_at", "share", "top", "wait_until")
+    __slots__ = (
+        "cut_at", "limit", "listed", "log", "out", "pressed", "raised_at", "share", "top", "wait_until",
+    )
 
     def __init__(self, listed: float, share: float, top: float, now: int) -> None:
         self.listed = listed
@@ -22,6 +24,7 @@
         self.log: deque[int] = deque()
         self.out = 0
         self.wait_until = 0
+        self.pressed = False
         self.raised_at = now
         self.cut_at = 0
 
