--- a/millweir/control.py
+++ b/millweir/control.py
@@ -515,10 +515,8 @@
         return max(self._aim // 4, known) if host.latency else self._aim
 
     def _time_out(self, packet: Packet, host: Host) -> int:
-        """Repeatable packets come back in time for another trip; a single-use one can have no other."""
-        if packet.profile.effect is Effect.SINGLE_USE:
+        """Only what may run again at any time comes back: others could outlive their known repeat."""
+        if packet.profile.effect is not Effect.REPLAYABLE:
             return 0
         wait = max(self._aim, 2 * self._patience(host)) * len(packet.trips)
-        if packet.profile.effect is Effect.REFERENCED:
-            wait = min(wait, packet.profile.repeat_known - 2 * self._margin)
         return wait if self._now + wait < packet.hard_stop else 0
