--- a/millweir/control.py
+++ b/millweir/control.py
@@ -59,7 +59,7 @@
         self._cold_share = min(1.0, settings.fall_multiple * settings.cold_from / (rough * self._relays))
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
         self._cancels, self._failed_asks = settings.cancel, 0
-        self._stale_after, self._stale_at = 0, 0
+        self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER
         self._tight_kinds: dict[int, int] = {}
         self._connect_time = settings.connect_timeout
         self._spare_idle = 2 * settings.idle_close // self._relays
@@ -73,7 +73,7 @@
         self._agenda: list[tuple[int, int, Packet | Call | Host | Key | None]] = []
         self._order = count().__next__
         self._now, self._wake, self._alarm_at = now, NEVER, 0
-        if self._ask_every:
+        if settings.must_ask:
             port.watch()
 
     def list_told(self, now: int, change: Change, entries: tuple[Entry, ...]) -> None:
@@ -233,6 +233,8 @@
             host.out -= 1
             route.out -= 1
             self._out -= 1
+            if not host.out and outcome in MAY_RUN_ON:
+                host.freed_at = self._now  # that link is gone
             if call.late:
                 host.overdue -= 1
                 del self._overdue[call]
@@ -256,6 +258,7 @@
             self._went_well(host, call)
             route.raised_at = min(route.raised_at, self._now)
             if call.idle >= STALE_LEAST:
+                host.lost = 0
                 self._idle_answered.append((self._now, call.idle))
         elif outcome is Outcome.FULL:
             if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
@@ -284,34 +287,32 @@
     def _link_lost(self, call: Call, weight: float, reset: bool) -> None:
         """Guards against idle links cut on the way: the next packet on one is reset, or never answered.
 
-        Links idle for as long are closed before the next call: to the host after a reset, to every host once
-        three hosts lost calls on links idle for longer than any that was answered of late.  A call lost on a
-        fresh link speaks against it.  It harms, by handshakes, where links break for another cause.
+        Links idle as long are closed before the next call: to a host after a reset or two losses in a row, to
+        every host once three lost calls on links idle for longer than any answered of late.  A call lost on
+        a fresh link speaks against it.  It harms, by handshakes, where links break for another cause.
         """
         host = call.host
+        self._went_ill(host, REFUSED_WEIGHT if reset and call.idle >= STALE_LEAST else weight)
         if call.idle < STALE_LEAST:
-            if call.fresh:
-                host.stale_after = 0
-            self._went_ill(host, weight)
+            host.lost, host.stale_at = 0, -NEVER if call.fresh else host.stale_at
             return
-        self._went_ill(host, REFUSED_WEIGHT if reset else weight)
-        if reset:
-            host.stale_after, host.stale_at = call.idle, self._now
-        host.idle_lost, host.idle_lost_at = call.idle, self._now
+        host.idle_lost = min(host.idle_lost, call.idle) if host.lost else call.idle
+        host.lost, host.idle_lost_at = host.lost + (2 if reset else 1), self._now
         recent = self._now - STALE_PROOF
         self._idle_answered = [(at, idle) for at, idle in self._idle_answered if at > recent]
         longest = max((idle for _, idle in self._idle_answered), default=0)
         lost = [host.idle_lost for host in self._hosts.values()
                 if host.idle_lost_at > recent and host.idle_lost > longest]
         if len(lost) >= STALE_HOSTS:
-            self._stale_after, self._stale_at = min(lost), self._now
+            self._stale_at = self._now
+        if host.lost > 1 or len(lost) >= STALE_HOSTS:
+            known = self._span if self._now - self._span_at <= STALE_KEPT else NEVER
+            self._span, self._span_at, host.stale_at = min(known, host.idle_lost), self._now, self._now
 
     def _refresh_links(self, host: Host, call: Call) -> None:
-        recent = self._now - STALE_KEPT
-        quiet_since = max(host.used_at, host.freed_at)
-        call.idle = self._now - quiet_since if quiet_since else 0
-        bound = host.stale_after * (host.stale_at > recent) or self._stale_after * (self._stale_at > recent)
-        if bound and self._now - host.freed_at >= bound * 0.8:
+        call.idle = self._now - host.used_at if host.used_at > host.freed_at else 0
+        learned = max(host.stale_at, self._stale_at)
+        if learned > self._now - STALE_KEPT and self._now - host.freed_at >= self._span * 0.8:
             self._port.free_links(host)
             host.freed_at, call.idle, call.fresh = self._now, 0, True
 
@@ -351,8 +352,7 @@
             ready = [load if load is not best else again for load in ready if load is not best or again]
         if self._cancels and self._out >= self._slots:
             self._free_slots(len(ready))
-        if self._agenda:
-            self._wake = min(self._wake, self._agenda[0][0])
+        self._wake = min(self._wake, self._agenda[0][0] if self._agenda else NEVER)
         if self._wake < NEVER and not now < self._alarm_at <= self._wake:
             self._alarm_at = max(self._wake, now + MILLISECOND)
             self._port.alarm(self._alarm_at - now)
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -34,7 +34,7 @@
 
     __slots__ = (
         "clear_at", "destination", "doubt", "freed_at", "id", "idle_lost", "idle_lost_at", "kind", "latency",
-        "left_at", "level", "links", "next_at", "out", "overdue", "pace", "route", "spread", "stale_after",
+        "left_at", "level", "links", "lost", "next_at", "out", "overdue", "pace", "route", "spread",
         "stale_at", "stepped_at", "used_at", "zone",
     )
 
@@ -57,9 +57,9 @@
         self.next_at = 0
         self.stepped_at = 0
         self.used_at = 0
+        self.lost = 0
         self.freed_at = 0
-        self.stale_after = 0
-        self.stale_at = 0
+        self.stale_at = -1 << 62
         self.idle_lost = 0
         self.idle_lost_at = 0
 
