--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -183,3 +183,19 @@
     rig.pass_time(7 * SECOND, well()(rig))
     assert turned == 1 and rig.answers == {1: "fulfilled", 2: "fulfilled"}
     assert {ident for _, ident in rig.freed} == {row.host for row in rig.entries}
+
+
+def test_a_key_rests_after_a_trip_that_may_run_on():
+    rig = Rig(entries=[entry(0, 0, kind=1, rate=200.0)], relays=1)
+    first, second = rig.take(3, key=5), rig.take(3, key=5)
+    lost = []
+
+    def decide(s):
+        if not lost:
+            lost.append(rig.now)
+            return Outcome.RESET
+        return Outcome.FULFILLED
+
+    rig.pass_time(SECOND, decide)
+    assert [s.packet.id for s in rig.sent] == [first, first, second]
+    assert rig.sent[2].at >= lost[0] + rig.settings.key_quiet
