--- a/millweir/control.py
+++ b/millweir/control.py
@@ -458,6 +458,8 @@
                 self._wake = min(self._wake, packet.key.rest_until)
                 continue
             loss = self._worth(packet, soon) - self._worth(packet, soon + self._aim) + 0.001 * packet.gain
+            if packet.key:  # those behind it wait as well
+                loss *= len(packet.key.line)
             if trial and packet.profile.effect is Effect.SINGLE_USE:  # a host on trial gets what can bear it
                 loss = 0.0001 / (1 + packet.gain)
             ranked.append((loss, packet))
