--- a/millweir/control.py
+++ b/millweir/control.py
@@ -247,8 +247,8 @@
         call.judged = True
         field = self._limit_field
         if field is not None and len(report) > field and report[field] > 0:
-            route.top = report[field]
-            route.limit = min(route.limit, route.top)
+            route.top, route.share = report[field], report[field] / self._relays
+            route.limit = min(route.limit, route.top)  # guards against limits that change in the day
         if outcome is Outcome.FULFILLED:
             if host.latency:
                 host.spread += (abs(latency - host.latency) - host.spread) // 4
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -199,3 +199,13 @@
     rig.pass_time(SECOND, decide)
     assert [s.packet.id for s in rig.sent] == [first, first, second]
     assert rig.sent[2].at >= lost[0] + rig.settings.key_quiet
+
+
+def test_a_reported_limit_that_falls_takes_the_even_share_with_it():
+    rig = Rig(entries=[entry(0, 0, kind=1, rate=100.0)], relays=10, reports=("x0", "x1"), slots=30)
+    for _ in range(60):
+        rig.take(0)
+    rig.pass_time(SECOND, lambda s: (Outcome.FULFILLED, 0, (1.0, 5.0)) if rig.now > s.at + STEP else None)
+    before = len(rig.sent)
+    rig.pass_time(4 * SECOND, lambda s: (Outcome.FULL, 0, (0.0, 5.0)) if rig.now > s.at + STEP else None)
+    assert len(rig.sent) - before <= 6  # a sixth of what the even share of the listed rate would send
