--- a/millweir/control.py
+++ b/millweir/control.py
@@ -218,8 +218,8 @@
         first = min((trip.call.sent_at for trip in packet.trips if not trip.void), default=None)
         if first is None or packet.profile.effect is Effect.REPLAYABLE:
             return True
-        if packet.profile.effect is Effect.SINGLE_USE:
-            return False
+        if packet.profile.effect is Effect.SINGLE_USE or packet.profile.repeat_known_by_zone:
+            return False  # a repeat known to some hosts only is not risked
         return self._now < first + packet.profile.repeat_known - self._margin
 
     def _judge_call(self, call: Call, outcome: Outcome, latency: int, wait: int,
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -35,12 +35,11 @@
     __slots__ = (
         "clear_at", "destination", "doubt", "freed_at", "id", "idle_lost", "idle_lost_at", "kind", "latency",
         "left_at", "level", "links", "lost", "next_at", "out", "overdue", "pace", "route", "spread",
-        "stale_at", "stepped_at", "used_at", "zone",
+        "stale_at", "stepped_at", "used_at",
     )
 
     def __init__(self, entry: Entry, destination: Destination, route: Route) -> None:
         self.id = entry.host
-        self.zone = entry.zone
         self.kind = entry.kind
         self.destination = destination
         self.route = route
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,9 +1,10 @@
 """The decision module: seeded random runs that check every rule at every act, and plain cases."""
 
 import random
+from dataclasses import replace
 
 import pytest
-from rig import STEP, Rig, Tenant, entry, well
+from rig import PROFILES, STEP, Rig, Tenant, entry, well
 
 from millweir.interface import MILLISECOND, SECOND, Change, Effect, Outcome, Phase
 
@@ -209,3 +210,10 @@
     before = len(rig.sent)
     rig.pass_time(4 * SECOND, lambda s: (Outcome.FULL, 0, (0.0, 5.0)) if rig.now > s.at + STEP else None)
     assert len(rig.sent) - before <= 6  # a sixth of what the even share of the listed rate would send
+
+
+def test_a_repeat_known_to_some_hosts_only_is_not_risked():
+    rig = Rig(profiles=[replace(p, repeat_known_by_zone=True) for p in PROFILES])
+    ident = rig.take([p.effect for p in PROFILES].index(Effect.REFERENCED))
+    rig.pass_time(SECOND, lambda s: Outcome.RESET)
+    assert len(rig.sent) == 1 and rig.answers == {ident: "errored"}
