--- a/millweir/control.py
+++ b/millweir/control.py
@@ -17,7 +17,7 @@
 
 WINDOW = 3 * SECOND // 10  # of the send log; longer where the limit lets less than one call through in it
 ROUND = SECOND  # without a refusal, before the limit is raised
-CUT, RAISE = 0.5, 0.25  # limit after a refusal, of the count; a window without one adds, of the even share
+CUT, RAISE = 0.5, 0.25  # a refusal cuts the limit to this; a round without one adds, of the even share
 FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
 SICK = 4.6  # log odds of a hundred to one: set aside
 PATIENCE_SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
@@ -47,12 +47,11 @@
         self._max_wait = settings.max_retry_after if settings.retry_after else 0
         self._margin, self._halves = 2 * settings.period, settings.halves
         self._bundle, self._apart = settings.bundle_max, settings.apart
-        self._over_share = settings.over_share
         self._quotas = [tenant.quota / self._relays for tenant in settings.tenants]
         self._shares = [(quota, now) for quota in self._quotas]
-        self._known_rates = settings.rates_listed
+        self._over_share, self._known_rates = settings.over_share, settings.rates_listed
         self._limit_field = settings.reports.index("x1") if "x1" in settings.reports else None
-        self._grace = settings.drain_grace - 2 * settings.period
+        self._grace = settings.drain_grace - self._margin
         self._quiet, self._fall_time = settings.key_quiet, settings.fall_time
         self._aim = min((profile.quoted for profile in settings.profiles), default=SECOND)
         rough = ROUGH if settings.rates_rough else 1.0
@@ -215,7 +214,7 @@
         """Rule 2: the one guard on further trips."""
         if len(packet.trips) >= self._max_trips or packet.hard_stop - self._margin <= self._now:
             return False
-        first = min((trip.call.sent_at for trip in packet.trips if not trip.void), default=None)
+        first = next((trip.call.sent_at for trip in packet.trips if not trip.void), None)
         if first is None or packet.profile.effect is Effect.REPLAYABLE:
             return True
         if packet.profile.effect is Effect.SINGLE_USE or packet.profile.repeat_known_by_zone:
@@ -301,8 +300,8 @@
         recent = self._now - STALE_PROOF
         self._idle_answered = [(at, idle) for at, idle in self._idle_answered if at > recent]
         longest = max((idle for _, idle in self._idle_answered), default=0)
-        lost = [host.idle_lost for host in self._hosts.values()
-                if host.idle_lost_at > recent and host.idle_lost > longest]
+        lost = [other.idle_lost for other in self._hosts.values()
+                if other.idle_lost_at > recent and other.idle_lost > longest]
         if len(lost) >= STALE_HOSTS:
             self._stale_at = self._now
         if host.lost > 1 or len(lost) >= STALE_HOSTS:
@@ -496,29 +495,30 @@
         now, route = self._now, host.route
         call = Call(host, now)
         self._refresh_links(host, call)
+        patience = self._patience(host)
         for packet in packets:
             packet.destination.held.pop(packet.id)
             call.trips.append((packet, len(packet.trips)))
             packet.trips.append(Trip(call))
             packet.out += 1
             call.left += 1
-            self._port.send(packet, host, self._time_out(packet, host))
+            self._port.send(packet, host, self._time_out(packet, patience))
         route.log.append(now)
         route.out += 1
         host.out += 1
         self._out += 1
         if host.pace:
             host.next_at = now + int(SECOND / host.pace)
-        call.yields_at = now + 2 * self._patience(host)
-        self._enter(now + self._patience(host), call)
+        call.yields_at = now + 2 * patience
+        self._enter(now + patience, call)
 
     def _patience(self, host: Host) -> int:
         known = host.latency + PATIENCE_SPREADS * host.spread
         return max(self._aim // 4, known) if host.latency else self._aim
 
-    def _time_out(self, packet: Packet, host: Host) -> int:
+    def _time_out(self, packet: Packet, patience: int) -> int:
         """Only what may run again at any time comes back: others could outlive their known repeat."""
         if packet.profile.effect is not Effect.REPLAYABLE:
             return 0
-        wait = max(self._aim, 2 * self._patience(host)) * len(packet.trips)
+        wait = max(self._aim, 2 * patience) * len(packet.trips)
         return wait if self._now + wait < packet.hard_stop else 0
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -15,7 +15,6 @@
     Phase,
     Profile,
     Settings,
-    Tenant,
 )
 
 NEVER_RAN = {Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT}
@@ -189,6 +188,3 @@
 def well(sent_for=100 * MILLISECOND):
     """Every call is fulfilled after that time."""
     return lambda rig: lambda s: Outcome.FULFILLED if rig.now - s.at >= sent_for else None
-
-
-__all__ = ["Rig", "Tenant", "entry", "profile", "settings", "well"]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,9 +4,9 @@
 from dataclasses import replace
 
 import pytest
-from rig import PROFILES, STEP, Rig, Tenant, entry, well
+from rig import PROFILES, STEP, Rig, entry, well
 
-from millweir.interface import MILLISECOND, SECOND, Change, Effect, Outcome, Phase
+from millweir.interface import MILLISECOND, SECOND, Change, Effect, Outcome, Phase, Tenant
 
 
 @pytest.mark.parametrize("seed", range(12))
