--- a/millweir/control.py
+++ b/millweir/control.py
@@ -59,7 +59,7 @@
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
         self._cancels, self._failed_asks = settings.cancel, 0
         self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER
-        self._tight_kinds: dict[int, int] = {}
+        self._tight_kinds: set[int] = set()
         self._connect_time = settings.connect_timeout
         self._spare_idle = 2 * settings.idle_close // self._relays
         self._idle_answered: list[tuple[int, int]] = []
@@ -237,7 +237,7 @@
             if call.late:
                 host.overdue -= 1
                 del self._overdue[call]
-            if not host.out and self._tight_kinds.get(host.kind, -NEVER) > self._now - STALE_KEPT:
+            if not host.out and host.kind in self._tight_kinds:
                 self._enter(self._now + self._spare_idle, host)
         if wait > 0 and outcome is Outcome.FULL:
             route.wait_until = max(route.wait_until, self._now + wait)  # rule 6
@@ -275,7 +275,11 @@
                 # Guards against connection tables filled by idle links of many relays: turned away at once,
                 # the host is up.  New links to it pause for a while; idle ones to its kind are kept for less.
                 host.links, host.clear_at = host.out, self._now + ROUND
-                self._tight_kinds[host.kind] = self._now
+                if host.kind not in self._tight_kinds:
+                    self._tight_kinds.add(host.kind)
+                    for other in self._hosts.values():
+                        if other.kind == host.kind and other.used_at > other.freed_at and not other.out:
+                            self._enter(max(self._now, other.used_at + self._spare_idle), other)
             elif not host.out:  # calls out together fail together: that is told once
                 self._went_ill(host, FAILED_WEIGHT)
         elif outcome is Outcome.RESET and latency < host.latency:
