--- a/millweir/control.py
+++ b/millweir/control.py
@@ -112,6 +112,7 @@
             known = self._known_rates and entry.rate > 0
             top = entry.rate if known else float(NEVER)
             route = home.route = Route(entry.rate if known else 1.0, top / self._relays, top, self._now)
+            route.limit = route.top
         return self._hosts.setdefault(entry.host, Host(entry, home, route))
 
     def _home(self, ident: int) -> Destination:
@@ -262,7 +263,8 @@
         elif outcome is Outcome.FULL:
             if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
                 starved = route.limit <= route.share * CUT
-                route.limit = max(route.share * CUT, CUT * min(route.limit, route.top))
+                sent = sum(at > self._now - ROUND for at in route.log)  # a limit far above use says nothing
+                route.limit = max(route.share * CUT, CUT * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
                 if starved:  # refused though hardly anything was sent: no limit of ours explains it
                     self._went_ill(host, REFUSED_WEIGHT)
@@ -415,9 +417,9 @@
         """When the send log next has room; its window is such that a whole count gives the exact limit."""
         most = max(1, round(route.limit * WINDOW / SECOND))
         window = int(SECOND * most / route.limit)
-        while route.log and route.log[0] <= self._now - window:
+        while route.log and route.log[0] <= self._now - max(window, ROUND):
             route.log.popleft()
-        return route.log[0] + window if len(route.log) >= most else 0
+        return route.log[-most] + window if len(route.log) >= most else 0
 
     def _has_room(self, host: Host) -> bool:
         """Told waits, the windowed count against the limit, as designed; then what guards slots."""
@@ -428,7 +430,7 @@
             self._wake = min(self._wake, opens)
             return False
         if now - route.raised_at >= ROUND and route.limit < route.top and route.pressed:
-            route.limit = min(route.top, route.limit + RAISE * route.share)
+            route.limit = min(route.top, route.limit + RAISE * max(route.share, route.limit))
             route.raised_at, route.pressed = now, False
         opens = self._log_opens(route)
         if opens > now:
