--- a/millweir/control.py
+++ b/millweir/control.py
@@ -17,7 +17,7 @@
 
 WINDOW = 3 * SECOND // 10  # of the send log; longer where the limit lets less than one call through in it
 ROUND = SECOND  # without a refusal, before the limit is raised
-CUT, RAISE = 0.5, 0.25  # a refusal cuts the limit to this; a round without one adds, of the even share
+CUT, RAISE = 0.25, 0.25  # a refusal cuts the limit to this; a round without one adds, of the even share
 FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
 SICK = 4.6  # log odds of a hundred to one: set aside
 PATIENCE_SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
@@ -429,7 +429,7 @@
         if opens > now:
             self._wake = min(self._wake, opens)
             return False
-        if now - route.raised_at >= ROUND and route.limit < route.top and route.pressed:
+        if now - route.raised_at >= max(ROUND, SECOND / route.limit) and route.limit < route.top and route.pressed:
             route.limit = min(route.top, route.limit + RAISE * max(route.share, route.limit))
             route.raised_at, route.pressed = now, False
         opens = self._log_opens(route)
