--- a/millweir/control.py
+++ b/millweir/control.py
@@ -39,7 +39,8 @@
 
     def __init__(self, port: Port, settings: Settings, seed: int, now: int) -> None:
         self._port = port
-        self._sample = random.Random(seed).sample
+        chance = random.Random(seed)
+        self._sample, self._random = chance.sample, chance.random
         self._profiles = settings.profiles
         self._relays = max(1, settings.relays)
         self._slots, self._route_slots = settings.slots, max(2, settings.slots // ROUTE_SHARE)
@@ -228,7 +229,7 @@
         host, route = call.host, call.host.route
         call.left -= 1
         if outcome in (Outcome.FULFILLED, Outcome.FULL, Outcome.FAULT):
-            host.used_at = self._now
+            host.used_at, host.turned = self._now, 0
         if not call.left:
             host.out -= 1
             route.out -= 1
@@ -276,7 +277,9 @@
             if latency * 2 < self._connect_time:
                 # Guards against connection tables filled by idle links of many relays: turned away at once,
                 # the host is up.  New links to it pause for a while; idle ones to its kind are kept for less.
-                host.links, host.clear_at = host.out, self._now + ROUND
+                # Turned away again and again it may be down; pauses double, spread, lest all return together.
+                pause = int((ROUND << min(host.turned, 5)) * (0.5 + self._random()))
+                host.links, host.clear_at, host.turned = host.out, self._now + pause, host.turned + 1
                 if host.kind not in self._tight_kinds:
                     self._tight_kinds.add(host.kind)
                     for other in self._hosts.values():
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -35,7 +35,7 @@
     __slots__ = (
         "clear_at", "destination", "doubt", "freed_at", "id", "idle_lost", "idle_lost_at", "kind", "latency",
         "left_at", "level", "links", "lost", "next_at", "out", "overdue", "pace", "route", "spread",
-        "stale_at", "stepped_at", "used_at",
+        "stale_at", "stepped_at", "turned", "used_at",
     )
 
     def __init__(self, entry: Entry, destination: Destination, route: Route) -> None:
@@ -49,6 +49,7 @@
         self.latency = 0
         self.spread = 0
         self.links = 0
+        self.turned = 0
         self.clear_at = 0
         self.doubt = 0.0
         self.pace = 0.0
