A host set aside gets a part of the relay's own use; repeated failed connects count as an outage

Now the second failed connect in a row on a route is half a verdict, the trickle is a part of own use, spread, and doubles by time. Also covers hosts down and shut; harms where tables are full for long.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -22,13 +22,13 @@
 SICK = 4.6  # log odds of a hundred to one: set aside
 PATIENCE_SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
 ROUTE_SHARE = 3  # one route may fill one in so many of the slots
-ROUGH = 1.5  # a rough rate is up to half too high
 STALE_KEPT = 30 * SECOND  # how long it is remembered that idle links go stale
 STALE_LEAST = SECOND // 2  # links idle for less are not held stale
 STALE_PROOF, STALE_HOSTS = 5 * SECOND, 3  # what is told of all hosts: within that time, by so many of them
 SHARE_DEPTH = 2  # seconds of a tenant's share that it may send at once
 FORGOTTEN_AFTER = 60 * SECOND  # a host that left the list
-LEAST_PACE = 0.05  # calls a second to a host set aside, whatever its listed rate
+BUDGET = 0.6  # of what may be sent to a cold host, lest chance break rule 4
+SETTLED = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
 NEVER = 1 << 62
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
 MAY_RUN_ON = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
@@ -54,14 +54,14 @@
         self._limit_field = settings.reports.index("x1") if "x1" in settings.reports else None
         self._grace = settings.drain_grace - self._margin
         self._quiet, self._fall_time = settings.key_quiet, settings.fall_time
+        self._slow_connect = settings.connect_timeout // 2
         self._aim = min((profile.quoted for profile in settings.profiles), default=SECOND)
-        rough = ROUGH if settings.rates_rough else 1.0
-        self._cold_share = min(1.0, settings.fall_multiple * settings.cold_from / (rough * self._relays))
+        self._cold_share = min(1.0, BUDGET * settings.fall_multiple * settings.cold_from)
+        self._cold_time, self._started = settings.cold_time, now
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
         self._cancels, self._failed_asks = settings.cancel, 0
         self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER
         self._tight_kinds: set[int] = set()
-        self._connect_time = settings.connect_timeout
         self._spare_idle = 2 * settings.idle_close // self._relays
         self._idle_answered: list[tuple[int, int]] = []
         self._hosts: dict[bytes, Host] = {}
@@ -71,8 +71,7 @@
         self._open = self._out = 0
         self._overdue: dict[Call, None] = {}
         self._agenda: list[tuple[int, int, Packet | Call | Host | Key | None]] = []
-        self._order = count().__next__
-        self._now, self._wake, self._alarm_at = now, NEVER, 0
+        self._order, self._now, self._wake, self._alarm_at = count().__next__, now, NEVER, 0
         if settings.must_ask:
             port.watch()
 
@@ -108,12 +107,9 @@
         home = self._home(entry.destination)
         route = None if entry.kind < len(self._apart) and self._apart[entry.kind] else home.route
         if route is None:
-            # Every relay at the whole rate, above all after a restart, would be a burst on a destination of
-            # unknown state: each starts at its even share, and the ordinary raise finds what others leave.
             known = self._known_rates and entry.rate > 0
             top = entry.rate if known else float(NEVER)
             route = home.route = Route(entry.rate if known else 1.0, top / self._relays, top, self._now)
-            route.limit = route.top
         return self._hosts.setdefault(entry.host, Host(entry, home, route))
 
     def _home(self, ident: int) -> Destination:
@@ -132,12 +128,13 @@
         self._packets[ident] = packet
         self._open += 1
         packet.destination.held[ident] = packet
+        packet.destination.taken += 1
         self._enter(hard_stop - self._margin, packet)
         if self._max_open and self._open >= self._max_open:
             self._make_room()
 
     def _worth_of_share(self, tenant: int) -> float:
-        """Guards against one tenant's flood: what lies beyond its share is worth little and goes last."""
+        """Guards against one tenant's flood: what lies beyond its share goes last."""
         if tenant >= len(self._quotas) or self._quotas[tenant] <= 0:
             return 1.0
         quota, (left, at) = self._quotas[tenant], self._shares[tenant]
@@ -165,13 +162,12 @@
         route = packet.destination.route
         if route is None:
             return self._max_wait
-        rate = max(LEAST_PACE, min(route.limit, route.listed))
-        wait = max(route.wait_until - self._now, int(len(packet.destination.held) * SECOND / rate))
+        queue = len(packet.destination.held) * SECOND / min(route.limit, route.listed)
+        wait = max(route.wait_until - self._now, int(queue))
         return min(self._max_wait, max(MILLISECOND, wait))
 
     def _end(self, packet: Packet) -> None:
-        packet.ended = True
-        self._open -= 1
+        packet.ended, self._open = True, self._open - 1
         packet.destination.held.pop(packet.id, None)
         self._forget(packet)
 
@@ -229,7 +225,7 @@
         host, route = call.host, call.host.route
         call.left -= 1
         if outcome in (Outcome.FULFILLED, Outcome.FULL, Outcome.FAULT):
-            host.used_at, host.turned = self._now, 0
+            host.used_at, route.turned = self._now, 0
         if not call.left:
             host.out -= 1
             route.out -= 1
@@ -251,11 +247,8 @@
             route.top, route.share = report[field], report[field] / self._relays
             route.limit = min(route.limit, route.top)  # guards against limits that change in the day
         if outcome is Outcome.FULFILLED:
-            if host.latency:
-                host.spread += (abs(latency - host.latency) - host.spread) // 4
-                host.latency += (latency - host.latency) // 8
-            else:
-                host.latency, host.spread = latency, latency // 2
+            host.spread += (abs(latency - host.latency) - host.spread) // 4 if host.latency else latency // 2
+            host.latency += (latency - host.latency) // 8 if host.latency else latency
             self._went_well(host, call)
             route.raised_at = min(route.raised_at, self._now)
             if call.idle >= STALE_LEAST:
@@ -263,28 +256,27 @@
                 self._idle_answered.append((self._now, call.idle))
         elif outcome is Outcome.FULL:
             if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
-                starved = route.limit <= route.share * CUT
+                if route.limit <= route.share * CUT:  # hardly anything was sent: no limit of ours explains it
+                    self._went_ill(host, REFUSED_WEIGHT)
                 sent = sum(at > self._now - ROUND for at in route.log)  # a limit far above use says nothing
                 route.limit = max(route.share * CUT, CUT * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
-                if starved:  # refused though hardly anything was sent: no limit of ours explains it
-                    self._went_ill(host, REFUSED_WEIGHT)
             route.raised_at = NEVER  # no window is free of refusals before a call went well
-            # A wait longer than any span of the limit tells of a destination that is shut.
-            if wait > 2 * ROUND:
+            if wait > 2 * ROUND:  # longer than any span of the limit: it is shut
                 self._went_ill(host, SICK)
         elif outcome is Outcome.UNCONNECTED:
-            if latency * 2 < self._connect_time:
-                # Guards against connection tables filled by idle links of many relays: turned away at once,
-                # the host is up.  New links to it pause for a while; idle ones to its kind are kept for less.
-                # Turned away again and again it may be down; pauses double, spread, lest all return together.
-                pause = int((ROUND << min(host.turned, 5)) * (0.5 + self._random()))
-                host.links, host.clear_at, host.turned = host.out, self._now + pause, host.turned + 1
-                if host.kind not in self._tight_kinds:
-                    self._tight_kinds.add(host.kind)
-                    for other in self._hosts.values():
-                        if other.kind == host.kind and other.used_at > other.freed_at and not other.out:
-                            self._enter(max(self._now, other.used_at + self._spare_idle), other)
+            if latency < self._slow_connect:
+                # Guards against connection tables filled by idle links of many relays: new links pause, idle
+                # ones to that kind are kept for less.  Turned away again and again, it may be down (rule 4).
+                pause = int((ROUND << min(route.turned, 5)) * (0.5 + self._random()))
+                host.links, host.clear_at, route.turned = host.out, self._now + pause, route.turned + 1
+                if route.turned > 1 and not host.out:
+                    self._went_ill(host, SICK / 2)
+                fresh = host.kind not in self._tight_kinds
+                self._tight_kinds.add(host.kind)
+                for other in self._hosts.values() if fresh else ():
+                    if other.kind == host.kind and other.used_at > other.freed_at and not other.out:
+                        self._enter(max(self._now, other.used_at + self._spare_idle), other)
             elif not host.out:  # calls out together fail together: that is told once
                 self._went_ill(host, FAILED_WEIGHT)
         elif outcome is Outcome.RESET and latency < host.latency:
@@ -295,9 +287,8 @@
     def _link_lost(self, call: Call, weight: float, reset: bool) -> None:
         """Guards against idle links cut on the way: the next packet on one is reset, or never answered.
 
-        Links idle as long are closed before the next call: to a host after a reset or two losses in a row, to
-        every host once three lost calls on links idle for longer than any answered of late.  A call lost on
-        a fresh link speaks against it.  It harms, by handshakes, where links break for another cause.
+        Links idle as long are closed before use: to a host after a reset or two losses in a row, to all once
+        three lost calls on links idle for longer than any answered of late.  Costs handshakes if mistaken.
         """
         host = call.host
         self._went_ill(host, REFUSED_WEIGHT if reset and call.idle >= STALE_LEAST else weight)
@@ -326,22 +317,30 @@
 
     def _went_well(self, host: Host, call: Call) -> None:
         host.doubt = max(0.0, host.doubt + FULFILLED_WEIGHT)
-        if host.pace and call.sent_at >= host.stepped_at:
-            host.level = max(1, host.level)
-            if self._now - host.stepped_at >= self._fall_time:
-                host.pace, host.level, host.stepped_at = 2 * host.pace, host.level + 1, self._now
-            if host.pace >= host.route.listed:
-                host.pace, host.level, host.doubt = 0.0, 0, 0.0
+        if host.pace and call.sent_at >= host.set_at:
+            host.back_at = host.back_at or self._now
+            if self._now - host.back_at >= self._cold_time:
+                host.pace, host.doubt = 0.0, 0.0
+
+    def _trickle_opens(self, host: Host) -> int:
+        """When a host set aside may be sent its next call: a trickle doubles while all goes well (rule 4)."""
+        if not host.pace:
+            return 0
+        back = self._now - host.back_at if host.back_at else 0
+        rest = SECOND / host.pace / 2 ** (back / self._fall_time)
+        return host.tried_at + int(rest) if back < self._cold_time else 0
 
     def _went_ill(self, host: Host, weight: float) -> None:
         """Sequential test on outcomes; a host found sick is set aside and gets a trickle (rule 4)."""
         host.doubt = min(SICK, host.doubt + weight)
         if host.pace or host.doubt >= SICK:
             peers = [other for other in host.destination.hosts if other.route is host.route]
-            host.pace = max(LEAST_PACE, self._cold_share * host.route.listed / max(1, len(peers)))
-            host.level = 0
-            host.stepped_at = self._now
-            host.next_at = max(host.next_at, self._now + int(SECOND / host.pace))
+            # As large a part of this relay's own use as all together may send a cold host: an even share of
+            # very many brings nobody back, a fixed least pushes it over.  Spread, lest all return together.
+            used = host.destination.taken * SECOND / max(self._now - self._started, SETTLED)
+            host.pace = self._cold_share * min(used, host.route.listed) / max(1, len(host.destination.hosts))
+            host.set_at, host.back_at = self._now, 0
+            host.tried_at = self._now - int(self._random() * 0.5 * SECOND / host.pace)
             for other in peers:
                 if not other.pace:
                     other.doubt = max(other.doubt, SICK / 2)
@@ -354,10 +353,10 @@
         ready = [load for home in self._destinations.values() if home.held and (load := self._load(home))]
         while ready and self._out < self._slots:
             best = max(ready, key=lambda load: load[0])
-            _, home, hosts, packets = best
-            self._call(self._favoured(hosts), packets)
-            again = self._load(home)
-            ready = [load if load is not best else again for load in ready if load is not best or again]
+            self._call(self._favoured(best[2]), best[3])
+            ready.remove(best)
+            if again := self._load(best[1]):
+                ready.append(again)
         if self._cancels and self._out >= self._slots:
             self._free_slots(len(ready))
         self._wake = min(self._wake, self._agenda[0][0] if self._agenda else NEVER)
@@ -368,8 +367,7 @@
     def _free_slots(self, wanted: int) -> None:
         """Guards the slots: with all of them taken, calls out far too long give way to packets that could go.
 
-        Covers hung, silent and very slow hosts, and answers that are lost; it harms where a host that stood
-        still would have answered after all, since a single-use packet is then errored.
+        Covers hung, silent and slow hosts and lost answers; harms single-use packets that were only late.
         """
         for call in self._overdue:
             if wanted <= 0:
@@ -427,12 +425,12 @@
     def _has_room(self, host: Host) -> bool:
         """Told waits, the windowed count against the limit, as designed; then what guards slots."""
         route, now = host.route, self._now
-        opens = max(route.wait_until, host.next_at if host.pace else 0,
+        opens = max(route.wait_until, self._trickle_opens(host),
                     host.clear_at if host.out >= host.links else 0)
         if opens > now:
             self._wake = min(self._wake, opens)
             return False
-        if now - route.raised_at >= max(ROUND, SECOND / route.limit) and route.limit < route.top and route.pressed:
+        if route.pressed and route.limit < route.top and now - route.raised_at >= ROUND:
             route.limit = min(route.top, route.limit + RAISE * max(route.share, route.limit))
             route.raised_at, route.pressed = now, False
         opens = self._log_opens(route)
@@ -440,21 +438,20 @@
             route.pressed = True
             self._wake = min(self._wake, opens)
             return False
-        if host.pace and host.out - host.overdue > host.level:
+        if host.pace and not host.back_at and host.out > host.overdue:
             return False
         return route.out < self._route_slots
 
     def _load(self, home: Destination) -> tuple[float, Destination, list[Host], list[Packet]] | None:
         """What the next call to a destination would carry: the held packets that lose most by waiting on.
 
-        Calls are weighed by the gain they save for each second of a slot, so that with few slots left full
-        bundles and quick hosts go before slow ones.
+        Calls are weighed by the gain saved a second of a slot: full bundles and quick hosts go first.
         """
         hosts = self._hosts_with_room(home)
         if not hosts:
             return None
         took = min(host.latency for host in hosts) or self._aim // 8
-        soon, trial = self._now + took, all(host.pace and not host.level for host in hosts)
+        soon, trial = self._now + took, all(host.pace and not host.back_at for host in hosts)
         ranked = []
         for packet in list(home.held.values()):
             if not self._may_go_again(packet):
@@ -466,8 +463,7 @@
                 self._wake = min(self._wake, packet.key.rest_until)
                 continue
             loss = self._worth(packet, soon) - self._worth(packet, soon + self._aim) + 0.001 * packet.gain
-            if packet.key:  # those behind it wait as well
-                loss *= len(packet.key.line)
+            loss *= len(packet.key.line) if packet.key else 1  # those behind it wait as well
             if trial and packet.profile.effect is Effect.SINGLE_USE:  # a host on trial gets what can bear it
                 loss = 0.0001 / (1 + packet.gain)
             ranked.append((loss, packet))
@@ -491,10 +487,7 @@
 
     def _favoured(self, hosts: list[Host]) -> Host:
         """Of two hosts drawn at random, the one that this relay's own counts favour."""
-        if len(hosts) == 1:
-            return hosts[0]
-        one, two = self._sample(hosts, 2)
-        return one if self._burden(one) <= self._burden(two) else two
+        return min(self._sample(hosts, min(2, len(hosts))), key=self._burden)
 
     def _burden(self, host: Host) -> tuple[bool, float]:
         return host.pace > 0, (1 + host.out + 2 * host.doubt) * (1 + host.latency)
@@ -516,8 +509,7 @@
         route.out += 1
         host.out += 1
         self._out += 1
-        if host.pace:
-            host.next_at = now + int(SECOND / host.pace)
+        host.tried_at = now
         call.yields_at = now + 2 * patience
         self._enter(now + patience, call)
 
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -13,12 +13,13 @@
     """What one limit holds for: a destination, or one host of it where routes are apart."""
 
     __slots__ = (
-        "cut_at", "limit", "listed", "log", "out", "pressed", "raised_at", "share", "top", "wait_until",
+        "cut_at", "limit", "listed", "log", "out", "pressed", "raised_at", "share", "top", "turned",
+        "wait_until",
     )
 
     def __init__(self, listed: float, share: float, top: float, now: int) -> None:
         self.listed = listed
-        self.limit = share
+        self.limit = top
         self.share = share
         self.top = top
         self.log: deque[int] = deque()
@@ -27,15 +28,16 @@
         self.pressed = False
         self.raised_at = now
         self.cut_at = 0
+        self.turned = 0
 
 
 class Host:
     """All that is known of one host."""
 
     __slots__ = (
-        "clear_at", "destination", "doubt", "freed_at", "id", "idle_lost", "idle_lost_at", "kind", "latency",
-        "left_at", "level", "links", "lost", "next_at", "out", "overdue", "pace", "route", "spread",
-        "stale_at", "stepped_at", "turned", "used_at",
+        "back_at", "clear_at", "destination", "doubt", "freed_at", "id", "idle_lost", "idle_lost_at", "kind",
+        "latency", "left_at", "links", "lost", "out", "overdue", "pace", "route", "set_at", "spread",
+        "stale_at", "tried_at", "used_at",
     )
 
     def __init__(self, entry: Entry, destination: Destination, route: Route) -> None:
@@ -49,13 +51,12 @@
         self.latency = 0
         self.spread = 0
         self.links = 0
-        self.turned = 0
         self.clear_at = 0
         self.doubt = 0.0
         self.pace = 0.0
-        self.level = 0
-        self.next_at = 0
-        self.stepped_at = 0
+        self.set_at = 0
+        self.back_at = 0
+        self.tried_at = 0
         self.used_at = 0
         self.lost = 0
         self.freed_at = 0
@@ -67,12 +68,13 @@
 class Destination:
     """Where packets are bound, with its hosts and the packets held for it."""
 
-    __slots__ = ("held", "hosts", "route")
+    __slots__ = ("held", "hosts", "route", "taken")
 
     def __init__(self) -> None:
         self.hosts: list[Host] = []
         self.held: dict[int, Packet] = {}
         self.route: Route | None = None
+        self.taken = 0
 
 
 class Key:
