--- a/millweir/control.py
+++ b/millweir/control.py
@@ -17,7 +17,8 @@
 
 WINDOW = 3 * SECOND // 10  # of the send log; longer where the limit lets less than one call through in it
 ROUND = SECOND  # without a refusal, before the limit is raised
-CUT, RAISE = 0.25, 0.25  # a refusal cuts the limit to this; a round without one adds, of the even share
+CUT, RAISE = 0.25, 0.25  # a refusal cuts the limit to this part of own use; a round without one adds this
+LEAST = 0.5  # of the even share
 FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
 SICK = 4.6  # log odds of a hundred to one: set aside
 PATIENCE_SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
@@ -256,10 +257,10 @@
                 self._idle_answered.append((self._now, call.idle))
         elif outcome is Outcome.FULL:
             if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
-                if route.limit <= route.share * CUT:  # hardly anything was sent: no limit of ours explains it
+                if route.limit <= route.share * LEAST:  # hardly anything was sent: no limit of ours explains it
                     self._went_ill(host, REFUSED_WEIGHT)
                 sent = sum(at > self._now - ROUND for at in route.log)  # a limit far above use says nothing
-                route.limit = max(route.share * CUT, CUT * min(route.limit, route.top, max(1, sent)))
+                route.limit = max(route.share * LEAST, CUT * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
             if wait > 2 * ROUND:  # longer than any span of the limit: it is shut
@@ -475,8 +476,7 @@
 
     def _worth(self, packet: Packet, at: int) -> float:
         """What the packet is worth when fulfilled at that time."""
-        late = at - packet.aim_at
-        profile = packet.profile
+        late, profile = at - packet.aim_at, packet.profile
         if late <= 0:
             return packet.gain
         if at >= packet.hard_stop:
