--- a/millweir/control.py
+++ b/millweir/control.py
@@ -28,7 +28,7 @@
 STALE_PROOF, STALE_HOSTS = 5 * SECOND, 3  # what is told of all hosts: within that time, by so many of them
 SHARE_DEPTH = 2  # seconds of a tenant's share that it may send at once
 FORGOTTEN_AFTER = 60 * SECOND  # a host that left the list
-BUDGET = 0.6  # of what may be sent to a cold host, lest chance break rule 4
+BUDGET = 1.0  # of what may be sent to a cold host, lest chance break rule 4
 SETTLED = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
 NEVER = 1 << 62
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
@@ -111,6 +111,7 @@
             known = self._known_rates and entry.rate > 0
             top = entry.rate if known else float(NEVER)
             route = home.route = Route(entry.rate if known else 1.0, top / self._relays, top, self._now)
+            route.limit = min(top, max(route.share, SECOND / ROUND))
         return self._hosts.setdefault(entry.host, Host(entry, home, route))
 
     def _home(self, ident: int) -> Destination:
@@ -181,7 +182,7 @@
         """Nobody wants the packet any more."""
         self._now = now
         packet = self._packets.get(ident)
-        if packet is not None and not packet.ended:
+        if packet and not packet.ended:
             self._end(packet)
 
     def trip_ended(self, now: int, ident: int, number: int, outcome: Outcome, finished: bool, latency: int,
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -19,7 +19,7 @@
 
     def __init__(self, listed: float, share: float, top: float, now: int) -> None:
         self.listed = listed
-        self.limit = top
+        self.limit = share
         self.share = share
         self.top = top
         self.log: deque[int] = deque()
