--- a/millweir/control.py
+++ b/millweir/control.py
@@ -340,7 +340,7 @@
             # As large a part of this relay's own use as all together may send a cold host: an even share of
             # very many brings nobody back, a fixed least pushes it over.  Spread, lest all return together.
             used = host.destination.taken * SECOND / max(self._now - self._started, SETTLED)
-            host.pace = self._cold_share * min(used, host.route.listed) / max(1, len(host.destination.hosts))
+            host.pace = self._cold_share * min(max(used, host.route.share), host.route.listed) / max(1, len(host.destination.hosts))
             host.set_at, host.back_at = self._now, 0
             host.tried_at = self._now - int(self._random() * 0.5 * SECOND / host.pace)
             for other in peers:
