A first refusal cuts to half, one after another without a call gone well to a quarter

A refusal in a quiet fleet cost four seconds; a run of them tells of a bucket that refused calls use up.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -17,7 +17,7 @@
 
 WINDOW = 3 * SECOND // 10  # of the send log; longer where the limit lets less than one call through in it
 ROUND = SECOND  # without a refusal, before the limit is raised
-CUT, RAISE = 0.25, 0.25  # a refusal cuts the limit to this part of own use; a round without one adds this
+CUT, RAISE = 0.5, 0.25  # a refusal cuts the limit to this part of own use; a round without one adds this
 LEAST = 0.5  # of the even share
 FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
 SICK = 4.6  # log odds of a hundred to one: set aside
@@ -261,7 +261,8 @@
                 if route.limit <= route.share * LEAST:  # hardly anything was sent: no limit of ours explains it
                     self._went_ill(host, REFUSED_WEIGHT)
                 sent = sum(at > self._now - ROUND for at in route.log)  # a limit far above use says nothing
-                route.limit = max(route.share * LEAST, CUT * min(route.limit, route.top, max(1, sent)))
+                cut = CUT if route.raised_at < NEVER else CUT * CUT  # deeper with no call gone well since the last
+                route.limit = max(route.share * LEAST, cut * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
             if wait > 2 * ROUND:  # longer than any span of the limit: it is shut
