--- a/millweir/control.py
+++ b/millweir/control.py
@@ -261,7 +261,7 @@
                 if route.limit <= route.share * LEAST:  # hardly anything was sent: no limit of ours explains it
                     self._went_ill(host, REFUSED_WEIGHT)
                 sent = sum(at > self._now - ROUND for at in route.log)  # a limit far above use says nothing
-                cut = CUT if route.raised_at < NEVER else CUT * CUT  # deeper with no call gone well since the last
+                cut = CUT if route.raised_at < NEVER else CUT ** 3  # deeper with no call gone well since the last
                 route.limit = max(route.share * LEAST, cut * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
