--- a/millweir/control.py
+++ b/millweir/control.py
@@ -265,8 +265,9 @@
                 route.limit = max(route.share * LEAST, cut * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
-            if wait > 2 * ROUND:  # longer than any span of the limit: it is shut
-                self._went_ill(host, SICK)
+            if wait > 2 * ROUND:  # longer than any span of the limit: it is shut, with all its hosts
+                for other in [peer for peer in host.destination.hosts if peer.route is route]:
+                    self._went_ill(other, SICK)
         elif outcome is Outcome.UNCONNECTED:
             if latency < self._slow_connect:
                 # Guards against connection tables filled by idle links of many relays: new links pause, idle
@@ -343,7 +344,7 @@
             used = host.destination.taken * SECOND / max(self._now - self._started, SETTLED)
             host.pace = self._cold_share * min(max(used, host.route.share), host.route.listed) / max(1, len(host.destination.hosts))
             host.set_at, host.back_at = self._now, 0
-            host.tried_at = self._now - int(self._random() * 0.5 * SECOND / host.pace)
+            host.tried_at = max(self._now, host.route.wait_until) - int(self._random() * 0.5 * SECOND / host.pace)
             for other in peers:
                 if not other.pace:
                     other.doubt = max(other.doubt, SICK / 2)
