Calls that may all go again give up their slot after one patience

Lost answers held slots for twice the patience while packets waited. Covers hangs and idle links too; harms by double work where a host was only slow.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -17,7 +17,7 @@
 
 WINDOW = 3 * SECOND // 10  # of the send log; longer where the limit lets less than one call through in it
 ROUND = SECOND  # without a refusal, before the limit is raised
-CUT, RAISE = 0.5, 0.25  # a refusal cuts the limit to this part of own use; a round without one adds this
+CUT, CUT_AGAIN, RAISE = 0.5, 0.125, 0.25  # a refusal cuts to this part of own use; a round without one adds
 LEAST = 0.5  # of the even share
 FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
 SICK = 4.6  # log odds of a hundred to one: set aside
@@ -180,8 +180,7 @@
 
     def packet_withdrawn(self, now: int, ident: int) -> None:
         """Nobody wants the packet any more."""
-        self._now = now
-        packet = self._packets.get(ident)
+        self._now, packet = now, self._packets.get(ident)
         if packet and not packet.ended:
             self._end(packet)
 
@@ -217,9 +216,8 @@
         first = next((trip.call.sent_at for trip in packet.trips if not trip.void), None)
         if first is None or packet.profile.effect is Effect.REPLAYABLE:
             return True
-        if packet.profile.effect is Effect.SINGLE_USE or packet.profile.repeat_known_by_zone:
-            return False  # a repeat known to some hosts only is not risked
-        return self._now < first + packet.profile.repeat_known - self._margin
+        known = packet.profile.effect is Effect.REFERENCED and not packet.profile.repeat_known_by_zone
+        return known and self._now < first + packet.profile.repeat_known - self._margin
 
     def _judge_call(self, call: Call, outcome: Outcome, latency: int, wait: int,
                     report: tuple[float, ...]) -> None:
@@ -258,10 +256,10 @@
                 self._idle_answered.append((self._now, call.idle))
         elif outcome is Outcome.FULL:
             if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
-                if route.limit <= route.share * LEAST:  # hardly anything was sent: no limit of ours explains it
+                if route.limit <= route.share * LEAST:  # hardly anything was sent: sick, not full
                     self._went_ill(host, REFUSED_WEIGHT)
                 sent = sum(at > self._now - ROUND for at in route.log)  # a limit far above use says nothing
-                cut = CUT if route.raised_at < NEVER else CUT ** 3  # deeper with no call gone well since the last
+                cut = CUT if route.raised_at < NEVER else CUT_AGAIN
                 route.limit = max(route.share * LEAST, cut * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
@@ -328,8 +326,6 @@
 
     def _trickle_opens(self, host: Host) -> int:
         """When a host set aside may be sent its next call: a trickle doubles while all goes well (rule 4)."""
-        if not host.pace:
-            return 0
         back = self._now - host.back_at if host.back_at else 0
         rest = SECOND / host.pace / 2 ** (back / self._fall_time)
         return host.tried_at + int(rest) if back < self._cold_time else 0
@@ -342,7 +338,8 @@
             # As large a part of this relay's own use as all together may send a cold host: an even share of
             # very many brings nobody back, a fixed least pushes it over.  Spread, lest all return together.
             used = host.destination.taken * SECOND / max(self._now - self._started, SETTLED)
-            host.pace = self._cold_share * min(max(used, host.route.share), host.route.listed) / max(1, len(host.destination.hosts))
+            used = min(max(used, host.route.share), host.route.listed)
+            host.pace = self._cold_share * used / max(1, len(host.destination.hosts))
             host.set_at, host.back_at = self._now, 0
             host.tried_at = max(self._now, host.route.wait_until) - int(self._random() * 0.5 * SECOND / host.pace)
             for other in peers:
@@ -429,7 +426,7 @@
     def _has_room(self, host: Host) -> bool:
         """Told waits, the windowed count against the limit, as designed; then what guards slots."""
         route, now = host.route, self._now
-        opens = max(route.wait_until, self._trickle_opens(host),
+        opens = max(route.wait_until, self._trickle_opens(host) if host.pace else 0,
                     host.clear_at if host.out >= host.links else 0)
         if opens > now:
             self._wake = min(self._wake, opens)
@@ -513,7 +510,8 @@
         host.out += 1
         self._out += 1
         host.tried_at = now
-        call.yields_at = now + 2 * patience
+        once = any(packet.profile.effect is Effect.SINGLE_USE for packet in packets)
+        call.yields_at = now + (2 if once else 1) * patience  # what may go again gives its slot up sooner
         self._enter(now + patience, call)
 
     def _patience(self, host: Host) -> int:
