--- a/millweir/control.py
+++ b/millweir/control.py
@@ -272,15 +272,13 @@
                 # ones to that kind are kept for less.  Turned away again and again, it may be down (rule 4).
                 pause = int((ROUND << min(route.turned, 5)) * (0.5 + self._random()))
                 host.links, host.clear_at, route.turned = host.out, self._now + pause, route.turned + 1
-                if route.turned > 1 and not host.out:
-                    self._went_ill(host, SICK / 2)
                 fresh = host.kind not in self._tight_kinds
                 self._tight_kinds.add(host.kind)
                 for other in self._hosts.values() if fresh else ():
                     if other.kind == host.kind and other.used_at > other.freed_at and not other.out:
                         self._enter(max(self._now, other.used_at + self._spare_idle), other)
-            elif not host.out:  # calls out together fail together: that is told once
-                self._went_ill(host, FAILED_WEIGHT)
+            if not host.out and (latency >= self._slow_connect or route.turned > 1):
+                self._went_ill(host, SICK / 2)  # calls out together fail together: that is told once
         elif outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
         elif outcome is not Outcome.MOOT and outcome is not Outcome.CANCELLED and not call.late:
@@ -341,7 +339,8 @@
             used = min(max(used, host.route.share), host.route.listed)
             host.pace = self._cold_share * used / max(1, len(host.destination.hosts))
             host.set_at, host.back_at = self._now, 0
-            host.tried_at = max(self._now, host.route.wait_until) - int(self._random() * 0.5 * SECOND / host.pace)
+            ahead = int(self._random() * 0.5 * SECOND / host.pace)
+            host.tried_at = max(self._now, host.route.wait_until) - ahead
             for other in peers:
                 if not other.pace:
                     other.doubt = max(other.doubt, SICK / 2)
