--- a/millweir/control.py
+++ b/millweir/control.py
@@ -111,7 +111,7 @@
             known = self._known_rates and entry.rate > 0
             top = entry.rate if known else float(NEVER)
             route = home.route = Route(entry.rate if known else 1.0, top / self._relays, top, self._now)
-            route.limit = min(top, max(route.share, SECOND / ROUND))
+            route.limit = min(top, max((route.share * top) ** 0.5, SECOND / ROUND))
         return self._hosts.setdefault(entry.host, Host(entry, home, route))
 
     def _home(self, ident: int) -> Destination:
