--- a/millweir/control.py
+++ b/millweir/control.py
@@ -29,6 +29,7 @@
 SHARE_DEPTH = 2  # seconds of a tenant's share that it may send at once
 FORGOTTEN_AFTER = 60 * SECOND  # a host that left the list
 BUDGET = 1.0  # of what may be sent to a cold host, lest chance break rule 4
+FAR = 2  # what a host in another zone counts against one here
 SETTLED = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
 NEVER = 1 << 62
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
@@ -54,11 +55,11 @@
         self._over_share, self._known_rates = settings.over_share, settings.rates_listed
         self._limit_field = settings.reports.index("x1") if "x1" in settings.reports else None
         self._grace = settings.drain_grace - self._margin
-        self._quiet, self._fall_time = settings.key_quiet, settings.fall_time
+        self._quiet, self._started, self._now = settings.key_quiet, now, now
+        self._fall_time, self._cold_time = settings.fall_time, settings.cold_time
         self._slow_connect = settings.connect_timeout // 2
-        self._aim = min((profile.quoted for profile in settings.profiles), default=SECOND)
+        self._zone, self._aim = settings.zone, min((p.quoted for p in settings.profiles), default=SECOND)
         self._cold_share = min(1.0, BUDGET * settings.fall_multiple * settings.cold_from)
-        self._cold_time, self._started = settings.cold_time, now
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
         self._cancels, self._failed_asks = settings.cancel, 0
         self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER
@@ -72,7 +73,7 @@
         self._open = self._out = 0
         self._overdue: dict[Call, None] = {}
         self._agenda: list[tuple[int, int, Packet | Call | Host | Key | None]] = []
-        self._order, self._now, self._wake, self._alarm_at = count().__next__, now, NEVER, 0
+        self._order, self._wake, self._alarm_at = count().__next__, NEVER, 0
         if settings.must_ask:
             port.watch()
 
@@ -84,8 +85,7 @@
             self._failed_asks += 1
             self._enter(now + min(self._ask_every, SECOND << min(self._failed_asks, 8) >> 2), None)
             return
-        if change is not Change.CACHED:
-            self._failed_asks = 0
+        self._failed_asks *= change is Change.CACHED
         gone = {entry.host for entry in entries if entry.phase is Phase.GONE}
         if change is not Change.DELTA:
             gone = self._hosts.keys() - {entry.host for entry in entries}
@@ -149,7 +149,7 @@
         later = self._now + ROUND
         held = (p for home in self._destinations.values() for p in home.held.values() if not self._risky(p))
         worst = min(held, key=lambda p: self._worth(p, later), default=None)
-        if worst is not None:
+        if worst:
             self._finish(worst)
 
     def _finish(self, packet: Packet) -> None:
@@ -192,8 +192,7 @@
         if packet is None or number >= len(packet.trips) or packet.trips[number].over:
             return
         trip = packet.trips[number]
-        trip.over, trip.void = True, outcome in NEVER_RAN
-        packet.out -= 1
+        trip.over, trip.void, packet.out = True, outcome in NEVER_RAN, packet.out - 1
         self._judge_call(trip.call, outcome, latency, wait, report)
         if packet.key and outcome in MAY_RUN_ON:
             packet.key.rest_until = now + self._quiet
@@ -489,7 +488,9 @@
         return min(self._sample(hosts, min(2, len(hosts))), key=self._burden)
 
     def _burden(self, host: Host) -> tuple[bool, float]:
-        return host.pace > 0, (1 + host.out + 2 * host.doubt) * (1 + host.latency)
+        linked = host.used_at > host.freed_at  # a new link costs round trips, the more the further away
+        busy = 2 - linked + host.out + 2 * host.doubt
+        return host.pace > 0, (1 if host.zone == self._zone else FAR) * busy * (MILLISECOND + host.latency)
 
     def _call(self, host: Host, packets: list[Packet]) -> None:
         """One call with all that travels in it; it is logged once."""
@@ -510,7 +511,7 @@
         self._out += 1
         host.tried_at = now
         once = any(packet.profile.effect is Effect.SINGLE_USE for packet in packets)
-        call.yields_at = now + (2 if once else 1) * patience  # what may go again gives its slot up sooner
+        call.yields_at = now + patience * (1 + once)  # what may go again gives its slot up sooner
         self._enter(now + patience, call)
 
     def _patience(self, host: Host) -> int:
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -37,12 +37,13 @@
     __slots__ = (
         "back_at", "clear_at", "destination", "doubt", "freed_at", "id", "idle_lost", "idle_lost_at", "kind",
         "latency", "left_at", "links", "lost", "out", "overdue", "pace", "route", "set_at", "spread",
-        "stale_at", "tried_at", "used_at",
+        "stale_at", "tried_at", "used_at", "zone",
     )
 
     def __init__(self, entry: Entry, destination: Destination, route: Route) -> None:
         self.id = entry.host
         self.kind = entry.kind
+        self.zone = entry.zone
         self.destination = destination
         self.route = route
         self.left_at = 0
