--- a/millweir/control.py
+++ b/millweir/control.py
@@ -30,6 +30,7 @@
 FORGOTTEN_AFTER = 60 * SECOND  # a host that left the list
 BUDGET = 1.0  # of what may be sent to a cold host, lest chance break rule 4
 FAR = 2  # what a host in another zone counts against one here
+MUCH_LEFT = 0.5  # share of a limit: a refusal then is not for the limit
 SETTLED = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
 NEVER = 1 << 62
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
@@ -53,7 +54,8 @@
         self._quotas = [tenant.quota / self._relays for tenant in settings.tenants]
         self._shares = [(quota, now) for quota in self._quotas]
         self._over_share, self._known_rates = settings.over_share, settings.rates_listed
-        self._limit_field = settings.reports.index("x1") if "x1" in settings.reports else None
+        fields = {name: at for at, name in enumerate(settings.reports)}
+        self._left_field, self._limit_field = fields.get("x0"), fields.get("x1")
         self._grace = settings.drain_grace - self._margin
         self._quiet, self._started, self._now = settings.key_quiet, now, now
         self._fall_time, self._cold_time = settings.fall_time, settings.cold_time
@@ -224,7 +226,7 @@
         host, route = call.host, call.host.route
         call.left -= 1
         if outcome in (Outcome.FULFILLED, Outcome.FULL, Outcome.FAULT):
-            host.used_at, route.turned = self._now, 0
+            host.used_at, route.turned = self._now, route.turned * (outcome is Outcome.FULL)
         if not call.left:
             host.out -= 1
             route.out -= 1
@@ -262,7 +264,10 @@
                 route.limit = max(route.share * LEAST, cut * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
-            if wait > 2 * ROUND:  # longer than any span of the limit: it is shut, with all its hosts
+            # A wait longer than any span of the limit, or a refusal while much of the limit is reported left,
+            # tells of a destination that is shut, or hung with its queue full: all its hosts are set aside.
+            left = report[self._left_field] if report and self._left_field is not None else 0.0
+            if wait > 2 * ROUND or left > MUCH_LEFT:
                 for other in [peer for peer in host.destination.hosts if peer.route is route]:
                     self._went_ill(other, SICK)
         elif outcome is Outcome.UNCONNECTED:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -247,7 +247,15 @@
         rig = Rig(entries=[entry(0, 0, kind=1)], relays=300, slots=3)
         for _ in range(9):
             rig.take(0)
-        rig.pass_time(15 * SECOND, lambda s: Outcome.FULL if rig.sent.index(s) < refused else Outcome.FULFILLED)
+        rig.pass_time(15 * SECOND, lambda s: Outcome.FULL if s in rig.sent[:refused] else Outcome.FULFILLED)
         return len(rig.sent)
 
     assert gaps(1) >= 9 > 2 * gaps(9) > 2
+
+
+def test_refused_with_much_of_its_limit_left_a_hung_destination_is_set_aside_with_all_its_hosts():
+    rig = Rig(entries=[entry(0, 0), entry(0, 1)], relays=200, reports=("x0", "x1"), slots=9)
+    for _ in range(40):
+        rig.take(0)
+        rig.pass_time(500 * MILLISECOND, lambda s: (Outcome.FULL, 0, (0.9, 50.0)) if rig.now > s.at else None)
+    assert len({s.at for s in rig.sent}) <= 14  # of 40 a call each: the allowed part of a cold host's load
