--- a/millweir/control.py
+++ b/millweir/control.py
@@ -30,8 +30,8 @@
 FORGOTTEN_AFTER = 60 * SECOND  # a host that left the list
 BUDGET = 1.0  # of what may be sent to a cold host, lest chance break rule 4
 FAR = 2  # what a host in another zone counts against one here
-MUCH_LEFT = 0.5  # share of a limit: a refusal then is not for the limit
-SETTLED = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
+MUCH_LEFT = 0.75  # share of a limit: a refusal then is not for the limit
+YOUNG = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
 NEVER = 1 << 62
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
 MAY_RUN_ON = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
@@ -44,8 +44,7 @@
         self._port = port
         chance = random.Random(seed)
         self._sample, self._random = chance.sample, chance.random
-        self._profiles = settings.profiles
-        self._relays = max(1, settings.relays)
+        self._profiles, self._relays = settings.profiles, max(1, settings.relays)
         self._slots, self._route_slots = settings.slots, max(2, settings.slots // ROUTE_SHARE)
         self._max_open, self._max_trips = settings.max_open, settings.max_trips
         self._max_wait = settings.max_retry_after if settings.retry_after else 0
@@ -57,7 +56,7 @@
         fields = {name: at for at, name in enumerate(settings.reports)}
         self._left_field, self._limit_field = fields.get("x0"), fields.get("x1")
         self._grace = settings.drain_grace - self._margin
-        self._quiet, self._started, self._now = settings.key_quiet, now, now
+        self._quiet, self._born, self._now = settings.key_quiet, now, now
         self._fall_time, self._cold_time = settings.fall_time, settings.cold_time
         self._slow_connect = settings.connect_timeout // 2
         self._zone, self._aim = settings.zone, min((p.quoted for p in settings.profiles), default=SECOND)
@@ -88,9 +87,8 @@
             self._enter(now + min(self._ask_every, SECOND << min(self._failed_asks, 8) >> 2), None)
             return
         self._failed_asks *= change is Change.CACHED
-        gone = {entry.host for entry in entries if entry.phase is Phase.GONE}
-        if change is not Change.DELTA:
-            gone = self._hosts.keys() - {entry.host for entry in entries}
+        gone = ({entry.host for entry in entries if entry.phase is Phase.GONE} if change is Change.DELTA
+                else self._hosts.keys() - {entry.host for entry in entries})
         for ident, host in list(self._hosts.items()):
             # A host that left is kept for a while, lest a list that flaps lose its told wait or its doubt.
             listed = host in host.destination.hosts
@@ -264,10 +262,11 @@
                 route.limit = max(route.share * LEAST, cut * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
-            # A wait longer than any span of the limit, or a refusal while much of the limit is reported left,
-            # tells of a destination that is shut, or hung with its queue full: all its hosts are set aside.
+            # A wait longer than any span of the limit tells of a shut destination, a refusal with much of the
+            # limit left of a hung one; only a relay too seldom there can't wait for a second sign of that.
             left = report[self._left_field] if report and self._left_field is not None else 0.0
-            if wait > 2 * ROUND or left > MUCH_LEFT:
+            seldom = host.destination.taken * self._fall_time < self._now - self._born
+            if wait > 2 * ROUND or left > MUCH_LEFT and seldom:
                 for other in [peer for peer in host.destination.hosts if peer.route is route]:
                     self._went_ill(other, SICK)
         elif outcome is Outcome.UNCONNECTED:
@@ -336,18 +335,13 @@
         """Sequential test on outcomes; a host found sick is set aside and gets a trickle (rule 4)."""
         host.doubt = min(SICK, host.doubt + weight)
         if host.pace or host.doubt >= SICK:
-            peers = [other for other in host.destination.hosts if other.route is host.route]
             # As large a part of this relay's own use as all together may send a cold host: an even share of
             # very many brings nobody back, a fixed least pushes it over.  Spread, lest all return together.
-            used = host.destination.taken * SECOND / max(self._now - self._started, SETTLED)
-            used = min(max(used, host.route.share), host.route.listed)
-            host.pace = self._cold_share * used / max(1, len(host.destination.hosts))
+            used = max(host.route.share, host.destination.taken * SECOND / max(self._now - self._born, YOUNG))
+            host.pace = self._cold_share * min(used, host.route.listed) / max(1, len(host.destination.hosts))
             host.set_at, host.back_at = self._now, 0
             ahead = int(self._random() * 0.5 * SECOND / host.pace)
             host.tried_at = max(self._now, host.route.wait_until) - ahead
-            for other in peers:
-                if not other.pace:
-                    other.doubt = max(other.doubt, SICK / 2)
 
     def round_over(self, now: int) -> None:
         """All that came in together has been told: send what has room, then sleep until something is due."""
