--- a/tests/rig.py
+++ b/tests/rig.py
@@ -61,6 +61,7 @@
         self.alarms, self.watches, self.freed = [], [], []
         self.sent, self.taken, self.answers = [], {}, {}
         self.cancelled = []
+        self.stirred = True
         self.left, self.waits, self.rests, self.lines = {}, {}, {}, {}
         self.entries = entries or [entry(d, n, kind=d % 2) for d in range(3) for n in range(2)]
         self.relay = Relay(self, self.settings, seed, self.now)
@@ -131,6 +132,7 @@
                 self.left.pop(row.host, None)
             else:
                 self.left.setdefault(row.host, self.now)
+        self.stirred = True
         self.relay.list_told(self.now, change, tuple(entries))
 
     def take(self, kind=0, destination=0, key=0, tenant=0, ident=None):
@@ -140,11 +142,13 @@
         if self.taken[ident]["key"]:
             self.lines.setdefault(key, []).append(ident)
         stop = self.taken[ident]["hard_stop"]
+        self.stirred = True
         self.relay.packet_taken(self.now, ident, kind, tenant, key, stop, destination)
         return ident
 
     def end(self, sent, outcome, wait=0, report=()):
         together = [s for s in self.out() if s.host is sent.host and s.at == sent.at]
+        self.stirred = True
         for s in together:
             s.outcome = outcome
             fulfilled = outcome is Outcome.FULFILLED and s.packet.id not in self.answers
@@ -159,7 +163,12 @@
             self.waits[route] = max(self.waits.get(route, 0), self.now + wait)
 
     def round(self):
-        self.relay.round_over(self.now)
+        # As on the wire: a round ends only after input or a due alarm, so a forgotten alarm shows.
+        due = [at for at in self.alarms if at <= self.now]
+        if self.stirred or due:
+            self.alarms = [at for at in self.alarms if at > self.now]
+            self.stirred = False
+            self.relay.round_over(self.now)
         for ident, taken in self.taken.items():
             late = self.now - taken["hard_stop"]
             assert ident in self.answers or late <= self.settings.answer_slack, "no answer by the hard stop"
