--- a/millweir/control.py
+++ b/millweir/control.py
@@ -18,7 +18,7 @@
 WINDOW = 3 * SECOND // 10  # of the send log; longer where the limit lets less than one call through in it
 ROUND = SECOND  # without a refusal, before the limit is raised
 CUT, CUT_AGAIN, RAISE = 0.5, 0.125, 0.25  # a refusal cuts to this part of own use; a round without one adds
-LEAST = 0.5  # of the even share
+LEAST, ROUGH = 0.5, 1.5  # of the even share; a rough rate is up to half too high, an exact one bears more
 FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
 SICK = 4.6  # log odds of a hundred to one: set aside
 PATIENCE_SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
@@ -58,7 +58,7 @@
         self._grace = settings.drain_grace - self._margin
         self._quiet, self._born, self._now = settings.key_quiet, now, now
         self._fall_time, self._cold_time = settings.fall_time, settings.cold_time
-        self._slow_connect = settings.connect_timeout // 2
+        self._slow, self._least = settings.connect_timeout // 2, LEAST * (1 if settings.rates_rough else ROUGH)
         self._zone, self._aim = settings.zone, min((p.quoted for p in settings.profiles), default=SECOND)
         self._cold_share = min(1.0, BUDGET * settings.fall_multiple * settings.cold_from)
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
@@ -226,9 +226,7 @@
         if outcome in (Outcome.FULFILLED, Outcome.FULL, Outcome.FAULT):
             host.used_at, route.turned = self._now, route.turned * (outcome is Outcome.FULL)
         if not call.left:
-            host.out -= 1
-            route.out -= 1
-            self._out -= 1
+            route.out, host.out, self._out = route.out - 1, host.out - 1, self._out - 1
             if not host.out and outcome in MAY_RUN_ON:
                 host.freed_at = self._now  # that link is gone
             if call.late:
@@ -258,8 +256,8 @@
                 if route.limit <= route.share * LEAST:  # hardly anything was sent: sick, not full
                     self._went_ill(host, REFUSED_WEIGHT)
                 sent = sum(at > self._now - ROUND for at in route.log)  # a limit far above use says nothing
-                cut = CUT if route.raised_at < NEVER else CUT_AGAIN
-                route.limit = max(route.share * LEAST, cut * min(route.limit, route.top, max(1, sent)))
+                cut, least = (CUT, self._least) if route.raised_at < NEVER else (CUT_AGAIN, LEAST)
+                route.limit = max(route.share * least, cut * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
             # A wait longer than any span of the limit tells of a shut destination, a refusal with much of the
@@ -270,7 +268,7 @@
                 for other in [peer for peer in host.destination.hosts if peer.route is route]:
                     self._went_ill(other, SICK)
         elif outcome is Outcome.UNCONNECTED:
-            if latency < self._slow_connect:
+            if latency < self._slow:
                 # Guards against connection tables filled by idle links of many relays: new links pause, idle
                 # ones to that kind are kept for less.  Turned away again and again, it may be down (rule 4).
                 pause = int((ROUND << min(route.turned, 5)) * (0.5 + self._random()))
@@ -280,7 +278,7 @@
                 for other in self._hosts.values() if fresh else ():
                     if other.kind == host.kind and other.used_at > other.freed_at and not other.out:
                         self._enter(max(self._now, other.used_at + self._spare_idle), other)
-            if not host.out and (latency >= self._slow_connect or route.turned > 1):
+            if not host.out and (latency >= self._slow or route.turned > 1):
                 self._went_ill(host, SICK / 2)  # calls out together fail together: that is told once
         elif outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
@@ -505,9 +503,7 @@
             call.left += 1
             self._port.send(packet, host, self._time_out(packet, patience))
         route.log.append(now)
-        route.out += 1
-        host.out += 1
-        self._out += 1
+        route.out, host.out, self._out = route.out + 1, host.out + 1, self._out + 1
         host.tried_at = now
         once = any(packet.profile.effect is Effect.SINGLE_USE for packet in packets)
         call.yields_at = now + patience * (1 + once)  # what may go again gives its slot up sooner
