--- a/millweir/control.py
+++ b/millweir/control.py
@@ -58,7 +58,8 @@
         self._grace = settings.drain_grace - self._margin
         self._quiet, self._born, self._now = settings.key_quiet, now, now
         self._fall_time, self._cold_time = settings.fall_time, settings.cold_time
-        self._slow, self._least = settings.connect_timeout // 2, LEAST * (1 if settings.rates_rough else ROUGH)
+        self._slow = settings.connect_timeout // 2
+        self._least = LEAST if settings.rates_rough else LEAST * ROUGH
         self._zone, self._aim = settings.zone, min((p.quoted for p in settings.profiles), default=SECOND)
         self._cold_share = min(1.0, BUDGET * settings.fall_multiple * settings.cold_from)
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
@@ -103,6 +104,9 @@
                 host.left_at = 0 if entry.phase is Phase.READY else host.left_at or now
                 if host not in host.destination.hosts:
                     host.destination.hosts.append(host)
+                if self._known_rates and entry.rate > 0 and entry.rate != host.route.listed:
+                    host.route.listed = host.route.top = entry.rate  # a listed rate may change in the day
+                    host.route.share = entry.rate / self._relays
 
     def _meet(self, entry: Entry) -> Host:
         home = self._home(entry.destination)
