--- a/millweir/adapter/settings.py
+++ b/millweir/adapter/settings.py
@@ -16,7 +16,6 @@
     ceilings = given.get("ceilings") or {}
     family = given.get("family-info") or {}
     rules = given.get("obligations") or {}
-    prices = given.get("charges") or {}
     report = given.get("report") or {}
     profiles = tuple(
         Profile(
@@ -44,20 +43,14 @@
         slots=family.get("slots", 1),
         max_open=ceilings.get("max-open", 0),
         max_trips=ceilings.get("max-attempts", 1),
-        second_copies=bool(ceilings.get("second-copies", False)),
         cancel=bool(ceilings.get("cancel", False)),
-        probes=bool(ceilings.get("probes", False)),
         retry_after=bool(ceilings.get("retry-after", False)),
         max_retry_after=(ceilings.get("max-retry-after-us") or 0) * 1000,
-        streams=ceilings.get("streams-per-conn", 1),
         idle_close=(ceilings.get("idle-close-us") or 0) * 1000,
         connect_timeout=(ceilings.get("connect-timeout-us") or 0) * 1000,
         halves=family.get("late") == "by_half",
         bundle_max=tuple(family.get("bundle-max") or ()),
         apart=tuple(family.get("kind-apart") or ()),
-        carriage=tuple(family.get("carriage") or ()),
-        refused_price=family.get("refused-price", 0.0),
-        cross_zone_price=prices.get("cross-zone", 0.0),
         over_share=given.get("over-share-worth", 1.0),
         must_ask=given.get("membership-mode") == "ask",
         must_ask_in=(rules.get("must-ask-in-us") or 0) * 1000,
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -88,20 +88,14 @@
     slots: int
     max_open: int
     max_trips: int
-    second_copies: bool
     cancel: bool
-    probes: bool
     retry_after: bool
     max_retry_after: int
-    streams: int
     idle_close: int
     connect_timeout: int
     halves: bool
     bundle_max: tuple[int, ...]
     apart: tuple[bool, ...]
-    carriage: tuple[float, ...]
-    refused_price: float
-    cross_zone_price: float
     over_share: float
     must_ask: bool
     must_ask_in: int
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -13,7 +13,7 @@
 def test_rules_hold_under_random_trouble(seed):
     chance = random.Random(seed)
     slots, max_open = chance.choice((2, 5, 12)), chance.choice((8, 40))
-    rig = Rig(seed, second_copies=seed % 3 != 0, slots=slots, max_open=max_open)
+    rig = Rig(seed, slots=slots, max_open=max_open)
     listed = list(rig.entries)
     mood = {}
 
