--- a/millweir/control.py
+++ b/millweir/control.py
@@ -55,10 +55,9 @@
         self._over_share, self._known_rates = settings.over_share, settings.rates_listed
         fields = {name: at for at, name in enumerate(settings.reports)}
         self._left_field, self._limit_field = fields.get("x0"), fields.get("x1")
-        self._grace = settings.drain_grace - self._margin
+        self._grace, self._slow = settings.drain_grace - self._margin, settings.connect_timeout // 2
         self._quiet, self._born, self._now = settings.key_quiet, now, now
         self._fall_time, self._cold_time = settings.fall_time, settings.cold_time
-        self._slow = settings.connect_timeout // 2
         self._least = LEAST if settings.rates_rough else LEAST * ROUGH
         self._zone, self._aim = settings.zone, min((p.quoted for p in settings.profiles), default=SECOND)
         self._cold_share = min(1.0, BUDGET * settings.fall_multiple * settings.cold_from)
@@ -283,7 +282,8 @@
                     if other.kind == host.kind and other.used_at > other.freed_at and not other.out:
                         self._enter(max(self._now, other.used_at + self._spare_idle), other)
             if not host.out and (latency >= self._slow or route.turned > 1):
-                self._went_ill(host, SICK / 2)  # calls out together fail together: that is told once
+                for other in [peer for peer in host.destination.hosts if peer.route is route]:
+                    self._went_ill(other, SICK / 2)  # down, mostly with all hosts of its destination
         elif outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
         elif outcome is not Outcome.MOOT and outcome is not Outcome.CANCELLED and not call.late:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -268,3 +268,11 @@
         rig.take(0)
     rig.pass_time(10 * SECOND, well()(rig))
     assert len(rig.sent) > 60  # forty at the old rate
+
+
+def test_connects_that_time_out_at_one_host_set_its_siblings_aside():
+    rig = Rig(entries=[entry(0, n) for n in range(4)], relays=300, slots=3)
+    for _ in range(20):
+        rig.take(0)
+        rig.pass_time(2 * SECOND, lambda s: Outcome.UNCONNECTED if rig.now - s.at >= SECOND else None)
+    assert len({s.at for s in rig.sent}) <= 7  # of 20: two to know, the rest the trickles
