--- a/millweir/control.py
+++ b/millweir/control.py
@@ -282,7 +282,8 @@
                     if other.kind == host.kind and other.used_at > other.freed_at and not other.out:
                         self._enter(max(self._now, other.used_at + self._spare_idle), other)
             if not host.out and (latency >= self._slow or route.turned > 1):
-                for other in [peer for peer in host.destination.hosts if peer.route is route]:
+                all_down = host.destination.hosts if latency >= self._slow else (host,)
+                for other in [peer for peer in all_down if peer.route is route]:
                     self._went_ill(other, SICK / 2)  # down, mostly with all hosts of its destination
         elif outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
@@ -447,8 +448,7 @@
 
         Calls are weighed by the gain saved a second of a slot: full bundles and quick hosts go first.
         """
-        hosts = self._hosts_with_room(home)
-        if not hosts:
+        if not (hosts := self._hosts_with_room(home)):
             return None
         took = min(host.latency for host in hosts) or self._aim // 8
         soon, trial = self._now + took, all(host.pace and not host.back_at for host in hosts)
