--- a/millweir/control.py
+++ b/millweir/control.py
@@ -28,7 +28,6 @@
 STALE_PROOF, STALE_HOSTS = 5 * SECOND, 3  # what is told of all hosts: within that time, by so many of them
 SHARE_DEPTH = 2  # seconds of a tenant's share that it may send at once
 FORGOTTEN_AFTER = 60 * SECOND  # a host that left the list
-BUDGET = 1.0  # of what may be sent to a cold host, lest chance break rule 4
 FAR = 2  # what a host in another zone counts against one here
 MUCH_LEFT = 0.75  # share of a limit: a refusal then is not for the limit
 YOUNG = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
@@ -60,7 +59,7 @@
         self._fall_time, self._cold_time = settings.fall_time, settings.cold_time
         self._least = LEAST if settings.rates_rough else LEAST * ROUGH
         self._zone, self._aim = settings.zone, min((p.quoted for p in settings.profiles), default=SECOND)
-        self._cold_share = min(1.0, BUDGET * settings.fall_multiple * settings.cold_from)
+        self._cold_share = min(1.0, settings.fall_multiple * settings.cold_from)
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
         self._cancels, self._failed_asks = settings.cancel, 0
         self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER
@@ -268,8 +267,7 @@
             left = report[self._left_field] if report and self._left_field is not None else 0.0
             seldom = host.destination.taken * self._fall_time < self._now - self._born
             if wait > 2 * ROUND or left > MUCH_LEFT and seldom:
-                for other in [peer for peer in host.destination.hosts if peer.route is route]:
-                    self._went_ill(other, SICK)
+                self._all_went_ill(host, SICK)
         elif outcome is Outcome.UNCONNECTED:
             if latency < self._slow:
                 # Guards against connection tables filled by idle links of many relays: new links pause, idle
@@ -282,9 +280,7 @@
                     if other.kind == host.kind and other.used_at > other.freed_at and not other.out:
                         self._enter(max(self._now, other.used_at + self._spare_idle), other)
             if not host.out and (latency >= self._slow or route.turned > 1):
-                all_down = host.destination.hosts if latency >= self._slow else (host,)
-                for other in [peer for peer in all_down if peer.route is route]:
-                    self._went_ill(other, SICK / 2)  # down, mostly with all hosts of its destination
+                (self._all_went_ill if latency >= self._slow else self._went_ill)(host, SICK / 2)
         elif outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
         elif outcome is not Outcome.MOOT and outcome is not Outcome.CANCELLED and not call.late:
@@ -346,6 +342,11 @@
             ahead = int(self._random() * 0.5 * SECOND / host.pace)
             host.tried_at = max(self._now, host.route.wait_until) - ahead
 
+    def _all_went_ill(self, host: Host, weight: float) -> None:
+        for other in host.destination.hosts:  # an outage mostly takes them all
+            if other.route is host.route:
+                self._went_ill(other, weight)
+
     def round_over(self, now: int) -> None:
         """All that came in together has been told: send what has room, then sleep until something is due."""
         self._now = now
