--- /dev/null
+++ b/millweir/__main__.py
@@ -0,0 +1,57 @@
+"""Start one relay: python -m millweir."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+
+import uvloop
+
+from millweir.facade import Facade
+from millweir.net import clock
+from millweir.net.clients import ClientLink
+from millweir.net.config import Config, Misconfigured, read_config
+from millweir.net.counters import Counters
+from millweir.net.desk import Desk
+from millweir.net.journal import Journal, Parcel
+from millweir.net.log import Log
+
+
+async def serve(config: Config) -> None:
+    """Run until told to stop."""
+    loop, counters = asyncio.get_running_loop(), Counters()
+    facade: Facade[Parcel] = Facade(config.settings, config.limits, config.seed, clock.steady())
+    bounds = facade.bounds
+    log = Log(bounds.log_lines)
+    loop.set_exception_handler(
+        lambda _, what: log.say(f"fault {what.get('message')} {what.get('exception')!r}"))
+    journal = Journal(config.state, bounds.journal_file, bounds.journal_live)
+    if journal.torn:
+        log.must(f"journal-torn dropped_bytes={journal.torn}")
+    desk = Desk(loop, config, facade, journal, log, counters)
+    loop.add_signal_handler(signal.SIGTERM, desk.leave)
+    loop.add_signal_handler(signal.SIGINT, desk.leave)
+    loop.add_signal_handler(signal.SIGUSR1, lambda: log.must(counters.line()))
+    server = await loop.create_server(lambda: ClientLink(desk.clients), *config.listen, backlog=512)
+    log.must(f"ready name={config.name} listen={':'.join(map(str, config.listen))} owed={len(journal.owed)}")
+    await desk.stopped
+    server.close()
+    desk.close()
+    await asyncio.sleep(0)
+    log.must(counters.line())
+
+
+def main() -> None:
+    try:
+        config = read_config(os.environ)
+        uvloop.run(serve(config))
+    except Misconfigured as fault:
+        sys.exit(f"millweir: {fault}")
+    except OSError as fault:
+        sys.exit(f"millweir: {fault}")
+
+
+if __name__ == "__main__":
+    main()
--- a/millweir/adapter/wire.py
+++ b/millweir/adapter/wire.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+import json
 import struct
 from collections.abc import Callable
 from typing import BinaryIO
 
-from millweir.adapter.settings import read_settings
 from millweir.control import Relay
 from millweir.interface import Change, Entry, Outcome, Phase, Settings
 from millweir.records import Host, Packet
+from millweir.settings import read_settings
 
 HEADER = struct.Struct("<IQ")
 LENGTH = struct.Struct("<I")
@@ -159,8 +160,9 @@
             if reason not in OUTCOMES:
                 raise Malformed(f"settled before byte {at} has unknown reason {reason}")
             if relay is not None:
+                told = wait * 1_000_000 if reason == 503 else 0
                 self._guard(number, relay.trip_ended, now, ident, copy, OUTCOMES[reason], bool(finished),
-                            latency * 1000, wait * 1_000_000, report)
+                            latency * 1000, told, report)
             return at + 4 * n
         if code == 1020:
             ident, profile, tenant, key, not_after, _, bound, _ = ORDER.unpack_from(body, at)
@@ -196,7 +198,7 @@
             if at + size > len(body):
                 raise Malformed(f"power_on before byte {at} has settings past the end of the batch")
             try:
-                settings = read_settings(body[at:at + size])
+                settings = read_settings(json.loads(body[at:at + size]))
             except (ValueError, KeyError, TypeError, AttributeError) as fault:
                 raise Malformed(f"settings of power_on at byte {at} can't be read: {fault!r}") from fault
             self._ports[number] = WirePort()
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -1,9 +1,8 @@
 """Every decision of a relay: which packet goes to which host, when, and what it is told in the end.
 
 Make one Relay with a port, the settings, a seed and the clock; call one method for each thing that happens,
-then round_over once all that came in together has been told.  It acts by calling the port.  The types, the
-settings and the port are in millweir/interface.py, the bare records in millweir/records.py.  Times are whole
-nanoseconds.  docs/design.md says what comes from the sliding log of the paper and what departs from it.
+then round_over once all that came in together has been told.  It acts by calling the port.  Types and port
+are in millweir/interface.py, records in millweir/records.py, departures from the paper in docs/design.md.
 """
 
 from __future__ import annotations
@@ -12,9 +11,10 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from millweir.interface import MILLISECOND, SECOND, Change, Effect, Entry, Outcome, Phase, Port, Settings
+from millweir.interface import SECOND, Bounds, Change, Effect, Entry, Limits, Outcome, Phase, Port, Settings
 from millweir.records import Call, Destination, Host, Key, Packet, Route, Trip
 
+MILLISECOND = SECOND // 1000
 WINDOW = 3 * SECOND // 10  # of the send log; longer where the limit lets less than one call through in it
 ROUND = SECOND  # without a refusal, before the limit is raised
 CUT, CUT_AGAIN, RAISE = 0.5, 0.125, 0.25  # a refusal cuts to this part of own use; a round without one adds
@@ -36,6 +36,16 @@
 MAY_RUN_ON = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
 
 
+def bounds(settings: Settings, limits: Limits) -> Bounds:
+    """What the network code keeps to: links, journal, waits for discovery, the stop and the log."""
+    return Bounds(
+        link_life=settings.idle_close * 9 // 10,  # idle for longer, the other end may be closing it
+        host_links=limits.descriptors // 4, client_links=limits.descriptors // 2,
+        journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # both files fit while one replaces
+        resend=SECOND, redial=SECOND // 20, watch=20 * SECOND, silence=30 * SECOND,
+        leave=33 * SECOND // 10, log_lines=200)
+
+
 class Relay:
     """One relay: it sees only its own traffic and shares nothing."""
 
@@ -73,7 +83,7 @@
         self._open = self._out = 0
         self._overdue: dict[Call, None] = {}
         self._agenda: list[tuple[int, int, Packet | Call | Host | Key | None]] = []
-        self._order, self._wake, self._alarm_at = count().__next__, NEVER, 0
+        self._order, self._wake, self._alarm_at, self._leave_at = count().__next__, NEVER, 0, NEVER
         if settings.must_ask:
             port.watch()
 
@@ -89,7 +99,7 @@
         gone = ({entry.host for entry in entries if entry.phase is Phase.GONE} if change is Change.DELTA
                 else self._hosts.keys() - {entry.host for entry in entries})
         for ident, host in list(self._hosts.items()):
-            # A host that left is kept for a while, lest a list that flaps lose its told wait or its doubt.
+            # Kept for a while, lest a list that flaps lose its told wait or its doubt.
             listed = host in host.destination.hosts
             if ident in gone and listed:
                 host.left_at = host.left_at or now
@@ -119,9 +129,18 @@
     def _home(self, ident: int) -> Destination:
         return self._destinations.get(ident) or self._destinations.setdefault(ident, Destination())
 
+    def refusal(self, size: int, room: int) -> int:
+        """0 where a packet may be handed in and stored, else how long its client ought to wait."""
+        full = self._max_open and self._open >= self._max_open
+        return ROUND if full or size > room or self._leave_at < NEVER else 0
+
+    def leave(self, leave_at: int) -> None:
+        """Told to stop then: nothing more is taken, and no call goes out that may outlast the process."""
+        self._leave_at = leave_at
+
     def packet_taken(self, now: int, ident: int, profile: int, tenant: int, key: int, hard_stop: int,
-                     destination: int) -> None:
-        """A packet was handed in; it is held until round_over finds room for it."""
+                     destination: int, earlier: tuple[tuple[int, bool], ...] = ()) -> None:
+        """A packet was handed in, or is owed from an earlier life; round_over finds room for it."""
         self._now = now
         packet = Packet(ident, self._profiles[profile], self._home(destination), hard_stop)
         packet.aim_at = hard_stop - packet.profile.give_up + packet.profile.quoted
@@ -129,12 +148,17 @@
         if packet.profile.in_order and key:
             packet.key = self._keys.get(key) or self._keys.setdefault(key, Key(key))
             packet.key.line.append(packet)
+        packet.trips = [Trip(Call(None, sent_at), over=True, void=void) for sent_at, void in earlier]
+        if packet.key and self._risky(packet):
+            packet.key.rest_until = now + self._quiet
         self._packets[ident] = packet
         self._open += 1
         packet.destination.held[ident] = packet
         packet.destination.taken += 1
         self._enter(hard_stop - self._margin, packet)
-        if self._max_open and self._open >= self._max_open:
+        if earlier and not self._may_go_again(packet):
+            self._finish(packet)  # single-use may have run in that life: given up at once
+        elif self._max_open and self._open >= self._max_open:
             self._make_room()
 
     def _worth_of_share(self, tenant: int) -> float:
@@ -163,12 +187,10 @@
         self._end(packet)
 
     def _advice(self, packet: Packet) -> int:
-        route = packet.destination.route
-        if route is None:
+        if (route := packet.destination.route) is None:
             return self._max_wait
         queue = len(packet.destination.held) * SECOND / min(route.limit, route.listed)
-        wait = max(route.wait_until - self._now, int(queue))
-        return min(self._max_wait, max(MILLISECOND, wait))
+        return min(self._max_wait, max(MILLISECOND, route.wait_until - self._now, int(queue)))
 
     def _end(self, packet: Packet) -> None:
         packet.ended, self._open = True, self._open - 1
@@ -189,8 +211,7 @@
     def trip_ended(self, now: int, ident: int, number: int, outcome: Outcome, finished: bool, latency: int,
                    wait: int, report: tuple[float, ...]) -> None:
         """A trip has its outcome; unless that finished the packet, its answer is still owed."""
-        self._now = now
-        packet = self._packets.get(ident)
+        self._now, packet = now, self._packets.get(ident)
         if packet is None or number >= len(packet.trips) or packet.trips[number].over:
             return
         trip = packet.trips[number]
@@ -236,13 +257,12 @@
                 del self._overdue[call]
             if not host.out and host.kind in self._tight_kinds:
                 self._enter(self._now + self._spare_idle, host)
-        if wait > 0 and outcome is Outcome.FULL:
+        if wait > 0:  # also beside packets of the call that were taken
             route.wait_until = max(route.wait_until, self._now + wait)  # rule 6
         if call.judged:
             return
         call.judged = True
-        field = self._limit_field
-        if field is not None and len(report) > field and report[field] > 0:
+        if (field := self._limit_field) is not None and len(report) > field and report[field] > 0:
             route.top, route.share = report[field], report[field] / self._relays
             route.limit = min(route.limit, route.top)  # guards against limits that change in the day
         if outcome is Outcome.FULFILLED:
@@ -262,16 +282,15 @@
                 route.limit = max(route.share * least, cut * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
-            # A wait longer than any span of the limit tells of a shut destination, a refusal with much of the
-            # limit left of a hung one; only a relay too seldom there can't wait for a second sign of that.
+            # A long wait tells of a shut destination, much of the limit left of a hung one (if seldom there).
             left = report[self._left_field] if report and self._left_field is not None else 0.0
             seldom = host.destination.taken * self._fall_time < self._now - self._born
             if wait > 2 * ROUND or left > MUCH_LEFT and seldom:
                 self._all_went_ill(host, SICK)
         elif outcome is Outcome.UNCONNECTED:
             if latency < self._slow:
-                # Guards against connection tables filled by idle links of many relays: new links pause, idle
-                # ones to that kind are kept for less.  Turned away again and again, it may be down (rule 4).
+                # Guards against tables filled by idle links: new ones pause, idle ones to that kind are kept
+                # for less.  Turned away again and again, it may be down (rule 4).
                 pause = int((ROUND << min(route.turned, 5)) * (0.5 + self._random()))
                 host.links, host.clear_at, route.turned = host.out, self._now + pause, route.turned + 1
                 fresh = host.kind not in self._tight_kinds
@@ -287,11 +306,8 @@
             self._went_ill(host, FAILED_WEIGHT)
 
     def _link_lost(self, call: Call, weight: float, reset: bool) -> None:
-        """Guards against idle links cut on the way: the next packet on one is reset, or never answered.
-
-        Links idle as long are closed before use: to a host after a reset or two losses in a row, to all once
-        three lost calls on links idle for longer than any answered of late.  Costs handshakes if mistaken.
-        """
+        """Guards against idle links cut on the way: links idle as long are closed before use, to a host after
+        a reset or two losses, to all once three lost calls on links idle longer than any answered of late."""
         host = call.host
         self._went_ill(host, REFUSED_WEIGHT if reset and call.idle >= STALE_LEAST else weight)
         if call.idle < STALE_LEAST:
@@ -302,11 +318,10 @@
         recent = self._now - STALE_PROOF
         self._idle_answered = [(at, idle) for at, idle in self._idle_answered if at > recent]
         longest = max((idle for _, idle in self._idle_answered), default=0)
-        lost = [other.idle_lost for other in self._hosts.values()
-                if other.idle_lost_at > recent and other.idle_lost > longest]
-        if len(lost) >= STALE_HOSTS:
+        lost = sum(h.idle_lost_at > recent and h.idle_lost > longest for h in self._hosts.values())
+        if lost >= STALE_HOSTS:
             self._stale_at = self._now
-        if host.lost > 1 or len(lost) >= STALE_HOSTS:
+        if host.lost > 1 or lost >= STALE_HOSTS:
             known = self._span if self._now - self._span_at <= STALE_KEPT else NEVER
             self._span, self._span_at, host.stale_at = min(known, host.idle_lost), self._now, self._now
 
@@ -334,8 +349,7 @@
         """Sequential test on outcomes; a host found sick is set aside and gets a trickle (rule 4)."""
         host.doubt = min(SICK, host.doubt + weight)
         if host.pace or host.doubt >= SICK:
-            # As large a part of this relay's own use as all together may send a cold host: an even share of
-            # very many brings nobody back, a fixed least pushes it over.  Spread, lest all return together.
+            # The part of own use that all together may send a cold host; spread, lest all return together.
             used = max(host.route.share, host.destination.taken * SECOND / max(self._now - self._born, YOUNG))
             host.pace = self._cold_share * min(used, host.route.listed) / max(1, len(host.destination.hosts))
             host.set_at, host.back_at = self._now, 0
@@ -349,8 +363,7 @@
 
     def round_over(self, now: int) -> None:
         """All that came in together has been told: send what has room, then sleep until something is due."""
-        self._now = now
-        self._wake = NEVER
+        self._now, self._wake = now, NEVER
         self._settle_due()
         ready = [load for home in self._destinations.values() if home.held and (load := self._load(home))]
         while ready and self._out < self._slots:
@@ -367,10 +380,7 @@
             self._port.alarm(self._alarm_at - now)
 
     def _free_slots(self, wanted: int) -> None:
-        """Guards the slots: with all of them taken, calls out far too long give way to packets that could go.
-
-        Covers hung, silent and slow hosts and lost answers; harms single-use packets that were only late.
-        """
+        """Guards the slots: with all taken, calls out far too long give way to packets that could go."""
         for call in self._overdue:
             if wanted <= 0:
                 break
@@ -411,9 +421,8 @@
 
     def _hosts_with_room(self, home: Destination) -> list[Host]:
         """Hosts of the destination that may be sent a call now; notes when the next one may."""
-        hosts = [host for host in home.hosts if not host.left_at]
-        if not hosts:  # nothing has replaced them yet: rule 3 still allows the grace
-            hosts = [host for host in home.hosts if self._now < host.left_at + self._grace]
+        hosts = [host for host in home.hosts if not host.left_at]  # rule 3; none yet: the grace allows others
+        hosts = hosts or [host for host in home.hosts if self._now < host.left_at + self._grace]
         return [host for host in hosts if self._has_room(host)]
 
     def _log_opens(self, route: Route) -> int:
@@ -440,15 +449,11 @@
             route.pressed = True
             self._wake = min(self._wake, opens)
             return False
-        if host.pace and not host.back_at and host.out > host.overdue:
-            return False
-        return route.out < self._route_slots
+        on_trial = host.pace and not host.back_at and host.out > host.overdue
+        return not on_trial and route.out < self._route_slots and now + self._patience(host) <= self._leave_at
 
     def _load(self, home: Destination) -> tuple[float, Destination, list[Host], list[Packet]] | None:
-        """What the next call to a destination would carry: the held packets that lose most by waiting on.
-
-        Calls are weighed by the gain saved a second of a slot: full bundles and quick hosts go first.
-        """
+        """The next call there: packets that lose most by waiting, weighed by gain a second of a slot."""
         if not (hosts := self._hosts_with_room(home)):
             return None
         took = min(host.latency for host in hosts) or self._aim // 8
@@ -477,10 +482,8 @@
     def _worth(self, packet: Packet, at: int) -> float:
         """What the packet is worth when fulfilled at that time."""
         late, profile = at - packet.aim_at, packet.profile
-        if late <= 0:
-            return packet.gain
-        if at >= packet.hard_stop:
-            return 0.0
+        if late <= 0 or at >= packet.hard_stop:
+            return packet.gain * (late <= 0)
         if self._halves:
             return packet.gain * max(profile.late_share, 0.5 ** (late / profile.quoted))
         return packet.gain * (1 - (1 - profile.late_share) * late / max(1, profile.give_up - profile.quoted))
@@ -508,10 +511,9 @@
             call.left += 1
             self._port.send(packet, host, self._time_out(packet, patience))
         route.log.append(now)
-        route.out, host.out, self._out = route.out + 1, host.out + 1, self._out + 1
-        host.tried_at = now
-        once = any(packet.profile.effect is Effect.SINGLE_USE for packet in packets)
-        call.yields_at = now + patience * (1 + once)  # what may go again gives its slot up sooner
+        route.out, host.out, self._out, host.tried_at = route.out + 1, host.out + 1, self._out + 1, now
+        once = any(p.profile.effect is Effect.SINGLE_USE for p in packets)  # others give the slot up sooner
+        call.yields_at = now + patience * (1 + once)
         self._enter(now + patience, call)
 
     def _patience(self, host: Host) -> int:
@@ -520,7 +522,6 @@
 
     def _time_out(self, packet: Packet, patience: int) -> int:
         """Only what may run again at any time comes back: others could outlive their known repeat."""
-        if packet.profile.effect is not Effect.REPLAYABLE:
-            return 0
         wait = max(self._aim, 2 * patience) * len(packet.trips)
-        return wait if self._now + wait < packet.hard_stop else 0
+        comes_back = packet.profile.effect is Effect.REPLAYABLE and self._now + wait < packet.hard_stop
+        return wait if comes_back else 0
--- /dev/null
+++ b/millweir/facade.py
@@ -0,0 +1,164 @@
+"""The decisions in blocking style for the network code: hand in, tick, pick what is to be done, report.
+
+No I/O and no clock: each call is given the time, in whole nanoseconds.  What the module decides is kept here
+until the caller picks it, so that no call into the module is ever made from within another.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from itertools import count
+from typing import Generic, TypeVar
+
+from millweir.control import Relay, bounds
+from millweir.interface import Change, Entry, Limits, Outcome, Settings
+from millweir.records import Call, Host, Packet
+
+Item = TypeVar("Item")
+
+
+class Part(Generic[Item]):
+    """One packet's part in a job."""
+
+    __slots__ = ("_ident", "_number", "item", "job", "over", "until")
+
+    def __init__(self, item: Item, job: Job[Item], until: int, ident: int, number: int) -> None:
+        self.item = item
+        self.job = job
+        self.until = until  # how long to wait for its outcome
+        self.over = False
+        self._ident = ident
+        self._number = number
+
+
+class Job(Generic[Item]):
+    """One call to make: a host and what travels to it."""
+
+    __slots__ = ("host", "parts", "picked_at")
+
+    def __init__(self, host: str, now: int) -> None:
+        self.host = host
+        self.picked_at = now
+        self.parts: list[Part[Item]] = []
+
+
+class Ending(Generic[Item]):
+    """A packet that ended undelivered; where it may come again, after how long."""
+
+    __slots__ = ("again", "item", "wait")
+
+    def __init__(self, item: Item, again: bool, wait: int) -> None:
+        self.item = item
+        self.again = again
+        self.wait = wait
+
+
+class Facade(Generic[Item]):
+    """One relay's decisions, and the port that the module acts through."""
+
+    def __init__(self, settings: Settings, limits: Limits, seed: int, now: int) -> None:
+        self.bounds = bounds(settings, limits)
+        self.second_copies = settings.second_copies
+        self._now, self._due = now, 0
+        self._idents = count(1).__next__
+        self._items: dict[int, Item] = {}
+        self._parts: dict[tuple[int, int], Part[Item]] = {}
+        self._filling: dict[Call, Job[Item]] = {}
+        self._jobs: deque[Job[Item]] = deque()
+        self._dropped: deque[Part[Item]] = deque()
+        self._ended: deque[Ending[Item]] = deque()
+        self._freed: deque[str] = deque()
+        self._relay = Relay(self, settings, seed, now)
+
+    # What the caller tells.
+
+    def refusal(self, size: int, room: int) -> int:
+        """0 where a packet of that size may be handed in, else how long its client ought to wait."""
+        return self._relay.refusal(size, room)
+
+    def take(self, now: int, item: Item, profile: int, tenant: int, key: int, hard_stop: int,
+             destination: int, earlier: tuple[tuple[int, bool], ...] = ()) -> None:
+        """Hand in a packet; `earlier` holds the trips of an earlier life: when, and whether it never ran."""
+        ident = self._idents()
+        self._now, self._items[ident] = now, item
+        self._relay.packet_taken(now, ident, profile, tenant, key, hard_stop, destination, earlier)
+
+    def told(self, now: int, change: Change, entries: tuple[Entry, ...]) -> None:
+        """News of the list."""
+        self._now = now
+        self._relay.list_told(now, change, entries)
+
+    def report(self, now: int, part: Part[Item], outcome: Outcome, finished: bool = False, wait: int = 0,
+               load: tuple[float, ...] = ()) -> None:
+        """How one part of a job ended; `finished`: nothing more is owed for its packet."""
+        if part.over:
+            return
+        self._now, part.over = now, True
+        ident, number = part._ident, part._number
+        del self._parts[ident, number]
+        self._relay.trip_ended(now, ident, number, outcome, finished, now - part.job.picked_at, wait, load)
+        if finished:
+            self._items.pop(ident, None)
+
+    def leave(self, leave_at: int) -> None:
+        """The process is to stop then."""
+        self._relay.leave(leave_at)
+
+    # What the caller asks for.
+
+    def tick(self, now: int) -> int:
+        """All that came in together has been told; returns when to tick again at the latest."""
+        self._now = now
+        self._relay.round_over(now)
+        self._filling.clear()
+        return self._due
+
+    def pick(self) -> Job[Item] | None:
+        """The next call to make."""
+        return self._jobs.popleft() if self._jobs else None
+
+    def dropped(self) -> Part[Item] | None:
+        """The next trip that is no longer to be waited for."""
+        return self._dropped.popleft() if self._dropped else None
+
+    def ended(self) -> Ending[Item] | None:
+        """The next packet that has its end without being delivered."""
+        return self._ended.popleft() if self._ended else None
+
+    def freed(self) -> str | None:
+        """The next host whose idle links are to be closed, before any job is carried out."""
+        return self._freed.popleft() if self._freed else None
+
+    # What the module does.
+
+    def send(self, packet: Packet, host: Host, time_out: int) -> None:
+        number = len(packet.trips) - 1
+        call = packet.trips[number].call
+        job = self._filling.get(call)
+        if job is None:
+            job = self._filling[call] = Job(host.id.decode(), self._now)
+            self._jobs.append(job)
+        until = self._now + time_out if time_out else packet.hard_stop
+        part = Part(self._items[packet.id], job, until, packet.id, number)
+        job.parts.append(part)
+        self._parts[packet.id, number] = part
+
+    def cancel(self, packet: Packet, number: int) -> None:
+        part = self._parts.get((packet.id, number))
+        if part is not None:
+            self._dropped.append(part)
+
+    def dismiss(self, packet: Packet, wait: int) -> None:
+        self._ended.append(Ending(self._items.pop(packet.id), True, wait))
+
+    def error(self, packet: Packet) -> None:
+        self._ended.append(Ending(self._items.pop(packet.id), False, 0))
+
+    def free_links(self, host: Host) -> None:
+        self._freed.append(host.id.decode())
+
+    def alarm(self, delay: int) -> None:
+        self._due = self._now + delay
+
+    def watch(self) -> None:
+        """The list is always watched on sockets."""
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -84,6 +84,8 @@
     profiles: tuple[Profile, ...]
     tenants: tuple[Tenant, ...]
     zone: int
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
     period: int
     slots: int
     max_open: int
@@ -94,6 +96,7 @@
     idle_close: int
     connect_timeout: int
     halves: bool
+    second_copies: bool
     bundle_max: tuple[int, ...]
     apart: tuple[bool, ...]
     over_share: float
@@ -123,6 +126,31 @@
     rate: float
 
 
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What one relay's machine gives it."""
+
+    descriptors: int
+    disk: int
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the code round the module keeps to: derived figures, worked out in control.py."""
+
+    link_life: int
+    host_links: int
+    client_links: int
+    journal_file: int
+    journal_live: int
+    resend: int
+    redial: int
+    watch: int
+    silence: int
+    leave: int
+    log_lines: int
+
+
 class Port(Protocol):
     """How the decision module acts."""
 
--- /dev/null
+++ b/millweir/net/__init__.py
@@ -0,0 +1,1 @@
+"""The relay on sockets: each file has one job."""
--- /dev/null
+++ b/millweir/net/config.py
@@ -0,0 +1,76 @@
+"""What the relay is told at start: environment variables and the file they name."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from millweir.interface import Limits, Settings
+from millweir.settings import read_settings
+
+MEGABYTE = 1 << 20
+
+
+class Misconfigured(Exception):
+    """The configuration can't be used; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that one relay is told."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    state: Path
+    seed: int
+    limits: Limits
+    known: dict[str, Any]
+    settings: Settings
+
+
+def read_address(text: object, what: str) -> tuple[str, int]:
+    """Split `host:port`."""
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise Misconfigured(f"{what} is no address: {text!r}")
+    return host, int(port)
+
+
+def read_config(environ: Mapping[str, str]) -> Config:
+    """Read RELAY_CONFIG; the other variables win over what the file says."""
+    path = environ.get("RELAY_CONFIG")
+    if not path:
+        raise Misconfigured("RELAY_CONFIG is not set")
+    try:
+        given = json.loads(Path(path).read_bytes())
+    except OSError as fault:
+        raise Misconfigured(f"RELAY_CONFIG can't be read: {fault}") from fault
+    except ValueError as fault:
+        raise Misconfigured(f"RELAY_CONFIG {path} is not JSON: {fault}") from fault
+    if not isinstance(given, dict):
+        raise Misconfigured(f"RELAY_CONFIG {path} holds no JSON object")
+    state = environ.get("RELAY_STATE")
+    if not state:
+        raise Misconfigured("RELAY_STATE is not set")
+    if not os.path.isdir(state) or not os.access(state, os.W_OK):
+        raise Misconfigured(f"RELAY_STATE {state} is no folder that can be written to")
+    try:
+        limits, known = given.get("limits") or {}, given.get("known") or {}
+        return Config(
+            name=str(environ.get("RELAY_NAME") or given.get("name", "")),
+            listen=read_address(environ.get("RELAY_LISTEN") or given.get("listen"), "RELAY_LISTEN"),
+            discovery=read_address(environ.get("RELAY_DISCOVERY") or given.get("discovery"),
+                                   "RELAY_DISCOVERY"),
+            state=Path(state),
+            seed=int(str(given.get("seed", "0")), 16),
+            limits=Limits(int(limits.get("sockets", 1024)), int(limits.get("disk_mb", 1) * MEGABYTE)),
+            known=known,
+            settings=read_settings(given["settings"]),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as fault:
+        raise Misconfigured(f"RELAY_CONFIG {path} can't be used: {fault!r}") from fault
--- /dev/null
+++ b/millweir/net/desk.py
@@ -0,0 +1,207 @@
+"""The desk joins the parts: in one turn it tells the facade what came in and carries out its decisions."""
+
+from __future__ import annotations
+
+import asyncio
+
+from millweir.facade import Facade, Part
+from millweir.interface import Change, Outcome
+from millweir.net import clock
+from millweir.net.clients import ClientDoor, ClientLink
+from millweir.net.config import Config
+from millweir.net.counters import Counters
+from millweir.net.discovery import Garbled, News, Watch, read_list
+from millweir.net.heads import Request
+from millweir.net.hosts import Hosts
+from millweir.net.journal import Journal, Parcel
+from millweir.net.log import Log
+from millweir.net.notices import Notices
+
+
+class Desk:
+    """One relay at work."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, facade: Facade[Parcel],
+                 journal: Journal, log: Log, counters: Counters) -> None:
+        settings, bounds = config.settings, facade.bounds
+        self._loop, self._facade, self._journal = loop, facade, journal
+        self._log, self._counters, self._bounds = log, counters, bounds
+        self._profiles = {profile.name.encode(): at for at, profile in enumerate(settings.profiles)}
+        self._tenants = {tenant.name.encode(): at for at, tenant in enumerate(settings.tenants)}
+        self._reports = settings.reports
+        self._owed: dict[bytes, Parcel] = {}
+        self._scheduled = self._leaving = False
+        self._alarm: asyncio.TimerHandle | None = None
+        self._alarm_at = 0
+        self.stopped = loop.create_future()
+        self.clients = ClientDoor(bounds, self.wake, log, counters)
+        self._hosts = Hosts(loop, bounds, settings.connect_timeout, settings.second_copies, journal,
+                            self._report, log, counters)
+        self._notices = Notices(loop, config.discovery, bounds, self._over, log, counters)
+        known = self._read_known(config)
+        self._told(Change.CACHED, known)
+        for parcel in list(journal.owed.values()):
+            self._restore(parcel)
+        self._watch = Watch(loop, config.discovery, settings, bounds, known.index, self._told, log, counters)
+        self._watch.start()
+        self.wake()
+
+    def _read_known(self, config: Config) -> News:
+        try:
+            return read_list(config.known, config.settings)
+        except Garbled as fault:
+            self._log.say(f"known-list-unusable {str(fault)[:200]}")
+            return News(-1, True, (), {})
+
+    def _told(self, change: Change, news: News) -> None:
+        for name, address in news.addresses.items():
+            self._hosts.place(name, address)
+        self._facade.told(clock.steady(), change, news.entries)
+        self.wake()
+
+    def _restore(self, parcel: Parcel) -> None:
+        """What an earlier life took on is owed its end."""
+        self._owed[parcel.id] = parcel
+        self._counters.add("packets_restored")
+        if parcel.given_up:
+            self._notices.add(parcel)
+        elif parcel.profile not in self._profiles:
+            self._journal.given_up(parcel, False, 0)  # no settings tell what it may do
+            self._notices.add(parcel)
+        else:
+            self._hand_in(parcel)
+
+    def _hand_in(self, parcel: Parcel) -> None:
+        self._facade.take(
+            clock.steady(), parcel, self._profiles[parcel.profile], self._tenants.get(parcel.account, 0),
+            int.from_bytes(parcel.key), clock.from_wall(parcel.hard_stop), parcel.destination,
+            tuple((clock.from_wall(at), bool(void)) for at, void in parcel.trips))
+
+    def wake(self) -> None:
+        """Have a turn once all that has come in by now is read."""
+        if not self._scheduled:
+            self._scheduled = True
+            self._loop.call_soon(self._turn)
+
+    def _turn(self) -> None:
+        self._scheduled = False
+        while self.clients.arrived:
+            self._answer(*self.clients.arrived.popleft())
+        due = self._facade.tick(clock.steady())
+        while part := self._facade.dropped():
+            self._hosts.drop(part)
+        while name := self._facade.freed():
+            self._hosts.free(name)
+        while job := self._facade.pick():
+            self._hosts.start(job)
+        while ending := self._facade.ended():
+            self._give_up(ending.item, ending.again, ending.wait)
+        self._hosts.sweep()
+        self._notices.send()
+        if due != self._alarm_at:
+            if self._alarm:
+                self._alarm.cancel()
+            self._alarm_at = due
+            self._alarm = self._loop.call_later(max(0, due - clock.steady()) / 1e9, self.wake)
+        if self._leaving and not (self._journal.owed or self._notices.busy) and not self.stopped.done():
+            self.stopped.set_result(None)
+
+    def _answer(self, link: ClientLink, request: Request) -> None:
+        if link.reason or not link.open:  # its client closed before it heard: not taken on
+            link.pending -= 1
+            self._counters.add("requests_withdrawn")
+            return
+        path = request.url.partition(b"?")[0]
+        if request.fault:
+            self._counters.add("requests_malformed")
+            link.answer(request, request.fault)
+        elif path == b"/ready":
+            link.answer(request, 503 if self._leaving else 200)
+        elif path == b"/counters":
+            link.answer(request, 200, self._counters.text())
+        elif path != b"/api" or request.method != b"POST":
+            link.answer(request, 404 if path != b"/api" else 405)
+        elif (not request.id or request.left < 0 or request.destination < 0
+              or request.profile not in self._profiles):
+            self._counters.add("requests_malformed")
+            request.fault = 400
+            link.answer(request, 400, keep=False)
+        else:
+            self._take(link, request)
+
+    def _take(self, link: ClientLink, request: Request) -> None:
+        if request.id in self._owed:  # the same request once more: it is taken on already
+            link.answer(request, 202)
+            return
+        hard_stop = clock.to_wall(clock.steady() + request.left)
+        parcel = Parcel(request.id, request.profile, request.account, request.key, request.destination,
+                        hard_stop, request.body)
+        wait = self._facade.refusal(parcel.size, self._journal.room)
+        if not wait:
+            try:
+                self._journal.taken(parcel)
+            except OSError as fault:
+                self._log.say(f"journal-failed taken {fault}")
+                wait = self._facade.refusal(1, 0)
+        if wait:
+            self._counters.add("packets_refused")
+            link.answer(request, 503, wait=wait, keep=not self._leaving)
+            return
+        self._owed[parcel.id] = parcel
+        self._counters.add("packets_taken")
+        link.answer(request, 202)
+        self._hand_in(parcel)
+
+    def _report(self, part: Part[Parcel], outcome: Outcome, finished: bool, wait: int, load: bytes) -> None:
+        self._counters.add("trips_" + outcome.name.lower())
+        if finished and part.item.given_up is None:
+            self._counters.add("packets_fulfilled" if outcome is Outcome.FULFILLED else "packets_over")
+            self._over(part.item)
+        self._facade.report(clock.steady(), part, outcome, finished, wait, self._read_load(load))
+        self.wake()
+
+    def _read_load(self, load: bytes) -> tuple[float, ...]:
+        if not load or not self._reports:
+            return ()
+        try:
+            fields = dict(field.strip().split(b"=", 1) for field in load.split(b","))
+            return tuple(float(fields[name.encode()]) for name in self._reports)
+        except (ValueError, KeyError):
+            return ()
+
+    def _give_up(self, parcel: Parcel, again: bool, wait: int) -> None:
+        self._counters.add("packets_dismissed" if again else "packets_errored")
+        try:
+            self._journal.given_up(parcel, again, wait)
+        except OSError as fault:
+            self._log.say(f"journal-failed given-up {fault}")
+        self._notices.add(parcel)
+
+    def _over(self, parcel: Parcel) -> None:
+        if self._owed.pop(parcel.id, None):
+            try:
+                self._journal.over(parcel)
+            except OSError as fault:
+                self._log.say(f"journal-failed over {fault}")
+
+    def leave(self) -> None:
+        """SIGTERM: take nothing new, finish what can be finished; the journal keeps the rest."""
+        if self._leaving:
+            return
+        self._leaving = True
+        self._log.must(f"leaving owed={len(self._journal.owed)}")
+        self._facade.leave(clock.steady() + self._bounds.leave)
+        self.clients.close_idle("leaving")
+        self._loop.call_later(self._bounds.leave / 1e9, self.stop)
+        self.wake()
+
+    def stop(self) -> None:
+        if not self.stopped.done():
+            self.stopped.set_result(None)
+
+    def close(self) -> None:
+        """The end of this process; calls still out are in the journal."""
+        self.clients.close_idle("exit")
+        self._watch.close()
+        self._notices.close()
+        self._hosts.close()
--- /dev/null
+++ b/millweir/net/discovery.py
@@ -0,0 +1,93 @@
+"""The watch on the list of hosts: one call after the other, so that no gap lets it lapse."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from millweir.interface import Bounds, Change, Entry, Phase, Settings
+from millweir.net import clock
+from millweir.net.config import Misconfigured, read_address
+from millweir.net.counters import Counters
+from millweir.net.exchange import Exchange
+from millweir.net.heads import AnswerReader
+from millweir.net.log import Log
+
+LIST_MOST = 16 << 20
+PHASES = {"SERVING": Phase.READY, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
+
+
+class Garbled(Exception):
+    """What was read is no list."""
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """A list as told: the version, whether it is whole, and the hosts with where they are."""
+
+    index: int
+    whole: bool
+    entries: tuple[Entry, ...]
+    addresses: dict[str, tuple[str, int]]
+
+
+def read_list(given: Any, settings: Settings) -> News:
+    """Read a list in discovery's form, all of it or nothing."""
+    try:
+        entries, addresses = [], {}
+        for row in given["endpoints"]:
+            name, phase = row["name"], PHASES[row["status"]]
+            if not isinstance(name, str) or not name:
+                raise Garbled(f"an entry with the name {name!r}")
+            if phase is not Phase.GONE:
+                addresses[name] = read_address(row["address"], f"address of {name}")
+            zone, kind = row.get("zone", ""), row.get("type", "")
+            entries.append(Entry(
+                host=name.encode(),
+                zone=settings.zones.index(zone) if zone in settings.zones else len(settings.zones),
+                kind=settings.kinds.index(kind) if kind in settings.kinds else len(settings.kinds),
+                destination=int(row.get("group", -1)), phase=phase, rate=float(row.get("weight", 0.0))))
+        return News(int(given["index"]), bool(given.get("snapshot", False)), tuple(entries), addresses)
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError, Misconfigured) as fault:
+        raise Garbled(repr(fault)) from fault
+
+
+class Watch:
+    """Keeps asking for what is newer than the version at hand; while discovery is silent, that one stays."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], settings: Settings,
+                 bounds: Bounds, index: int, told: Callable[[Change, News], None], log: Log,
+                 counters: Counters) -> None:
+        self._loop, self._settings, self._bounds = loop, settings, bounds
+        self._index, self._told, self._log, self._counters = index, told, log, counters
+        self._host = f"{address[0]}:{address[1]}".encode()
+        self._exchange = Exchange(loop, address, "discovery", LIST_MOST, self._took, log, counters)
+
+    def start(self) -> None:
+        """Ask; a version of none asks for the whole list."""
+        known = b"?since=%d&timeout_ms=%d" % (self._index, self._bounds.watch // clock.MILLISECOND)
+        query = known if self._index >= 0 else b""
+        head = b"GET /v1/endpoints%b HTTP/1.1\r\nHost: %b\r\n\r\n" % (query, self._host)
+        self._exchange.ask([head], self._bounds.silence)
+
+    def _took(self, reader: AnswerReader | None) -> None:
+        try:
+            if reader is None or reader.status != 200:
+                raise Garbled("no answer" if reader is None else f"status {reader.status}")
+            news = read_list(json.loads(reader.body), self._settings)
+        except (Garbled, ValueError) as fault:
+            self._counters.add("list_failures")
+            self._log.say(f"list-failed {str(fault)[:200]}")
+            self._loop.call_later(self._bounds.redial / 1e9, self.start)
+            return
+        self._index = news.index
+        self._counters.add("lists_told")
+        if news.whole or news.entries:
+            self._told(Change.FULL if news.whole else Change.DELTA, news)
+        self.start()
+
+    def close(self) -> None:
+        self._exchange.close()
--- /dev/null
+++ b/millweir/net/exchange.py
@@ -0,0 +1,73 @@
+"""One request after the other to the platform, on one link that is dialled anew when it is lost."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from millweir.net.counters import Counters
+from millweir.net.heads import AnswerReader
+from millweir.net.links import Link
+from millweir.net.log import Log
+
+
+class Exchange:
+    """Asks, and tells what came: the reader of a whole answer, or None where there was none in time."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], name: str, most: int,
+                 took: Callable[[AnswerReader | None], None], log: Log, counters: Counters) -> None:
+        self._loop, self._address, self._name, self._most = loop, address, name, most
+        self._took, self._log, self._counters = took, log, counters
+        self._link: Link | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def ask(self, pieces: list[bytes], patience: int) -> None:
+        """Write one request; the patience, in nanoseconds, covers the way there as well."""
+        self._timer = self._loop.call_later(patience / 1e9, self._give_up)
+        if self._link and self._link.open:
+            self._link.ask(self, pieces)
+        else:
+            self._task = self._loop.create_task(self._dial(pieces))
+
+    async def _dial(self, pieces: list[bytes]) -> None:
+        link = Link(self._name, self._most, self._log, self._counters)
+        try:
+            await self._loop.create_connection(lambda: link, *self._address)
+        except OSError as fault:
+            self._log.say(f"link-end peer={self._name} reason=unconnected {type(fault).__name__}")
+            self._tell(None)
+            return
+        self._link = link
+        if link.open:
+            link.ask(self, pieces)
+        else:
+            self._tell(None)
+
+    def answered(self, link: Link) -> None:
+        self._tell(link.reader)
+
+    def lost(self, link: Link) -> None:
+        self._tell(None)
+
+    def _give_up(self) -> None:
+        self._timer = None
+        self.close("silent")
+        self._tell(None)
+
+    def _tell(self, reader: AnswerReader | None) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        self._took(reader)
+
+    def close(self, reason: str = "exit") -> None:
+        """Forget what was asked."""
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        if self._task and not self._task.done():
+            self._task.cancel()
+        if self._link:
+            self._link.close(reason)
+            self._link = None
--- /dev/null
+++ b/millweir/net/heads.py
@@ -0,0 +1,209 @@
+"""HTTP heads: read in place through httptools, written as ready bytes for gathered writes."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+import httptools
+
+BODY_MOST = 64 * 1024
+HEAD_MOST = 16 * 1024
+ID_MOST = 128
+UNITS = {b"m": 1_000_000, b"u": 1_000}
+
+
+def read_span(text: bytes) -> int:
+    """A span such as 480m or 1500u in nanoseconds; ValueError where it is none."""
+    number = text[:-1]
+    if text[-1:] not in UNITS or not number.isdigit() or len(number) > 15:
+        raise ValueError(f"no span of time: {text!r}")
+    return int(number) * UNITS[text[-1:]]
+
+
+def read_seconds(text: bytes) -> int:
+    """Seconds, whole or decimal, in nanoseconds; 0 where that is no sensible wait."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0
+    return int(seconds * 1e9) if 0 < seconds < 86400 else 0
+
+
+def answer(status: int, keep: bool, body: bytes = b"", wait: int = 0) -> list[bytes]:
+    """An answer to a client, head and body apart."""
+    head = f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Length: {len(body)}\r\n"
+    if wait:
+        head += f"Retry-After: {wait / 1e9:.3f}\r\n"
+    if not keep:
+        head += "Connection: close\r\n"
+    return [head.encode() + b"\r\n", body]
+
+
+class Request:
+    """One request of a client, as far as read; `fault` is the status that it can only be answered with."""
+
+    __slots__ = ("account", "body", "complete", "destination", "fault", "id", "key", "keep", "left", "length",
+                 "method", "profile", "url")
+
+    def __init__(self) -> None:
+        self.method = self.url = self.id = self.profile = self.account = self.key = b""
+        self.left = self.destination = -1
+        self.length = 0
+        self.body = b""
+        self.fault = 0
+        self.keep = True
+        self.complete = False
+
+
+class RequestReader:
+    """Turns the bytes of one connection into requests; httptools calls the on_ methods."""
+
+    __slots__ = ("_bodies", "_parser", "_request", "_size", "requests")
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpRequestParser(self)
+        self._request: Request | None = None
+        self._bodies: list[bytes] = []
+        self._size = 0
+        self.requests: list[Request] = []  # complete ones, or the last one with its fault
+
+    @property
+    def busy(self) -> bool:
+        """A request has begun and is not complete."""
+        return self._request is not None
+
+    def feed(self, data: bytes) -> bool:
+        """False once the connection can't be read any further; the last request then holds the fault."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._fail(400)
+            return False
+        request = self._request
+        if request is not None:
+            request.length += len(data)
+            if not self._size and request.length > HEAD_MOST:
+                request.fault = request.fault or 400
+            if request.fault or request.length > 4 * BODY_MOST:
+                self._fail(request.fault or 413)
+                return False
+        return True
+
+    def _fail(self, status: int) -> None:
+        request, self._request = self._request or Request(), None
+        request.fault, request.keep = request.fault or status, False
+        self.requests.append(request)
+
+    def on_message_begin(self) -> None:
+        self._request, self._size = Request(), 0
+        self._bodies = []
+
+    def on_url(self, url: bytes) -> None:
+        self._request.url += url
+        if len(self._request.url) > HEAD_MOST:
+            self._request.fault = 400
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        request, name = self._request, name.lower()
+        try:
+            if name == b"x-correlation-id":
+                if not 0 < len(value) <= ID_MOST or not value.isascii() or not value.decode().isprintable():
+                    raise ValueError("no id")
+                request.id = value
+            elif name == b"x-service-class":
+                request.profile = value
+            elif name == b"x-time-left":
+                request.left = read_span(value)
+            elif name == b"x-addressing":
+                for field in value.replace(b";", b",").split(b","):
+                    what, _, number = field.strip().partition(b"=")
+                    if what == b"dest":
+                        request.destination = int(number) if number.isdigit() and len(number) < 10 else -1
+            elif name == b"x-account":
+                request.account = value
+            elif name == b"x-session-key":
+                request.key = value
+            elif name == b"cookie":
+                for field in value.split(b";"):
+                    what, _, key = field.strip().partition(b"=")
+                    if what == b"about":
+                        request.key = key
+            elif name == b"content-length" and int(value) > BODY_MOST:
+                request.fault = 413
+        except ValueError:
+            request.fault = request.fault or 400
+
+    def on_headers_complete(self) -> None:
+        self._request.method = self._parser.get_method()
+        self._request.keep = self._parser.should_keep_alive()
+
+    def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size > BODY_MOST:
+            self._request.fault = 413
+            self._bodies.clear()
+        else:
+            self._bodies.append(body)
+
+    def on_message_complete(self) -> None:
+        request = self._request
+        request.body, request.complete = b"".join(self._bodies), True
+        if request.fault:
+            request.keep = False
+        self.requests.append(request)
+        self._request = None
+
+
+class AnswerReader:
+    """Reads one answer after the other of a connection; httptools calls the on_ methods."""
+
+    __slots__ = ("_bodies", "_most", "_parser", "_size", "body", "complete", "keep", "load", "over_slots",
+                 "status", "wait")
+
+    def __init__(self, most: int) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._most = most
+        self.reset()
+
+    def reset(self) -> None:
+        """Ready for the next answer."""
+        self._bodies: list[bytes] = []
+        self._size = self.status = self.wait = 0
+        self.body = self.load = b""
+        self.complete = self.over_slots = False
+        self.keep = True
+
+    def feed(self, data: bytes) -> bool:
+        """False where this is no answer, or one too long."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return False
+        return self._size <= self._most
+
+    def end(self) -> None:
+        """The connection ended: an answer without a length is complete now."""
+        if self.status and not self.keep:
+            self.body, self.complete = b"".join(self._bodies), True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        name = name.lower()
+        if name == b"retry-after":
+            self.wait = read_seconds(value)
+        elif name == b"x-backend-load":
+            self.load = value
+        elif name == b"x-over-slots":
+            self.over_slots = value.strip() == b"1"
+
+    def on_headers_complete(self) -> None:
+        self.status = self._parser.get_status_code()
+        self.keep = self._parser.should_keep_alive()
+
+    def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size <= self._most:
+            self._bodies.append(body)
+
+    def on_message_complete(self) -> None:
+        self.body, self.complete = b"".join(self._bodies), True
+        self.keep = self.keep and self._parser.should_keep_alive()
--- /dev/null
+++ b/millweir/net/hosts.py
@@ -0,0 +1,286 @@
+"""Calls to hosts: links kept for each host, one job on a link at a time, and what its answer means."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import Callable
+
+from millweir.facade import Job, Part
+from millweir.interface import Bounds, Outcome
+from millweir.net import clock
+from millweir.net.counters import Counters
+from millweir.net.journal import Journal, Parcel
+from millweir.net.links import Link
+from millweir.net.log import Log
+
+ANSWER_MOST = 64 * 1024
+STATUSES = {200: Outcome.FULFILLED, 429: Outcome.FULL, 503: Outcome.FULL, 504: Outcome.MOOT,
+            410: Outcome.MOOT, 400: Outcome.MOOT, 413: Outcome.MOOT, 404: Outcome.MOOT}  # others may have run
+STATES = {"accepted": Outcome.FULFILLED, "fault": Outcome.FAULT, "deferred": Outcome.FULL,
+          "expired": Outcome.MOOT, "no_more": Outcome.MOOT}
+NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
+
+Report = Callable[[Part[Parcel], Outcome, bool, int, bytes], None]
+
+
+class Door:
+    """Where one host is, and this relay's links to it."""
+
+    __slots__ = ("address", "idle", "name")
+
+    def __init__(self, name: str, address: tuple[str, int]) -> None:
+        self.name = name
+        self.address = address
+        self.idle: list[Link] = []
+
+
+class Call:
+    """One job under way."""
+
+    __slots__ = ("_hosts", "_trips", "door", "job", "link", "timer", "waiting")
+
+    def __init__(self, hosts: Hosts, job: Job[Parcel], door: Door) -> None:
+        self._hosts = hosts
+        self.job = job
+        self.door = door
+        self.waiting: dict[Part[Parcel], None] = dict.fromkeys(job.parts)
+        self.link: Link | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self._trips: dict[Part[Parcel], int] = {}
+
+    def write(self, link: Link) -> None:
+        """Journal the trips, then let the call go."""
+        hosts, parts = self._hosts, list(self.waiting)
+        now = clock.steady()
+        try:
+            hosts.journal.trip([part.item for part in parts], clock.to_wall(now))
+        except OSError as fault:
+            hosts.log.say(f"journal-failed call-withheld {fault}")
+            hosts.keep(self.door, link)
+            for part in parts:
+                self.over(part, Outcome.MOOT)
+            return
+        self._trips = {part: len(part.item.trips) - 1 for part in parts}
+        self.link = link
+        left = max(1, -(-(max(part.until for part in parts) - now) // clock.MILLISECOND))
+        if len(parts) == 1:
+            parcel = parts[0].item
+            path, body, ident = b"/hook", parcel.body, b"X-Correlation-Id: %b\r\n" % parcel.id
+        else:
+            rows = []
+            for part in parts:
+                row = {"id": part.item.id.decode()}
+                if part.item.key:
+                    row["key"] = part.item.key.decode("latin-1")
+                row["body"] = base64.b64encode(part.item.body).decode()
+                rows.append(row)
+            path, body, ident = b"/hook/batch", json.dumps(rows, separators=(",", ":")).encode(), b""
+        head = b"POST %b HTTP/1.1\r\nHost: %b\r\n%bX-Time-Left: %dm\r\nContent-Length: %d\r\n\r\n" % (
+            path, self.door.name.encode(), ident, left, len(body))
+        hosts.counters.add("calls_sent")
+        hosts.counters.add("trips_sent", len(parts))
+        link.ask(self, [head, body])
+
+    def over(self, part: Part[Parcel], outcome: Outcome, finished: bool = False, wait: int = 0,
+             load: bytes = b"") -> None:
+        """One part has its outcome."""
+        if part not in self.waiting:
+            return
+        del self.waiting[part]
+        if not self.waiting:
+            self._hosts.done(self)
+        if outcome in NEVER_RAN and part in self._trips:
+            self._hosts.journal_void(part.item, self._trips[part])
+        self._hosts.report(part, outcome, finished, wait, load)
+
+    def all_over(self, outcome: Outcome, finished: bool = False, wait: int = 0, load: bytes = b"") -> None:
+        for part in list(self.waiting):
+            self.over(part, outcome, finished, wait, load)
+
+    def give_up(self, part: Part[Parcel], outcome: Outcome) -> None:
+        """Stop waiting for a part; the last one takes the connection with it."""
+        if part not in self.waiting:
+            return
+        if self.link is None:
+            outcome = Outcome.UNCONNECTED  # nothing was written yet
+        elif len(self.waiting) == 1:
+            self.link.close("given-up")
+        self.over(part, outcome)
+
+    def time_out(self) -> None:
+        """Give up what has waited long enough; where no second copy may be out, only once all have."""
+        now = clock.steady()
+        due = [part for part in self.waiting if part.until <= now]
+        if self._hosts.second_copies or len(due) == len(self.waiting):
+            for part in due:
+                self.give_up(part, Outcome.TIMED_OUT)
+        self.arm()
+
+    def arm(self) -> None:
+        """Set the timer to the next part that runs out of patience."""
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        if self.waiting:
+            pick = min if self._hosts.second_copies else max
+            left = pick(part.until for part in self.waiting) - clock.steady()
+            self.timer = self._hosts.loop.call_later(max(left, 0) / 1e9 + 0.0005, self.time_out)
+
+    def answered(self, link: Link) -> None:
+        reader = link.reader
+        self._hosts.keep(self.door, link)
+        if reader.status == 200 and len(self.job.parts) > 1:
+            self._read_states(reader.body, reader.wait, reader.load)
+        elif reader.over_slots:
+            self.all_over(Outcome.MOOT, load=reader.load)
+        else:
+            outcome = STATUSES.get(reader.status, Outcome.FAULT)
+            finished = outcome is Outcome.FULFILLED or reader.status == 410
+            if reader.status not in (200, 410, 429, 500, 503, 504):
+                self._hosts.log.say(f"odd-answer host={self.door.name} status={reader.status}")
+            self.all_over(outcome, finished, reader.wait, reader.load)
+
+    def _read_states(self, body: bytes, wait: int, load: bytes) -> None:
+        try:
+            states = {row["id"]: row["state"] for row in json.loads(body)}
+        except (ValueError, KeyError, TypeError):
+            states = {}  # it may all have run
+            self._hosts.log.say(f"garbled-answer host={self.door.name}")
+        for part in list(self.waiting):
+            state = states.get(part.item.id.decode())
+            outcome = STATES.get(state, Outcome.RESET) if isinstance(state, str) else Outcome.RESET
+            self.over(part, outcome, state in ("accepted", "expired"), wait, load)
+
+    def lost(self, link: Link) -> None:
+        if link.reader.status == 200 and len(self.job.parts) == 1:
+            self.all_over(Outcome.FULFILLED, True, link.reader.wait, link.reader.load)  # 200 is enough
+        else:
+            self.all_over(Outcome.RESET)
+
+
+class Hosts:
+    """All doors, and the calls under way."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, bounds: Bounds, connect_timeout: int,
+                 second_copies: bool, journal: Journal, report: Report, log: Log, counters: Counters) -> None:
+        self.loop = loop
+        self.second_copies = second_copies
+        self.journal = journal
+        self.report = report
+        self.log = log
+        self.counters = counters
+        self._bounds = bounds
+        self._connect_timeout = connect_timeout / 1e9
+        self._doors: dict[str, Door] = {}
+        self._idle: dict[Link, Door] = {}  # the one idle longest first
+        self._calls: dict[Job[Parcel], Call] = {}
+        self._dialling: set[asyncio.Task[None]] = set()
+
+    @property
+    def busy(self) -> bool:
+        return bool(self._calls)
+
+    def place(self, name: str, address: tuple[str, int]) -> None:
+        """Where a host is, by the list."""
+        door = self._doors.get(name)
+        if door is None:
+            self._doors[name] = Door(name, address)
+        elif door.address != address:
+            door.address = address
+            self.free(name)
+
+    def free(self, name: str) -> None:
+        """Close the idle links to a host."""
+        door = self._doors.get(name)
+        while door and door.idle:
+            self._drop(door.idle[-1], "freed")
+
+    def start(self, job: Job[Parcel]) -> None:
+        """Carry out a job on the link that was used last, or on a new one."""
+        door = self._doors[job.host]
+        call = self._calls[job] = Call(self, job, door)
+        call.arm()
+        limit = clock.steady() - self._bounds.link_life
+        while door.idle:
+            link = door.idle.pop()
+            del self._idle[link]
+            if link.open and link.idle_since > limit:
+                call.write(link)
+                return
+            link.close("idle")
+        task = self.loop.create_task(self._dial(call))
+        self._dialling.add(task)
+        task.add_done_callback(self._dialling.discard)
+
+    async def _dial(self, call: Call) -> None:
+        door = call.door
+        link = Link(f"{door.name}/{door.address[0]}:{door.address[1]}", ANSWER_MOST, self.log, self.counters)
+        try:
+            async with asyncio.timeout(self._connect_timeout):
+                await self.loop.create_connection(lambda: link, *door.address)
+        except (OSError, TimeoutError) as fault:
+            self.counters.add("connects_failed")
+            self.log.say(f"link-end peer={door.name} reason=unconnected {type(fault).__name__}")
+            call.all_over(Outcome.UNCONNECTED)
+            return
+        link.when_closed = self._closed
+        if not link.open:
+            call.all_over(Outcome.UNCONNECTED)
+        elif call.waiting:
+            call.write(link)
+        else:
+            self.keep(door, link)
+
+    def done(self, call: Call) -> None:
+        """No part of the call is waited for any more."""
+        self._calls.pop(call.job, None)
+        if call.timer:
+            call.timer.cancel()
+
+    def drop(self, part: Part[Parcel]) -> None:
+        """A trip is no longer to be waited for."""
+        call = self._calls.get(part.job)
+        if call:
+            call.give_up(part, Outcome.CANCELLED)
+
+    def journal_void(self, parcel: Parcel, at: int) -> None:
+        try:
+            self.journal.void(parcel, at)
+        except OSError as fault:  # after a restart it would count as having run: nothing runs twice for it
+            self.log.say(f"journal-failed void {fault}")
+
+    def keep(self, door: Door, link: Link) -> None:
+        """A link that is free again."""
+        if link.open:
+            door.idle.append(link)
+            self._idle[link] = door
+            while len(self._idle) > self._bounds.host_links:
+                oldest = next(iter(self._idle))
+                self._drop(oldest, "many")
+
+    def sweep(self) -> None:
+        """Close links idle for so long that the other end may be about to."""
+        limit = clock.steady() - self._bounds.link_life
+        while self._idle and (oldest := next(iter(self._idle))).idle_since <= limit:
+            self._drop(oldest, "idle")
+
+    def _drop(self, link: Link, reason: str) -> None:
+        self._closed(link)
+        link.close(reason)
+
+    def _closed(self, link: Link) -> None:
+        door = self._idle.pop(link, None)
+        if door:
+            door.idle.remove(link)
+
+    def close(self) -> None:
+        """At exit: calls still out end here; the journal knows of them."""
+        for call in list(self._calls.values()):
+            if call.timer:
+                call.timer.cancel()
+            if call.link:
+                call.link.close("exit")
+        for link in list(self._idle):
+            self._drop(link, "exit")
--- /dev/null
+++ b/millweir/net/journal.py
@@ -0,0 +1,184 @@
+"""The journal: what this relay owes outlasts its process, in one file of the folder that lasts.
+
+A record is a length, a checksum and a body; what is read back ends at the first one that is not whole.  When
+the file has grown, one with only what is still owed takes its place.
+"""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from pathlib import Path
+
+FRAME = struct.Struct("<II")
+TAKEN = struct.Struct("<BQqHHHHi")  # kind, number, hard stop, four lengths of text, destination
+TRIP = struct.Struct("<BQq")  # kind, number, when it went out
+VOID = struct.Struct("<BQH")  # kind, number, which of its trips never ran
+GIVEN_UP = struct.Struct("<BQBq")  # kind, number, may come again, wait
+OVER = struct.Struct("<BQ")  # kind, number
+TAKEN_KIND, TRIP_KIND, VOID_KIND, GIVEN_UP_KIND, OVER_KIND = range(1, 6)
+FILE, NEW_FILE = "journal", "journal.new"
+
+
+class Parcel:
+    """A packet as the sockets know it, from being taken on to its end."""
+
+    __slots__ = ("account", "body", "destination", "given_up", "hard_stop", "id", "key", "number", "profile",
+                 "trips")
+
+    def __init__(self, ident: bytes, profile: bytes, account: bytes, key: bytes, destination: int,
+                 hard_stop: int, body: bytes) -> None:
+        self.number = 0
+        self.id = ident
+        self.profile = profile
+        self.account = account
+        self.key = key
+        self.destination = destination
+        self.hard_stop = hard_stop  # wall time, as all times here
+        self.body = body
+        self.trips: list[list[int]] = []  # when each went out, and 1 once it is known that it never ran
+        self.given_up: tuple[bool, int] | None = None
+
+    @property
+    def size(self) -> int:
+        """The most that it takes in a file."""
+        texts = len(self.id) + len(self.profile) + len(self.account) + len(self.key) + len(self.body)
+        trips = len(self.trips) * (2 * FRAME.size + TRIP.size + VOID.size)
+        return 2 * FRAME.size + TAKEN.size + GIVEN_UP.size + texts + trips
+
+    def records(self) -> list[bytes]:
+        """All that a file must hold of it."""
+        head = TAKEN.pack(TAKEN_KIND, self.number, self.hard_stop, len(self.id), len(self.profile),
+                          len(self.account), len(self.key), self.destination)
+        bodies = [head + self.id + self.profile + self.account + self.key + self.body]
+        for at, (sent_at, void) in enumerate(self.trips):
+            bodies.append(TRIP.pack(TRIP_KIND, self.number, sent_at))
+            if void:
+                bodies.append(VOID.pack(VOID_KIND, self.number, at))
+        if self.given_up:
+            bodies.append(GIVEN_UP.pack(GIVEN_UP_KIND, self.number, *self.given_up))
+        return bodies
+
+
+def framed(bodies: list[bytes]) -> bytes:
+    return b"".join(FRAME.pack(len(body), zlib.crc32(body)) + body for body in bodies)
+
+
+class Journal:
+    """Every parcel that is still owed its end, in memory and on disk alike."""
+
+    def __init__(self, folder: Path, file_most: int, live_most: int) -> None:
+        self._folder, self._file_most, self._live_most = folder, file_most, live_most
+        self.owed: dict[int, Parcel] = {}
+        self.torn = 0  # bytes dropped from the end of the file at start
+        self._live = self._size = self._last = 0
+        if (folder / FILE).exists():
+            self._read((folder / FILE).read_bytes())
+        self._file = -1
+        self._compact()
+
+    @property
+    def room(self) -> int:
+        """How large a parcel may be taken on."""
+        return self._live_most - self._live
+
+    def taken(self, parcel: Parcel) -> None:
+        """Written before its client hears of it; OSError where the disk won't take it."""
+        self._last = parcel.number = self._last + 1
+        self._write(parcel.records())
+        self.owed[parcel.number] = parcel
+        self._live += parcel.size
+
+    def trip(self, parcels: list[Parcel], at: int) -> None:
+        """Written before the last byte of their call goes out."""
+        self._write([TRIP.pack(TRIP_KIND, parcel.number, at) for parcel in parcels])
+        for parcel in parcels:
+            parcel.trips.append([at, 0])
+            self._live += 2 * FRAME.size + TRIP.size + VOID.size
+
+    def void(self, parcel: Parcel, at: int) -> None:
+        """One of its trips never ran."""
+        parcel.trips[at][1] = 1
+        self._write([VOID.pack(VOID_KIND, parcel.number, at)])
+
+    def given_up(self, parcel: Parcel, again: bool, wait: int) -> None:
+        """Its end is known, the platform has yet to be told."""
+        parcel.given_up = (again, wait)
+        self._write([GIVEN_UP.pack(GIVEN_UP_KIND, parcel.number, again, wait)])
+
+    def over(self, parcel: Parcel) -> None:
+        """Nothing more is owed for it."""
+        if self.owed.pop(parcel.number, None):
+            self._live -= parcel.size
+            self._write([OVER.pack(OVER_KIND, parcel.number)])
+
+    def _write(self, bodies: list[bytes]) -> None:
+        raw = framed(bodies)
+        if self._size + len(raw) > self._file_most:
+            self._compact()
+        done = os.write(self._file, raw)
+        self._size += done
+        if done < len(raw):  # a part of a record must not stay in front of whole ones
+            os.ftruncate(self._file, self._size - done)
+            self._size -= done
+            raise OSError("the journal took only a part of a record")
+
+    def _compact(self) -> None:
+        """A new file with what is owed replaces the old one at once: a crash leaves either of them whole."""
+        raw = framed([body for parcel in self.owed.values() for body in parcel.records()])
+        fresh = os.open(self._folder / NEW_FILE, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        try:
+            at = 0
+            while at < len(raw):
+                at += os.write(fresh, raw[at:])
+            os.rename(self._folder / NEW_FILE, self._folder / FILE)
+        except OSError:
+            os.close(fresh)
+            raise
+        if self._file >= 0:
+            os.close(self._file)
+        self._file, self._size = fresh, len(raw)
+
+    def _read(self, raw: bytes) -> None:
+        at = 0
+        while at + FRAME.size <= len(raw):
+            size, check = FRAME.unpack_from(raw, at)
+            body = raw[at + FRAME.size:at + FRAME.size + size]
+            if len(body) < size or not size or zlib.crc32(body) != check or not self._replay(body):
+                break
+            at += FRAME.size + size
+        self.torn = len(raw) - at
+        self._live = sum(parcel.size for parcel in self.owed.values())
+
+    def _replay(self, body: bytes) -> bool:
+        """Take in one record; False where it makes no sense."""
+        try:
+            if body[0] == TAKEN_KIND:
+                _, number, hard_stop, *lengths, destination = TAKEN.unpack_from(body)
+                texts, at = [], TAKEN.size
+                for length in lengths:
+                    texts.append(body[at:at + length])
+                    at += length
+                parcel = Parcel(*texts, destination, hard_stop, body[at:])
+                parcel.number = self._last = number
+                self.owed[number] = parcel
+                return True
+            parcel = self.owed.get(struct.unpack_from("<Q", body, 1)[0])
+            if body[0] == OVER_KIND:
+                if parcel:
+                    del self.owed[parcel.number]
+            elif parcel is None:
+                return False
+            elif body[0] == TRIP_KIND:
+                parcel.trips.append([TRIP.unpack(body)[2], 0])
+            elif body[0] == VOID_KIND:
+                parcel.trips[VOID.unpack(body)[2]][1] = 1
+            elif body[0] == GIVEN_UP_KIND:
+                _, _, again, wait = GIVEN_UP.unpack(body)
+                parcel.given_up = (bool(again), wait)
+            else:
+                return False
+        except (struct.error, IndexError):
+            return False
+        return True
--- /dev/null
+++ b/millweir/net/links.py
@@ -0,0 +1,106 @@
+"""A link: one connection of this relay's own, on which one request at a time travels."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from millweir.net import clock
+from millweir.net.counters import Counters
+from millweir.net.heads import AnswerReader
+from millweir.net.log import Log
+
+
+class Asker(Protocol):
+    """Who waits for the answer on a link."""
+
+    def answered(self, link: Link) -> None:
+        """A whole answer came; the link is free for the next request if it is still open."""
+
+    def lost(self, link: Link) -> None:
+        """The connection ended, or carried no answer, while one was awaited."""
+
+
+class Link(asyncio.Protocol):
+    """Reads answers; whoever asked hears of each once."""
+
+    __slots__ = ("_asker", "_counters", "_log", "_peer", "_reason", "_transport", "asked", "idle_since",
+                 "open", "reader", "when_closed")
+
+    def __init__(self, peer: str, most: int, log: Log, counters: Counters) -> None:
+        self._peer = peer
+        self._log = log
+        self._counters = counters
+        self._asker: Asker | None = None
+        self._transport: asyncio.Transport | None = None
+        self._reason = ""
+        self.reader = AnswerReader(most)
+        self.asked = 0
+        self.idle_since = clock.steady()
+        self.open = False
+        self.when_closed = None  # told when an idle link ends
+
+    def ask(self, asker: Asker, pieces: list[bytes]) -> None:
+        """Write one request with a gathered write."""
+        self._asker = asker
+        self.asked += 1
+        self.reader.reset()
+        self._transport.writelines(pieces)
+
+    def close(self, reason: str) -> None:
+        """End the connection at once; nobody hears of it any more."""
+        self._asker = None
+        self._end(reason)
+
+    def _end(self, reason: str) -> None:
+        if self.open:
+            self.open = False
+            self._reason = reason
+            self._transport.abort() if reason == "given-up" else self._transport.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        self.open = True
+        self._counters.add("links_opened")
+
+    def data_received(self, data: bytes) -> None:
+        if not self.open:
+            return
+        fine = self.reader.feed(data)
+        if self._asker is None:
+            self._end("unasked")  # an answer that nobody asked for: whatever comes next can't be trusted
+            if self.when_closed:
+                self.when_closed(self)
+        elif fine and self.reader.complete:
+            self._finish()
+        elif not fine:
+            self._fail("garbled")
+
+    def _finish(self) -> None:
+        asker, self._asker = self._asker, None
+        self.idle_since = clock.steady()
+        if not self.reader.keep:
+            self._end("told-close")
+        asker.answered(self)
+
+    def _fail(self, reason: str) -> None:
+        asker, self._asker = self._asker, None
+        self._end(reason)
+        if asker:
+            asker.lost(self)
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        reason = self._reason or ("reset" if exc else "peer-closed")
+        was_open, self.open = self.open, False
+        self._log.say(f"link-end peer={self._peer} reason={reason} requests={self.asked}")
+        if self._asker is not None:
+            self.reader.end()
+            if self.reader.complete:
+                self._finish()
+            else:
+                self._fail(reason)
+        elif was_open and self.when_closed:
+            self.when_closed(self)
--- /dev/null
+++ b/millweir/net/notices.py
@@ -0,0 +1,81 @@
+"""Notices to the platform of packets taken on that ended undelivered, resent until it says 204."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+
+from millweir.interface import Bounds
+from millweir.net import clock
+from millweir.net.counters import Counters
+from millweir.net.exchange import Exchange
+from millweir.net.heads import AnswerReader
+from millweir.net.journal import Parcel
+from millweir.net.log import Log
+
+AT_ONCE = 500  # lines in one request
+ANSWER_MOST = 64 * 1024
+
+
+class Notices:
+    """Holds what the platform has yet to be told."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], bounds: Bounds,
+                 done: Callable[[Parcel], None], log: Log, counters: Counters) -> None:
+        self._loop, self._bounds, self._done, self._log, self._counters = loop, bounds, done, log, counters
+        self._host = f"{address[0]}:{address[1]}".encode()
+        self._exchange = Exchange(loop, address, "notices", ANSWER_MOST, self._took, log, counters)
+        self._waiting: dict[Parcel, None] = {}
+        self._sent: list[Parcel] = []
+        self._most = AT_ONCE
+        self._resting = False
+
+    @property
+    def busy(self) -> bool:
+        return bool(self._waiting or self._sent)
+
+    def add(self, parcel: Parcel) -> None:
+        self._waiting[parcel] = None
+
+    def send(self) -> None:
+        """Send what waits, unless a request is out or the last one failed a moment ago."""
+        if self._sent or self._resting or not self._waiting:
+            return
+        self._sent = list(self._waiting)[:self._most]
+        lines = []
+        for parcel in self._sent:
+            del self._waiting[parcel]
+            again, wait = parcel.given_up
+            line = {"ref": parcel.id.decode(), "result": "bounced" if again else "dead"}
+            if again and wait:
+                line["wait_ms"] = -(-wait // clock.MILLISECOND)
+            lines.append(json.dumps(line, separators=(",", ":")) + "\n")
+        body = "".join(lines).encode()
+        length = b"Content-Length: %d\r\n\r\n" % len(body)
+        head = b"POST /v1/notices HTTP/1.1\r\nHost: %b\r\n%b" % (self._host, length)
+        self._exchange.ask([head, body], self._bounds.resend)
+
+    def _took(self, reader: AnswerReader | None) -> None:
+        sent, self._sent = self._sent, []
+        if reader is not None and reader.status == 204:
+            self._counters.add("notices_sent", len(sent))
+            self._most = AT_ONCE
+            for parcel in sent:
+                self._done(parcel)
+        else:
+            self._counters.add("notices_failed", len(sent))
+            self._log.say(f"notices-failed {len(sent)} status={reader.status if reader else 'none'}")
+            self._waiting.update(dict.fromkeys(sent))  # behind the others, lest an unreadable one stop them
+            self._most = 1 if reader else AT_ONCE
+            self._resting = True
+            self._loop.call_later(self._bounds.redial / 1e9, self._rested)
+            return
+        self.send()
+
+    def _rested(self) -> None:
+        self._resting = False
+        self.send()
+
+    def close(self) -> None:
+        self._exchange.close()
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -96,8 +96,8 @@
         "fresh", "given_up", "host", "idle", "judged", "late", "left", "sent_at", "trips", "yields_at",
     )
 
-    def __init__(self, host: Host, sent_at: int) -> None:
-        self.host = host
+    def __init__(self, host: Host | None, sent_at: int) -> None:
+        self.host = host  # none for a call made before a restart
         self.sent_at = sent_at
         self.left = 0
         self.late = False
@@ -114,10 +114,10 @@
 
     __slots__ = ("call", "over", "void")
 
-    def __init__(self, call: Call) -> None:
+    def __init__(self, call: Call, over: bool = False, void: bool = False) -> None:
         self.call = call
-        self.over = False
-        self.void = False
+        self.over = over
+        self.void = void
 
 
 class Packet:
--- a/millweir/adapter/settings.py
+++ b/millweir/settings.py
@@ -1,8 +1,7 @@
-"""Read the wire's settings text into Settings; unknown keys are skipped, absent ones are neutral."""
+"""Read the settings object into Settings; unknown keys are skipped, absent ones are neutral."""
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from millweir.interface import Effect, Profile, Settings, Tenant
@@ -10,9 +9,8 @@
 EFFECTS = {"pure": Effect.REPLAYABLE, "token": Effect.REFERENCED, "side_effect": Effect.SINGLE_USE}
 
 
-def read_settings(text: bytes) -> Settings:
-    """Turn the JSON text of `config` into Settings."""
-    given: dict[str, Any] = json.loads(text)
+def read_settings(given: dict[str, Any]) -> Settings:
+    """Turn the settings object, as decoded from JSON, into Settings."""
     ceilings = given.get("ceilings") or {}
     family = given.get("family-info") or {}
     rules = given.get("obligations") or {}
@@ -39,6 +37,8 @@
         profiles=profiles,
         tenants=tenants,
         zone=given.get("locality", 0),
+        zones=tuple(given.get("localities") or ()),
+        kinds=tuple(given.get("skus") or ()),
         period=(given.get("period-us") or 0) * 1000,
         slots=family.get("slots", 1),
         max_open=ceilings.get("max-open", 0),
@@ -49,6 +49,7 @@
         idle_close=(ceilings.get("idle-close-us") or 0) * 1000,
         connect_timeout=(ceilings.get("connect-timeout-us") or 0) * 1000,
         halves=family.get("late") == "by_half",
+        second_copies=bool(ceilings.get("second-copies", False)),
         bundle_max=tuple(family.get("bundle-max") or ()),
         apart=tuple(family.get("kind-apart") or ()),
         over_share=given.get("over-share-worth", 1.0),
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -31,11 +31,12 @@
 
 def settings(**given) -> Settings:
     base = {
-        "relays": 2, "profiles": PROFILES, "tenants": (), "zone": 0, "period": STEP, "slots": 9,
+        "relays": 2, "profiles": PROFILES, "tenants": (), "zone": 0, "zones": ("a",),
+        "kinds": ("big", "small"), "period": STEP, "slots": 9,
         "max_open": 60, "max_trips": 8, "cancel": True,
         "retry_after": True, "max_retry_after": 2 * SECOND, "idle_close": 10 * SECOND,
         "connect_timeout": SECOND, "halves": True, "bundle_max": (5, 1), "apart": (False, True),
-        "over_share": 0.1, "must_ask": False,
+        "over_share": 0.1, "must_ask": False, "second_copies": True,
         "must_ask_in": 0, "rates_listed": True, "rates_rough": False, "reports": (), "drain_grace": SECOND,
         "answer_slack": 20 * MILLISECOND, "fall_multiple": 2.0, "fall_time": 2 * SECOND, "cold_from": 0.2,
         "cold_time": 10 * SECOND, "key_quiet": 300 * MILLISECOND,
