The mark of referenced packets travels on to hosts, alone and in batches

Checked with a tap of the bytes clients send: those two sites add Idempotency-Key to profiles whose repeat is known; hosts.py did not pass it on, and put the order key into batch rows. Ruled out: the key of the order (a cookie), accounts, bodies.

--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -134,8 +134,8 @@
             link.answer(request, 202)
             return
         hard_stop = clock.to_wall(clock.steady() + request.left)
-        parcel = Parcel(request.id, request.profile, request.account, request.key, request.destination,
-                        hard_stop, request.body)
+        parcel = Parcel(request.id, request.profile, request.account, request.key, request.mark,
+                        request.destination, hard_stop, request.body)
         wait = self._facade.refusal(parcel.size, self._journal.room)
         if not wait:
             try:
--- a/millweir/net/heads.py
+++ b/millweir/net/heads.py
@@ -42,11 +42,11 @@
 class Request:
     """One request of a client, as far as read; `fault` is the status that it can only be answered with."""
 
-    __slots__ = ("account", "body", "complete", "destination", "fault", "id", "key", "keep", "left", "length",
-                 "method", "profile", "url")
+    __slots__ = ("account", "body", "complete", "destination", "fault", "id", "keep", "key", "left", "length",
+                 "mark", "method", "profile", "url")
 
     def __init__(self) -> None:
-        self.method = self.url = self.id = self.profile = self.account = self.key = b""
+        self.method = self.url = self.id = self.profile = self.account = self.key = self.mark = b""
         self.left = self.destination = -1
         self.length = 0
         self.body = b""
@@ -121,8 +121,10 @@
                         request.destination = int(number) if number.isdigit() and len(number) < 10 else -1
             elif name == b"x-account":
                 request.account = value
-            elif name == b"x-session-key":
-                request.key = value
+            elif name == b"idempotency-key":
+                if len(value) > ID_MOST or not value.isascii() or not value.decode().isprintable():
+                    raise ValueError("no mark")
+                request.mark = value
             elif name == b"cookie":
                 for field in value.split(b";"):
                     what, _, key = field.strip().partition(b"=")
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -68,12 +68,14 @@
         if len(parts) == 1:
             parcel = parts[0].item
             path, body, ident = b"/hook", parcel.body, b"X-Correlation-Id: %b\r\n" % parcel.id
+            if parcel.mark:
+                ident += b"Idempotency-Key: %b\r\n" % parcel.mark
         else:
             rows = []
             for part in parts:
                 row = {"id": part.item.id.decode()}
-                if part.item.key:
-                    row["key"] = part.item.key.decode("latin-1")
+                if part.item.mark:
+                    row["key"] = part.item.mark.decode()
                 row["body"] = base64.b64encode(part.item.body).decode()
                 rows.append(row)
             path, body, ident = b"/hook/batch", json.dumps(rows, separators=(",", ":")).encode(), b""
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 FRAME = struct.Struct("<II")
-TAKEN = struct.Struct("<BQqHHHHi")  # kind, number, hard stop, four lengths of text, destination
+TAKEN = struct.Struct("<BQqHHHHHi")  # kind, number, hard stop, five lengths of text, destination
 TRIP = struct.Struct("<BQq")  # kind, number, when it went out
 VOID = struct.Struct("<BQH")  # kind, number, which of its trips never ran
 GIVEN_UP = struct.Struct("<BQBq")  # kind, number, may come again, wait
@@ -24,16 +24,17 @@
 class Parcel:
     """A packet as the sockets know it, from being taken on to its end."""
 
-    __slots__ = ("account", "body", "destination", "given_up", "hard_stop", "id", "key", "number", "profile",
-                 "trips")
+    __slots__ = ("account", "body", "destination", "given_up", "hard_stop", "id", "key", "mark", "number",
+                 "profile", "trips")
 
-    def __init__(self, ident: bytes, profile: bytes, account: bytes, key: bytes, destination: int,
-                 hard_stop: int, body: bytes) -> None:
+    def __init__(self, ident: bytes, profile: bytes, account: bytes, key: bytes, mark: bytes,
+                 destination: int, hard_stop: int, body: bytes) -> None:
         self.number = 0
         self.id = ident
         self.profile = profile
         self.account = account
-        self.key = key
+        self.key = key  # packets of one key keep their order
+        self.mark = mark  # by which its destination knows a repeat
         self.destination = destination
         self.hard_stop = hard_stop  # wall time, as all times here
         self.body = body
@@ -43,15 +44,18 @@
     @property
     def size(self) -> int:
         """The most that it takes in a file."""
-        texts = len(self.id) + len(self.profile) + len(self.account) + len(self.key) + len(self.body)
+        texts = sum(map(len, (*self.texts, self.body)))
         trips = len(self.trips) * (2 * FRAME.size + TRIP.size + VOID.size)
         return 2 * FRAME.size + TAKEN.size + GIVEN_UP.size + texts + trips
 
+    @property
+    def texts(self) -> tuple[bytes, ...]:
+        return self.id, self.profile, self.account, self.key, self.mark
+
     def records(self) -> list[bytes]:
         """All that a file must hold of it."""
-        head = TAKEN.pack(TAKEN_KIND, self.number, self.hard_stop, len(self.id), len(self.profile),
-                          len(self.account), len(self.key), self.destination)
-        bodies = [head + self.id + self.profile + self.account + self.key + self.body]
+        head = TAKEN.pack(TAKEN_KIND, self.number, self.hard_stop, *map(len, self.texts), self.destination)
+        bodies = [b"".join((head, *self.texts, self.body))]
         for at, (sent_at, void) in enumerate(self.trips):
             bodies.append(TRIP.pack(TRIP_KIND, self.number, sent_at))
             if void:
