A call whose link comes up late asks again whether it may be written; alarms that ring early ring again

Found on reading: links may take up to a second to come up; a told wait or a drain heard of meanwhile was not looked at before the first byte (rules 6 and 3), nor was the packet's own end. control.may_write is asked at writing now. Also: a loop timer that fires a moment early left the alarm unarmed, and an alarm in the past would have spun; a fault in one turn is logged and the next turn comes; after SIGTERM the process lingers half a second for late connections.

--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -38,6 +38,7 @@
     log.must(f"ready name={config.name} listen={':'.join(map(str, config.listen))} owed={len(journal.owed)}")
     await desk.stopped
     server.close()
+    await asyncio.sleep(0)  # what was read in this moment still gets its answer
     desk.close()
     await asyncio.sleep(0)
     log.must(counters.line())
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+from collections import defaultdict
 from heapq import heappop, heappush
 from itertools import count
 
@@ -21,7 +22,7 @@
 LEAST, ROUGH = 0.5, 1.5  # of the even share; a rough rate is up to half too high, an exact one bears more
 FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
 SICK = 4.6  # log odds of a hundred to one: set aside
-PATIENCE_SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
+SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
 ROUTE_SHARE = 3  # one route may fill one in so many of the slots
 STALE_KEPT = 30 * SECOND  # how long it is remembered that idle links go stale
 STALE_LEAST = SECOND // 2  # links idle for less are not held stale
@@ -38,12 +39,11 @@
 
 def bounds(settings: Settings, limits: Limits) -> Bounds:
     """What the network code keeps to: links, journal, waits for discovery, the stop and the log."""
-    return Bounds(
-        link_life=settings.idle_close * 9 // 10,  # idle for longer, the other end may be closing it
-        host_links=limits.descriptors // 4, client_links=limits.descriptors // 2,
-        journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # both files fit while one replaces
-        resend=SECOND, redial=SECOND // 20, watch=20 * SECOND, silence=30 * SECOND,
-        leave=33 * SECOND // 10, log_lines=200)
+    return Bounds(link_life=settings.idle_close * 9 // 10,  # idle for longer, the other end may be closing it
+                  host_links=limits.descriptors // 4, client_links=limits.descriptors // 2,
+                  journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # two fit
+                  resend=SECOND, redial=SECOND // 20, watch=20 * SECOND, silence=30 * SECOND,
+                  linger=SECOND // 2, leave=33 * SECOND // 10, log_lines=200)
 
 
 class Relay:
@@ -77,7 +77,7 @@
         self._spare_idle = 2 * settings.idle_close // self._relays
         self._idle_answered: list[tuple[int, int]] = []
         self._hosts: dict[bytes, Host] = {}
-        self._destinations: dict[int, Destination] = {}
+        self._destinations: defaultdict[int, Destination] = defaultdict(Destination)
         self._packets: dict[int, Packet] = {}
         self._keys: dict[int, Key] = {}
         self._open = self._out = 0
@@ -117,7 +117,7 @@
                     host.route.share = entry.rate / self._relays
 
     def _meet(self, entry: Entry) -> Host:
-        home = self._home(entry.destination)
+        home = self._destinations[entry.destination]
         route = None if entry.kind < len(self._apart) and self._apart[entry.kind] else home.route
         if route is None:
             known = self._known_rates and entry.rate > 0
@@ -126,9 +126,6 @@
             route.limit = min(top, max((route.share * top) ** 0.5, SECOND / ROUND))
         return self._hosts.setdefault(entry.host, Host(entry, home, route))
 
-    def _home(self, ident: int) -> Destination:
-        return self._destinations.get(ident) or self._destinations.setdefault(ident, Destination())
-
     def refusal(self, size: int, room: int) -> int:
         """0 where a packet may be handed in and stored, else how long its client ought to wait."""
         full = self._max_open and self._open >= self._max_open
@@ -138,11 +135,15 @@
         """Told to stop then: nothing more is taken, and no call goes out that may outlast the process."""
         self._leave_at = leave_at
 
+    def may_write(self, now: int, host: Host) -> bool:
+        """A link came up for a call: a told wait or a drain may have been heard of since (rules 6 and 3)."""
+        return now >= host.route.wait_until and not 0 < host.left_at <= now - self._grace
+
     def packet_taken(self, now: int, ident: int, profile: int, tenant: int, key: int, hard_stop: int,
                      destination: int, earlier: tuple[tuple[int, bool], ...] = ()) -> None:
         """A packet was handed in, or is owed from an earlier life; round_over finds room for it."""
         self._now = now
-        packet = Packet(ident, self._profiles[profile], self._home(destination), hard_stop)
+        packet = Packet(ident, self._profiles[profile], self._destinations[destination], hard_stop)
         packet.aim_at = hard_stop - packet.profile.give_up + packet.profile.quoted
         packet.gain = packet.profile.gain * self._worth_of_share(tenant)
         if packet.profile.in_order and key:
@@ -517,8 +518,7 @@
         self._enter(now + patience, call)
 
     def _patience(self, host: Host) -> int:
-        known = host.latency + PATIENCE_SPREADS * host.spread
-        return max(self._aim // 4, known) if host.latency else self._aim
+        return max(self._aim // 4, host.latency + SPREADS * host.spread) if host.latency else self._aim
 
     def _time_out(self, packet: Packet, patience: int) -> int:
         """Only what may run again at any time comes back: others could outlive their known repeat."""
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -20,24 +20,25 @@
 class Part(Generic[Item]):
     """One packet's part in a job."""
 
-    __slots__ = ("_ident", "_number", "item", "job", "over", "until")
+    __slots__ = ("item", "job", "number", "over", "packet", "until")
 
-    def __init__(self, item: Item, job: Job[Item], until: int, ident: int, number: int) -> None:
+    def __init__(self, item: Item, job: Job[Item], until: int, packet: Packet, number: int) -> None:
         self.item = item
         self.job = job
         self.until = until  # how long to wait for its outcome
         self.over = False
-        self._ident = ident
-        self._number = number
+        self.packet = packet  # this and the number are for the facade alone
+        self.number = number
 
 
 class Job(Generic[Item]):
     """One call to make: a host and what travels to it."""
 
-    __slots__ = ("host", "parts", "picked_at")
+    __slots__ = ("goal", "host", "parts", "picked_at")
 
-    def __init__(self, host: str, now: int) -> None:
-        self.host = host
+    def __init__(self, goal: Host, now: int) -> None:
+        self.goal = goal  # for the facade alone
+        self.host = goal.id.decode()
         self.picked_at = now
         self.parts: list[Part[Item]] = []
 
@@ -62,7 +63,7 @@
         self._now, self._due = now, 0
         self._idents = count(1).__next__
         self._items: dict[int, Item] = {}
-        self._parts: dict[tuple[int, int], Part[Item]] = {}
+        self._parts: dict[tuple[Packet, int], Part[Item]] = {}
         self._filling: dict[Call, Job[Item]] = {}
         self._jobs: deque[Job[Item]] = deque()
         self._dropped: deque[Part[Item]] = deque()
@@ -94,9 +95,9 @@
         if part.over:
             return
         self._now, part.over = now, True
-        ident, number = part._ident, part._number
-        del self._parts[ident, number]
-        self._relay.trip_ended(now, ident, number, outcome, finished, now - part.job.picked_at, wait, load)
+        del self._parts[part.packet, part.number]
+        ident, latency = part.packet.id, now - part.job.picked_at
+        self._relay.trip_ended(now, ident, part.number, outcome, finished, latency, wait, load)
         if finished:
             self._items.pop(ident, None)
 
@@ -107,11 +108,15 @@
     # What the caller asks for.
 
     def tick(self, now: int) -> int:
-        """All that came in together has been told; returns when to tick again at the latest."""
+        """All that came in together has been told; returns when to tick again at the latest, 0 for never."""
         self._now = now
         self._relay.round_over(now)
         self._filling.clear()
-        return self._due
+        return self._due if self._due > now else 0
+
+    def still(self, now: int, part: Part[Item]) -> bool:
+        """Whether a part may be written now: its link may have come up long after the job was picked."""
+        return not part.packet.ended and self._relay.may_write(now, part.job.goal)
 
     def pick(self) -> Job[Item] | None:
         """The next call to make."""
@@ -136,15 +141,15 @@
         call = packet.trips[number].call
         job = self._filling.get(call)
         if job is None:
-            job = self._filling[call] = Job(host.id.decode(), self._now)
+            job = self._filling[call] = Job(host, self._now)
             self._jobs.append(job)
         until = self._now + time_out if time_out else packet.hard_stop
-        part = Part(self._items[packet.id], job, until, packet.id, number)
+        part = Part(self._items[packet.id], job, until, packet, number)
         job.parts.append(part)
-        self._parts[packet.id, number] = part
+        self._parts[packet, number] = part
 
     def cancel(self, packet: Packet, number: int) -> None:
-        part = self._parts.get((packet.id, number))
+        part = self._parts.get((packet, number))
         if part is not None:
             self._dropped.append(part)
 
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -147,6 +147,7 @@
     redial: int
     watch: int
     silence: int
+    linger: int
     leave: int
     log_lines: int
 
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 
 from millweir.facade import Facade, Part
 from millweir.interface import Change, Outcome
@@ -30,13 +31,13 @@
         self._tenants = {tenant.name.encode(): at for at, tenant in enumerate(settings.tenants)}
         self._reports = settings.reports
         self._owed: dict[bytes, Parcel] = {}
-        self._scheduled = self._leaving = False
+        self._scheduled = self._leaving = self._lingered = False
         self._alarm: asyncio.TimerHandle | None = None
         self._alarm_at = 0
         self.stopped = loop.create_future()
         self.clients = ClientDoor(bounds, self.wake, log, counters)
         self._hosts = Hosts(loop, bounds, settings.connect_timeout, settings.second_copies, journal,
-                            self._report, log, counters)
+                            facade.still, self._report, log, counters)
         self._notices = Notices(loop, config.discovery, bounds, self._over, log, counters)
         known = self._read_known(config)
         self._told(Change.CACHED, known)
@@ -85,6 +86,18 @@
 
     def _turn(self) -> None:
         self._scheduled = False
+        try:
+            self._work()
+        except Exception:  # one bad packet must not end the service for the others
+            self._counters.add("faults")
+            self._log.must(f"fault {traceback.format_exc()!r}")
+            self._loop.call_later(self._bounds.resend / 1e9, self.wake)
+
+    def _ring(self) -> None:
+        self._alarm_at = 0
+        self.wake()
+
+    def _work(self) -> None:
         while self.clients.arrived:
             self._answer(*self.clients.arrived.popleft())
         due = self._facade.tick(clock.steady())
@@ -101,10 +114,11 @@
         if due != self._alarm_at:
             if self._alarm:
                 self._alarm.cancel()
-            self._alarm_at = due
-            self._alarm = self._loop.call_later(max(0, due - clock.steady()) / 1e9, self.wake)
-        if self._leaving and not (self._journal.owed or self._notices.busy) and not self.stopped.done():
-            self.stopped.set_result(None)
+            self._alarm_at, self._alarm = due, None
+            if due:
+                self._alarm = self._loop.call_later(max(0, due - clock.steady()) / 1e9, self._ring)
+        if self._lingered and not (self._journal.owed or self._notices.busy):
+            self.stop()
 
     def _answer(self, link: ClientLink, request: Request) -> None:
         if link.reason or not link.open:  # its client closed before it heard: not taken on
@@ -192,9 +206,15 @@
         self._log.must(f"leaving owed={len(self._journal.owed)}")
         self._facade.leave(clock.steady() + self._bounds.leave)
         self.clients.close_idle("leaving")
+        self._loop.call_later(self._bounds.linger / 1e9, self._linger_over)
         self._loop.call_later(self._bounds.leave / 1e9, self.stop)
         self.wake()
 
+    def _linger_over(self) -> None:
+        """Whoever was still being sent here has come by now: the process may end once nothing is owed."""
+        self._lingered = True
+        self.wake()
+
     def stop(self) -> None:
         if not self.stopped.done():
             self.stopped.set_result(None)
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -22,6 +22,7 @@
           "expired": Outcome.MOOT, "no_more": Outcome.MOOT}
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
 
+Still = Callable[[int, Part[Parcel]], bool]
 Report = Callable[[Part[Parcel], Outcome, bool, int, bytes], None]
 
 
@@ -52,8 +53,14 @@
 
     def write(self, link: Link) -> None:
         """Journal the trips, then let the call go."""
-        hosts, parts = self._hosts, list(self.waiting)
-        now = clock.steady()
+        hosts, now = self._hosts, clock.steady()
+        for part in list(self.waiting):
+            if not hosts.still(now, part):  # ended, or its host told to wait or left, while the link came up
+                self.over(part, Outcome.MOOT)
+        parts = list(self.waiting)
+        if not parts:
+            hosts.keep(self.door, link)
+            return
         try:
             hosts.journal.trip([part.item for part in parts], clock.to_wall(now))
         except OSError as fault:
@@ -166,10 +173,12 @@
     """All doors, and the calls under way."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, bounds: Bounds, connect_timeout: int,
-                 second_copies: bool, journal: Journal, report: Report, log: Log, counters: Counters) -> None:
+                 second_copies: bool, journal: Journal, still: Still, report: Report, log: Log,
+                 counters: Counters) -> None:
         self.loop = loop
         self.second_copies = second_copies
         self.journal = journal
+        self.still = still
         self.report = report
         self.log = log
         self.counters = counters
