--- a/millweir/control.py
+++ b/millweir/control.py
@@ -33,14 +33,13 @@
 MUCH_LEFT = 0.75  # share of a limit: a refusal then is not for the limit
 YOUNG = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
 NEVER = 1 << 62
-NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
 MAY_RUN_ON = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
 
 
 def bounds(settings: Settings, limits: Limits) -> Bounds:
     """What the network code keeps to: links, journal, waits for discovery, the stop and the log."""
     return Bounds(link_life=settings.idle_close * 9 // 10,  # idle for longer, the other end may be closing it
-                  host_links=limits.descriptors // 4, client_links=limits.descriptors // 2,
+                  host_links=limits.descriptors // 4, client_links=limits.descriptors // 3,
                   journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # two fit
                   resend=SECOND, redial=SECOND // 20, watch=20 * SECOND, silence=30 * SECOND,
                   linger=SECOND // 2, leave=33 * SECOND // 10, log_lines=200)
@@ -71,7 +70,7 @@
         self._zone, self._aim = settings.zone, min((p.quoted for p in settings.profiles), default=SECOND)
         self._cold_share = min(1.0, settings.fall_multiple * settings.cold_from)
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
-        self._cancels, self._failed_asks = settings.cancel, 0
+        self._cancels, self._copies, self._failed_asks = settings.cancel, settings.second_copies, 0
         self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER
         self._tight_kinds: set[int] = set()
         self._spare_idle = 2 * settings.idle_close // self._relays
@@ -216,7 +215,7 @@
         if packet is None or number >= len(packet.trips) or packet.trips[number].over:
             return
         trip = packet.trips[number]
-        trip.over, trip.void, packet.out = True, outcome in NEVER_RAN, packet.out - 1
+        trip.over, trip.void, packet.out = True, outcome.never_ran, packet.out - 1
         self._judge_call(trip.call, outcome, latency, wait, report)
         if packet.key and outcome in MAY_RUN_ON:
             packet.key.rest_until = now + self._quiet
@@ -510,7 +509,7 @@
             packet.trips.append(Trip(call))
             packet.out += 1
             call.left += 1
-            self._port.send(packet, host, self._time_out(packet, patience))
+            self._port.send(packet, host, self._time_out(packet, patience, len(packets) == 1))
         route.log.append(now)
         route.out, host.out, self._out, host.tried_at = route.out + 1, host.out + 1, self._out + 1, now
         once = any(p.profile.effect is Effect.SINGLE_USE for p in packets)  # others give the slot up sooner
@@ -520,8 +519,8 @@
     def _patience(self, host: Host) -> int:
         return max(self._aim // 4, host.latency + SPREADS * host.spread) if host.latency else self._aim
 
-    def _time_out(self, packet: Packet, patience: int) -> int:
-        """Only what may run again at any time comes back: others could outlive their known repeat."""
+    def _time_out(self, packet: Packet, patience: int, alone: bool) -> int:
+        """Only what may run again at any time comes back; beside others in its call if copies may run."""
         wait = max(self._aim, 2 * patience) * len(packet.trips)
-        comes_back = packet.profile.effect is Effect.REPLAYABLE and self._now + wait < packet.hard_stop
-        return wait if comes_back else 0
+        again = packet.profile.effect is Effect.REPLAYABLE and (alone or self._copies)
+        return wait if again and self._now + wait < packet.hard_stop else 0
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -59,7 +59,6 @@
 
     def __init__(self, settings: Settings, limits: Limits, seed: int, now: int) -> None:
         self.bounds = bounds(settings, limits)
-        self.second_copies = settings.second_copies
         self._now, self._due = now, 0
         self._idents = count(1).__next__
         self._items: dict[int, Item] = {}
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -35,6 +35,11 @@
     CANCELLED = "cancelled"
     MOOT = "moot"
 
+    @property
+    def never_ran(self) -> bool:
+        """All others may have."""
+        return self in (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
+
 
 class Change(Enum):
     """What a piece of list news is."""
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -36,8 +36,8 @@
         self._alarm_at = 0
         self.stopped = loop.create_future()
         self.clients = ClientDoor(loop, bounds, self.wake, log, counters)
-        self._hosts = Hosts(loop, bounds, settings.connect_timeout, settings.second_copies, journal,
-                            facade.still, self._report, log, counters)
+        self._hosts = Hosts(loop, bounds, settings.connect_timeout, journal, facade.still,
+                            self._report, log, counters)
         self._notices = Notices(loop, config.discovery, bounds, self._over, log, counters)
         known = self._read_known(config)
         self._told(Change.CACHED, known)
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -20,7 +20,6 @@
             410: Outcome.MOOT, 400: Outcome.MOOT, 413: Outcome.MOOT, 404: Outcome.MOOT}  # others may have run
 STATES = {"accepted": Outcome.FULFILLED, "fault": Outcome.FAULT, "deferred": Outcome.FULL,
           "expired": Outcome.MOOT, "no_more": Outcome.MOOT}
-NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
 
 Still = Callable[[int, Part[Parcel]], bool]
 Report = Callable[[Part[Parcel], Outcome, bool, int, bytes], None]
@@ -100,7 +99,7 @@
         del self.waiting[part]
         if not self.waiting:
             self._hosts.done(self)
-        if outcome in NEVER_RAN and part in self._trips:
+        if outcome.never_ran and part in self._trips:
             self._hosts.journal_void(part.item, self._trips[part])
         self._hosts.report(part, outcome, finished, wait, load)
 
@@ -119,12 +118,10 @@
         self.over(part, outcome)
 
     def time_out(self) -> None:
-        """Give up what has waited long enough; where no second copy may be out, only once all have."""
+        """Give up what has waited long enough."""
         now = clock.steady()
-        due = [part for part in self.waiting if part.until <= now]
-        if self._hosts.second_copies or len(due) == len(self.waiting):
-            for part in due:
-                self.give_up(part, Outcome.TIMED_OUT)
+        for part in [part for part in self.waiting if part.until <= now]:
+            self.give_up(part, Outcome.TIMED_OUT)
         self.arm()
 
     def arm(self) -> None:
@@ -133,8 +130,7 @@
             self.timer.cancel()
             self.timer = None
         if self.waiting:
-            pick = min if self._hosts.second_copies else max
-            left = pick(part.until for part in self.waiting) - clock.steady()
+            left = min(part.until for part in self.waiting) - clock.steady()
             self.timer = self._hosts.loop.call_later(max(left, 0) / 1e9 + 0.0005, self.time_out)
 
     def answered(self, link: Link) -> None:
@@ -173,10 +169,8 @@
     """All doors, and the calls under way."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, bounds: Bounds, connect_timeout: int,
-                 second_copies: bool, journal: Journal, still: Still, report: Report, log: Log,
-                 counters: Counters) -> None:
+                 journal: Journal, still: Still, report: Report, log: Log, counters: Counters) -> None:
         self.loop = loop
-        self.second_copies = second_copies
         self.journal = journal
         self.still = still
         self.report = report
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -62,6 +62,15 @@
     assert max(times) < rig.now - 4 * SECOND
 
 
+def test_no_copy_runs_beside_a_call_that_others_wait_for_where_that_is_not_allowed():
+    for allowed in (True, False):
+        rig = Rig(entries=[entry(0, 0)], relays=1, second_copies=allowed)
+        for kind in (0, 0, 2):
+            rig.take(kind)
+        rig.pass_time(5 * SECOND)
+        assert (len(rig.sent) > 3) is allowed
+
+
 def test_one_call_carries_held_packets_and_counts_once():
     rig = Rig(entries=[entry(0, 0)], relays=1)
     for _ in range(20):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 
 import pytest
@@ -340,6 +341,61 @@
     assert min(call.at for call in platform.calls[1:]) - platform.calls[0].at >= 0.79
 
 
+def test_a_wait_beside_packets_that_were_all_taken_binds(start):
+    platform = Platform(hosts=0)
+    relay = start(platform)
+    for ident in "ab":
+        relay.hand_in(ident, "once")
+
+    def decide(call):
+        taken = [{"id": row["id"], "state": "accepted"} for row in call.rows] if call.path != "/hook" else []
+        return reply(200, json.dumps(taken).encode(), Retry_After="0.8")
+
+    platform.decide = decide
+    platform.add("b0", kind="big")
+    until(lambda: len(platform.calls) == 1)
+    relay.hand_in("c")
+    until(lambda: platform.sent("c"))
+    assert platform.sent("c")[0].at - platform.calls[0].at >= 0.79
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_rules_hold_under_random_kills_and_answers(start, seed):
+    chance, platform, taken = random.Random(seed), Platform(hosts=3, rate=300.0), {}
+    lock, ran = threading.Lock(), {}
+
+    def decide(call):
+        with lock:
+            how, wait = chance.choice("wwwwfrxs"), chance.random() * 0.2
+            ran.setdefault(call.id, []).append((call.at, how))
+        if how == "s":
+            return None
+        time.sleep(wait)
+        return {"w": reply(200), "f": reply(500), "r": reply(503), "x": "reset"}[how]
+
+    platform.decide = decide
+    relay = start(platform)
+    for life in range(4):
+        for n in range(40):
+            profile = chance.choice(("again", "once", "marked"))
+            ident, head = f"p{life}-{n}", {"Idempotency-Key": "m", "Cookie": f"about=k{n % 3}"}
+            if relay.hand_in(ident, profile, "2500m", **head) == 202:
+                taken[ident] = profile
+            time.sleep(chance.random() * 0.02)
+        relay.end(chance.choice((signal.SIGKILL, signal.SIGTERM)))
+        relay.start()
+    done = lambda ident: platform.noticed(ident) or "w" in [how for _, how in ran.get(ident, [])]  # noqa: E731
+    until(lambda: all(map(done, taken)))
+    for ident, profile in taken.items():
+        calls = ran.get(ident, [])
+        assert len(platform.noticed(ident)) <= 1
+        if profile == "once":
+            assert all(how == "r" for _, how in calls[:-1]), "single-use went again though it may have run"
+            if platform.noticed(ident) == ["bounced"]:
+                assert all(how == "r" for _, how in calls), "dismissed what may have run"
+    assert len(taken) > 100 and "Traceback" not in relay.log()
+
+
 def test_links_are_kept_and_used_again(start):
     platform = Platform(hosts=1)
     relay = start(platform)
