--- a/tests/rig.py
+++ b/tests/rig.py
@@ -267,7 +267,7 @@
     def __init__(self, hosts=2, kind="small", rate=50.0):
         self.calls, self.notices, self.notice_calls, self.links = [], [], 0, 0
         self.decide = lambda call: reply(200)
-        self.notice_status, self.raw_list = 204, None
+        self.notice_status, self.raw_list, self.silent = 204, None, False
         self.changed = threading.Condition()
         self.index, self.rows = 1, {}
         self.discovery = self.serve("discovery", self.discover)
@@ -324,6 +324,8 @@
         return self.decide(heard)
 
     def discover(self, heard):
+        if self.silent:
+            return None
         if heard.method == "POST":
             self.notice_calls += 1
             if self.notice_status == 204:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -291,6 +291,36 @@
     assert not platform.notices and "reason=unconnected" in relay.log()
 
 
+def test_a_connection_that_never_comes_up_has_run_nothing(start):
+    platform = Platform(hosts=0)
+    with socket.socket() as full, socket.socket() as first, socket.socket() as second:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)  # its queue is filled, so nobody else gets through
+        for link in (first, second):
+            link.setblocking(False)
+            link.connect_ex(full.getsockname())
+        platform.add("mute", address=f"127.0.0.1:{full.getsockname()[1]}")
+        relay = start(platform)
+        relay.hand_in("a", "once")
+        until(lambda: b"connects_failed 1\n" in relay.ask("GET", "/counters")[1])
+        platform.add("h0")
+        until(lambda: platform.sent("a"))
+    assert not platform.notices
+
+
+def test_while_discovery_is_silent_the_last_list_serves_and_notices_wait(start):
+    platform = Platform(hosts=1)
+    relay = start(platform)
+    platform.silent = True
+    relay.hand_in("a")
+    relay.hand_in("b", left="300m", dest=7)
+    until(lambda: platform.sent("a"))
+    time.sleep(1)
+    assert not platform.notices
+    platform.silent = False
+    until(lambda: platform.noticed("b") == ["bounced"])
+
+
 def test_a_silent_host_costs_a_replayable_packet_one_time_out(start):
     platform = Platform()
     platform.decide = lambda call: None if len(platform.calls) == 1 else reply(200)
