--- a/millweir/control.py
+++ b/millweir/control.py
@@ -42,7 +42,8 @@
                   host_links=limits.descriptors // 4, client_links=limits.descriptors // 3,
                   journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # two fit
                   resend=SECOND, redial=SECOND // 20, watch=20 * SECOND, silence=30 * SECOND,
-                  linger=SECOND // 2, leave=33 * SECOND // 10, log_lines=200)
+                  linger=SECOND // 2, leave=33 * SECOND // 10, log_lines=200, orphans_again=False,
+                  head_most=16 << 10, answer_most=64 << 10, list_most=16 << 20, notices=500)
 
 
 class Relay:
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -155,6 +155,11 @@
     linger: int
     leave: int
     log_lines: int
+    head_most: int
+    answer_most: int
+    list_most: int
+    notices: int
+    orphans_again: bool
 
 
 class Port(Protocol):
--- a/millweir/net/clients.py
+++ b/millweir/net/clients.py
@@ -19,7 +19,7 @@
 
     def __init__(self, door: ClientDoor) -> None:
         self._door = door
-        self._reader = RequestReader()
+        self._reader = RequestReader(door.head_most)
         self._transport: asyncio.Transport | None = None
         self.pending = 0  # requests read and not answered
         self.asked = 0
@@ -84,6 +84,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, bounds: Bounds, wake: Callable[[], None], log: Log,
                  counters: Counters) -> None:
+        self.head_most = bounds.head_most
         self._most, self._wake, self._log, self._counters = bounds.client_links, wake, log, counters
         self._links: dict[ClientLink, None] = {}  # the one idle longest first
         self._fresh: deque[tuple[ClientLink, Request]] = deque()
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -12,7 +12,7 @@
 from millweir.net.config import Config
 from millweir.net.counters import Counters
 from millweir.net.discovery import Garbled, News, Watch, read_list
-from millweir.net.heads import Request
+from millweir.net.heads import Request, read_number
 from millweir.net.hosts import Hosts
 from millweir.net.journal import Journal, Parcel
 from millweir.net.log import Log
@@ -67,14 +67,14 @@
         if parcel.given_up:
             self._notices.add(parcel)
         elif parcel.profile not in self._profiles:
-            self._journal.given_up(parcel, False, 0)  # no settings tell what it may do
-            self._notices.add(parcel)
+            self._give_up(parcel, self._bounds.orphans_again, 0)  # its profile is listed no more
         else:
             self._hand_in(parcel)
 
     def _hand_in(self, parcel: Parcel) -> None:
+        tenant = self._tenants.get(parcel.account, len(self._tenants))
         self._facade.take(
-            clock.steady(), parcel, self._profiles[parcel.profile], self._tenants.get(parcel.account, 0),
+            clock.steady(), parcel, self._profiles[parcel.profile], tenant,
             int.from_bytes(parcel.key), clock.from_wall(parcel.hard_stop), parcel.destination,
             tuple((clock.from_wall(at), bool(void)) for at, void in parcel.trips))
 
@@ -99,7 +99,12 @@
 
     def _work(self) -> None:
         while self.clients.arrived:
-            self._answer(*self.clients.arrived.popleft())
+            link, request = self.clients.arrived.popleft()
+            try:
+                self._answer(link, request)
+            except Exception:
+                link.end("fault")
+                raise
         due = self._facade.tick(clock.steady())
         while part := self._facade.dropped():
             self._hosts.drop(part)
@@ -179,7 +184,7 @@
             return ()
         try:
             fields = dict(field.strip().split(b"=", 1) for field in load.split(b","))
-            return tuple(float(fields[name.encode()]) for name in self._reports)
+            return tuple(read_number(fields[name.encode()]) for name in self._reports)
         except (ValueError, KeyError):
             return ()
 
--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -13,10 +13,9 @@
 from millweir.net.config import Misconfigured, read_address
 from millweir.net.counters import Counters
 from millweir.net.exchange import Exchange
-from millweir.net.heads import AnswerReader
+from millweir.net.heads import AnswerReader, read_number
 from millweir.net.log import Log
 
-LIST_MOST = 16 << 20
 PHASES = {"SERVING": Phase.READY, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
 
 
@@ -49,7 +48,7 @@
                 host=name.encode(),
                 zone=settings.zones.index(zone) if zone in settings.zones else len(settings.zones),
                 kind=settings.kinds.index(kind) if kind in settings.kinds else len(settings.kinds),
-                destination=int(row.get("group", -1)), phase=phase, rate=float(row.get("weight", 0.0))))
+                destination=int(row.get("group", -1)), phase=phase, rate=read_number(row.get("weight", 0.0))))
         return News(int(given["index"]), bool(given.get("snapshot", False)), tuple(entries), addresses)
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError, Misconfigured) as fault:
         raise Garbled(repr(fault)) from fault
@@ -64,7 +63,7 @@
         self._loop, self._settings, self._bounds = loop, settings, bounds
         self._index, self._told, self._log, self._counters = index, told, log, counters
         self._host = f"{address[0]}:{address[1]}".encode()
-        self._exchange = Exchange(loop, address, "discovery", LIST_MOST, self._took, log, counters)
+        self._exchange = Exchange(loop, address, "discovery", bounds.list_most, self._took, log, counters)
 
     def start(self) -> None:
         """Ask; a version of none asks for the whole list."""
@@ -78,7 +77,7 @@
             if reader is None or reader.status != 200:
                 raise Garbled("no answer" if reader is None else f"status {reader.status}")
             news = read_list(json.loads(reader.body), self._settings)
-        except (Garbled, ValueError) as fault:
+        except (Garbled, ValueError, RecursionError) as fault:
             self._counters.add("list_failures")
             self._log.say(f"list-failed {str(fault)[:200]}")
             self._loop.call_later(self._bounds.redial / 1e9, self.start)
--- a/millweir/net/heads.py
+++ b/millweir/net/heads.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from http import HTTPStatus
+from typing import Any
 
 import httptools
 
 BODY_MOST = 64 * 1024
-HEAD_MOST = 16 * 1024
 ID_MOST = 128
 UNITS = {b"m": 1_000_000, b"u": 1_000}
 
@@ -15,11 +15,19 @@
 def read_span(text: bytes) -> int:
     """A span such as 480m or 1500u in nanoseconds; ValueError where it is none."""
     number = text[:-1]
-    if text[-1:] not in UNITS or not number.isdigit() or len(number) > 15:
+    if text[-1:] not in UNITS or not number.isdigit() or len(number) > 12:
         raise ValueError(f"no span of time: {text!r}")
     return int(number) * UNITS[text[-1:]]
 
 
+def read_number(given: Any) -> float:
+    """A rate or a share; ValueError where the module could not reckon with it."""
+    number = float(given)
+    if not 0 <= number < 1e12:
+        raise ValueError(f"no sensible number: {given!r}")
+    return number
+
+
 def read_seconds(text: bytes) -> int:
     """Seconds, whole or decimal, in nanoseconds; 0 where that is no sensible wait."""
     try:
@@ -58,9 +66,10 @@
 class RequestReader:
     """Turns the bytes of one connection into requests; httptools calls the on_ methods."""
 
-    __slots__ = ("_bodies", "_parser", "_request", "_size", "requests")
+    __slots__ = ("_bodies", "_head_most", "_parser", "_request", "_size", "requests")
 
-    def __init__(self) -> None:
+    def __init__(self, head_most: int) -> None:
+        self._head_most = head_most
         self._parser = httptools.HttpRequestParser(self)
         self._request: Request | None = None
         self._bodies: list[bytes] = []
@@ -85,7 +94,7 @@
         request = self._request
         if request is not None:
             request.length += len(data)
-            if not self._size and request.length > HEAD_MOST:
+            if not self._size and request.length > self._head_most:
                 request.fault = request.fault or 400
             if request.fault or request.length > 4 * BODY_MOST:
                 self._fail(request.fault or 413)
@@ -103,7 +112,7 @@
 
     def on_url(self, url: bytes) -> None:
         self._request.url += url
-        if len(self._request.url) > HEAD_MOST:
+        if len(self._request.url) > self._head_most:
             self._request.fault = 400
 
     def on_header(self, name: bytes, value: bytes) -> None:
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -15,7 +15,6 @@
 from millweir.net.links import Link
 from millweir.net.log import Log
 
-ANSWER_MOST = 64 * 1024
 STATUSES = {200: Outcome.FULFILLED, 429: Outcome.FULL, 503: Outcome.FULL, 504: Outcome.MOOT,
             410: Outcome.MOOT, 400: Outcome.MOOT, 413: Outcome.MOOT, 404: Outcome.MOOT}  # others may have run
 STATES = {"accepted": Outcome.FULFILLED, "fault": Outcome.FAULT, "deferred": Outcome.FULL,
@@ -150,7 +149,7 @@
     def _read_states(self, body: bytes, wait: int, load: bytes) -> None:
         try:
             states = {row["id"]: row["state"] for row in json.loads(body)}
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
             states = {}  # it may all have run
             self._hosts.log.say(f"garbled-answer host={self.door.name}")
         for part in list(self.waiting):
@@ -183,10 +182,6 @@
         self._calls: dict[Job[Parcel], Call] = {}
         self._dialling: set[asyncio.Task[None]] = set()
 
-    @property
-    def busy(self) -> bool:
-        return bool(self._calls)
-
     def place(self, name: str, address: tuple[str, int]) -> None:
         """Where a host is, by the list."""
         door = self._doors.get(name)
@@ -221,7 +216,8 @@
 
     async def _dial(self, call: Call) -> None:
         door = call.door
-        link = Link(f"{door.name}/{door.address[0]}:{door.address[1]}", ANSWER_MOST, self.log, self.counters)
+        link = Link(f"{door.name}/{door.address[0]}:{door.address[1]}", self._bounds.answer_most, self.log,
+                    self.counters)
         try:
             async with asyncio.timeout(self._connect_timeout):
                 await self.loop.create_connection(lambda: link, *door.address)
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -104,7 +104,8 @@
     def void(self, parcel: Parcel, at: int) -> None:
         """One of its trips never ran."""
         parcel.trips[at][1] = 1
-        self._write([VOID.pack(VOID_KIND, parcel.number, at)])
+        if parcel.number in self.owed:  # of what is over, nothing more is told
+            self._write([VOID.pack(VOID_KIND, parcel.number, at)])
 
     def given_up(self, parcel: Parcel, again: bool, wait: int) -> None:
         """Its end is known, the platform has yet to be told."""
@@ -139,6 +140,7 @@
             os.rename(self._folder / NEW_FILE, self._folder / FILE)
         except OSError:
             os.close(fresh)
+            (self._folder / NEW_FILE).unlink(missing_ok=True)
             raise
         if self._file >= 0:
             os.close(self._file)
@@ -173,7 +175,7 @@
                 if parcel:
                     del self.owed[parcel.number]
             elif parcel is None:
-                return False
+                pass  # Guards what comes after: a late word on a parcel that is over is no damage.
             elif body[0] == TRIP_KIND:
                 parcel.trips.append([TRIP.unpack(body)[2], 0])
             elif body[0] == VOID_KIND:
--- a/millweir/net/notices.py
+++ b/millweir/net/notices.py
@@ -14,9 +14,6 @@
 from millweir.net.journal import Parcel
 from millweir.net.log import Log
 
-AT_ONCE = 500  # lines in one request
-ANSWER_MOST = 64 * 1024
-
 
 class Notices:
     """Holds what the platform has yet to be told."""
@@ -25,10 +22,10 @@
                  done: Callable[[Parcel], None], log: Log, counters: Counters) -> None:
         self._loop, self._bounds, self._done, self._log, self._counters = loop, bounds, done, log, counters
         self._host = f"{address[0]}:{address[1]}".encode()
-        self._exchange = Exchange(loop, address, "notices", ANSWER_MOST, self._took, log, counters)
+        self._exchange = Exchange(loop, address, "notices", bounds.answer_most, self._took, log, counters)
         self._waiting: dict[Parcel, None] = {}
         self._sent: list[Parcel] = []
-        self._most = AT_ONCE
+        self._most = bounds.notices
         self._resting = False
 
     @property
@@ -60,14 +57,14 @@
         sent, self._sent = self._sent, []
         if reader is not None and reader.status == 204:
             self._counters.add("notices_sent", len(sent))
-            self._most = AT_ONCE
+            self._most = self._bounds.notices
             for parcel in sent:
                 self._done(parcel)
         else:
             self._counters.add("notices_failed", len(sent))
             self._log.say(f"notices-failed {len(sent)} status={reader.status if reader else 'none'}")
             self._waiting.update(dict.fromkeys(sent))  # behind the others, lest an unreadable one stop them
-            self._most = 1 if reader else AT_ONCE
+            self._most = 1 if reader else self._bounds.notices
             self._resting = True
             self._loop.call_later(self._bounds.redial / 1e9, self._rested)
             return
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,7 @@
 from millweir.interface import SECOND, Change, Limits, Outcome, Phase
 from millweir.net.discovery import Garbled, read_list
 from millweir.net.heads import AnswerReader, RequestReader, read_seconds, read_span
-from millweir.net.journal import FILE, Journal, Parcel
+from millweir.net.journal import FILE, VOID, VOID_KIND, Journal, Parcel, framed
 from millweir.net.log import Log
 
 
@@ -27,17 +27,20 @@
 def test_journal_holds_what_is_owed_whatever_is_cut_off_its_end(seed, tmp_path):
     chance = random.Random(seed)
     journal = Journal(tmp_path, 20_000, 15_000)
-    path, steps = tmp_path / FILE, []
+    path, steps, ended = tmp_path / FILE, [], []
     for n in range(400):
         owed = list(journal.owed.values())
-        step = chance.choice("ttrvgoo")
-        if step == "t" and journal.room > 2500:
+        step = chance.choice("ttrvgool")
+        if step == "l" and ended:
+            journal.void(ended[-1], 0)  # a late word, perhaps on what is over
+        elif step == "t" and journal.room > 2500:
             journal.taken(parcel(b"p%d" % n, chance.randbytes(chance.randrange(2000))))
         elif owed and (p := chance.choice(owed)):
             if step == "r":
                 journal.trip([p], n)
             elif step == "v" and p.trips:
                 journal.void(p, chance.randrange(len(p.trips)))
+                ended.append(p)
             elif step == "g":
                 journal.given_up(p, chance.random() < 0.5, n)
             elif step == "o":
@@ -67,6 +70,20 @@
     assert [p.id for p in Journal(tmp_path, 20_000, 15_000).owed.values()] == [b"p0"]
 
 
+def test_a_late_word_on_what_is_over_hides_nothing_that_comes_after_it(tmp_path):
+    journal = Journal(tmp_path, 20_000, 15_000)
+    first, second = parcel(b"a"), parcel(b"b")
+    journal.taken(first)
+    journal.trip([first], 1)
+    journal.over(first)
+    journal.void(first, 0)
+    with open(tmp_path / FILE, "ab") as file:  # as an earlier build wrote it
+        file.write(framed([VOID.pack(VOID_KIND, first.number, 0)]))
+    journal.taken(second)
+    again = Journal(tmp_path, 20_000, 15_000)
+    assert [p.id for p in again.owed.values()] == [b"b"] and not again.torn
+
+
 def test_journal_numbers_go_on_after_a_restart(tmp_path):
     journal = Journal(tmp_path, 20_000, 15_000)
     journal.taken(parcel(b"a"))
@@ -82,7 +99,7 @@
         b"POST /api HTTP/1.1\r\nx-correlation-id: i%d\r\nX-Service-Class: c\r\nX-Time-Left: 7u\r\n"
         b"Cookie: a=1; about=k%d\r\nX-Addressing: x=1, dest=%d\r\nContent-Length: %d\r\n\r\n%b"
         % (n, n, n, n * 300, b"x" * n * 300) for n in range(6))
-    reader, at = RequestReader(), 0
+    reader, at = RequestReader(1000), 0
     while at < len(raw):
         size = chance.choice((1, 7, 400))
         assert reader.feed(raw[at:at + size])
@@ -109,7 +126,7 @@
 
 @pytest.mark.parametrize("change", [
     {"address": "nowhere"}, {"status": "LOST"}, {"group": "north"}, {"weight": []}, {"name": 7},
-    {"address": "a:99999"},
+    {"address": "a:99999"}, {"weight": float("inf")}, {"weight": float("nan")}, {"weight": -1},
 ])
 def test_a_list_is_read_whole_or_not_at_all(change):
     listed = Platform(hosts=2).list()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -75,6 +75,20 @@
     assert not platform.noticed("p0") and not platform.noticed("p3")
 
 
+def test_odd_answers_to_a_bundle_may_have_run_and_the_service_goes_on(start):
+    platform = Platform(hosts=0)
+    bodies = iter([b"[" * 60000, b"7", b'[{"id":[]}]', b'[{"id":"p3","state":{}}]', b"\xff"])
+    platform.decide = lambda call: reply(200, next(bodies), X_Backend_Load="x0=nan,x1=inf", Retry_After="inf")
+    relay = start(platform, settings=CONFIG | {"report": {"fields": ["x0", "x1"]}})
+    for n in range(10):
+        relay.hand_in(f"p{n}", "once", dest=n // 2)
+    for n in range(5):
+        platform.add(f"b{n}", kind="big", group=n)
+    until(lambda: len(platform.notices) == 10)
+    assert {notice["result"] for notice in platform.notices} == {"dead"}
+    assert [call.path for call in platform.calls] == ["/hook/batch"] * 5 and "Traceback" not in relay.log()
+
+
 def test_what_was_taken_on_outlasts_a_kill(start):
     platform = Platform(hosts=0)
     relay = start(platform)
@@ -175,6 +189,7 @@
     (b"nonsense\r\n\r\n", 400),
     (request(left="soon") + b"hi", 400),
     (request(left="-5m") + b"hi", 400),
+    (request(left="9" * 14 + "m") + b"hi", 400),
     (request(profile="unheard-of") + b"hi", 400),
     (request(ident="") + b"hi", 400),
     (request(ident="x" * 200) + b"hi", 400),
