--- a/tests/rig.py
+++ b/tests/rig.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -350,17 +351,17 @@
 class Program:
     """The relay as a process of its own."""
 
-    def __init__(self, platform, folder: Path, start=True, **given):
+    def __init__(self, platform, folder: Path, file_most=None, **given):
         self.platform, self.folder, self.process = platform, folder, None
         self.config = {"seed": "2a", "limits": {"memory_mb": 192, "sockets": 256, "disk_mb": 1},
                        "settings": CONFIG} | given
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
         (folder / "state").mkdir(exist_ok=True)
-        if start:
-            self.start()
+        self.start(file_most)
 
-    def start(self):
+    def start(self, file_most=None):
+        """`file_most`: bytes that the disk takes in one file."""
         config = {"known": self.platform.list() | {"index": 0}} | self.config
         (self.folder / "config.json").write_text(json.dumps(config))
         env = os.environ | {
@@ -370,6 +371,8 @@
         with open(self.folder / "log", "ab") as log:
             self.process = subprocess.Popen([sys.executable, "-m", "millweir"], env=env, stderr=log,
                                             cwd=Path(__file__).parent.parent)
+        if file_most:  # the log is written to as well, and is larger: only what comes after counts
+            resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (file_most, resource.RLIM_INFINITY))
         until(lambda: self.process.poll() is not None or self.get("/ready") == 200)
         assert self.process.poll() is None, self.log()
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -463,6 +463,21 @@
     assert size < 1 << 20
 
 
+def test_a_disk_that_takes_no_more_means_refusals_not_losses(start):
+    platform = Platform(hosts=0)
+    relay = start(platform, file_most=1500)
+    answers = [relay.hand_in(f"p{n}", "once", body=b"x" * 300) for n in range(8)]
+    taken = answers.count(202)
+    assert 0 < taken < 8 and answers == [202] * taken + [503] * (8 - taken)
+    platform.add("h0")
+    until(lambda: len({call.id for call in platform.calls} | {n["ref"] for n in platform.notices}) == taken)
+    relay.end()
+    relay.start(file_most=None)
+    assert relay.hand_in("later") == 202
+    until(lambda: platform.sent("later"))
+    assert all(len(platform.sent(f"p{n}")) <= 1 for n in range(8)) and "Traceback" not in relay.log()
+
+
 def test_too_many_client_connections_close_the_one_idle_longest(start):
     relay = start(Platform())
     links = [socket.create_connection(("127.0.0.1", relay.port), timeout=2) for _ in range(140)]
