After a stall, what came meanwhile is read before anything is given up or sent

Seen: a relay stopped for 3 s (SIGSTOP) while two hosts answered sent the replayable packet a second time and errored the single-use one, though both 200s lay in its sockets. Checked: the loop runs due timers before its poll, so time-outs and hard stops went first; not the module's doing, which got the time-outs as told. clock.once_read now puts a poll between a timer and its effect, in desk._ring and Call.arm; clients.py uses the same for withdrawals. Also covers a busy core.

--- a/millweir/net/clients.py
+++ b/millweir/net/clients.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from millweir.interface import Bounds
+from millweir.net import clock
 from millweir.net.counters import Counters
 from millweir.net.heads import Request, RequestReader, answer
 from millweir.net.log import Log
@@ -103,10 +104,8 @@
         self._links[link] = None
 
     def read(self, link: ClientLink, request: Request) -> None:
-        # The end of a connection is read a poll later than its last bytes and withdraws what isn't answered:
-        # the turn comes after that poll.
-        if not self._fresh:
-            self._loop.call_soon(self._loop.call_soon, self._ripen)
+        if not self._fresh:  # the end of its connection, if it is there already, withdraws a request
+            clock.once_read(self._loop, self._ripen)
         self._fresh.append((link, request))
 
     def _ripen(self) -> None:
--- a/millweir/net/clock.py
+++ b/millweir/net/clock.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
+from collections.abc import Callable
 
 MILLISECOND = 1_000_000
 SECOND = 1_000_000_000
@@ -11,6 +13,15 @@
 _WALL_AHEAD = time.time_ns() - time.monotonic_ns()
 
 
+def once_read(loop: asyncio.AbstractEventLoop, what: Callable[[], None]) -> None:
+    """Call it after the loop's next poll, when all that is in the sockets by now has been read.
+
+    Guards what came while the process stood still: timers go before the poll, so an answer that was there
+    in time would count as none; and the end of a connection is read one poll after its last bytes.
+    """
+    loop.call_soon(loop.call_soon, what)
+
+
 def to_wall(at: int) -> int:
     """Steady time as Unix time, for the journal."""
     return at + _WALL_AHEAD
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -95,7 +95,7 @@
 
     def _ring(self) -> None:
         self._alarm_at = 0
-        self.wake()
+        clock.once_read(self._loop, self.wake)
 
     def _work(self) -> None:
         while self.clients.arrived:
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -130,7 +130,8 @@
             self.timer = None
         if self.waiting:
             left = min(part.until for part in self.waiting) - clock.steady()
-            self.timer = self._hosts.loop.call_later(max(left, 0) / 1e9 + 0.0005, self.time_out)
+            self.timer = self._hosts.loop.call_later(
+                max(left, 0) / 1e9 + 0.0005, clock.once_read, self._hosts.loop, self.time_out)
 
     def answered(self, link: Link) -> None:
         reader = link.reader
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -345,6 +345,26 @@
     assert platform.sent("a")[1].at - platform.sent("a")[0].at > 1.5
 
 
+def test_after_a_stall_what_came_meanwhile_is_read_before_anything_is_given_up_or_sent(start):
+    platform = Platform(hosts=1)
+
+    def decide(call):
+        time.sleep(0.6)
+        return reply(200)
+
+    platform.decide = decide
+    relay = start(platform)
+    relay.hand_in("a")  # its time-out and the others' hard stops go by while the relay stands still
+    relay.hand_in("b", "once", "1500m")
+    until(lambda: len(platform.calls) == 2)
+    relay.send_signal(signal.SIGSTOP)
+    time.sleep(3)
+    relay.send_signal(signal.SIGCONT)
+    until(lambda: b"packets_fulfilled 2\n" in relay.ask("GET", "/counters")[1])
+    time.sleep(0.3)
+    assert len(platform.calls) == 2 and not platform.notices
+
+
 def test_packets_that_run_out_of_time_are_noticed_in_time(start):
     platform = Platform()
     platform.decide = lambda call: None
