Ready only once a list is there: an unusable known list waits for discovery

On reading: with a known list that can't be read /ready said 200 at once, and packets were taken on with no host to send to. Test with a garbled known list and a silent discovery.

--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -31,7 +31,7 @@
         self._tenants = {tenant.name.encode(): at for at, tenant in enumerate(settings.tenants)}
         self._reports = settings.reports
         self._owed: dict[bytes, Parcel] = {}
-        self._scheduled = self._leaving = self._lingered = False
+        self._scheduled = self._listed = self._leaving = self._lingered = False
         self._alarm: asyncio.TimerHandle | None = None
         self._alarm_at = 0
         self.stopped = loop.create_future()
@@ -39,22 +39,26 @@
         self._hosts = Hosts(loop, bounds, settings.connect_timeout, journal, facade.still,
                             self._report, log, counters)
         self._notices = Notices(loop, config.discovery, bounds, self._over, log, counters)
-        known = self._read_known(config)
-        self._told(Change.CACHED, known)
+        index = self._read_known(config)
         for parcel in list(journal.owed.values()):
             self._restore(parcel)
-        self._watch = Watch(loop, config.discovery, settings, bounds, known.index, self._told, log, counters)
+        self._watch = Watch(loop, config.discovery, settings, bounds, index, self._told, log,
+                            counters)
         self._watch.start()
         self.wake()
 
-    def _read_known(self, config: Config) -> News:
+    def _read_known(self, config: Config) -> int:
+        """Start from the list of an earlier life; returns its version, -1 where the whole list is needed."""
         try:
-            return read_list(config.known, config.settings)
+            known = read_list(config.known, config.settings)
         except Garbled as fault:
             self._log.say(f"known-list-unusable {str(fault)[:200]}")
-            return News(-1, True, (), {})
+            return -1
+        self._told(Change.CACHED, known)
+        return known.index
 
     def _told(self, change: Change, news: News) -> None:
+        self._listed = True
         for name, address in news.addresses.items():
             self._hosts.place(name, address)
         self._facade.told(clock.steady(), change, news.entries)
@@ -135,7 +139,7 @@
             self._counters.add("requests_malformed")
             link.answer(request, request.fault)
         elif path == b"/ready":
-            link.answer(request, 503 if self._leaving else 200)
+            link.answer(request, 200 if self._listed and not self._leaving else 503)
         elif path == b"/counters":
             link.answer(request, 200, self._counters.text())
         elif path != b"/api" or request.method != b"POST":
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -360,7 +360,7 @@
         (folder / "state").mkdir(exist_ok=True)
         self.start(file_most)
 
-    def start(self, file_most=None):
+    def start(self, file_most=None, ready=200):
         """`file_most`: bytes that the disk takes in one file."""
         config = {"known": self.platform.list() | {"index": 0}} | self.config
         (self.folder / "config.json").write_text(json.dumps(config))
@@ -373,7 +373,7 @@
                                             cwd=Path(__file__).parent.parent)
         if file_most:  # the log is written to as well, and is larger: only what comes after counts
             resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (file_most, resource.RLIM_INFINITY))
-        until(lambda: self.process.poll() is not None or self.get("/ready") == 200)
+        until(lambda: self.process.poll() is not None or self.get("/ready") == ready)
         assert self.process.poll() is None, self.log()
 
     def log(self):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -395,6 +395,22 @@
     assert {call.who for call in platform.calls[1:]} == {"h1"}
 
 
+def test_ready_only_once_a_list_is_there(start):
+    platform = Platform(hosts=1)
+    relay = start(platform)
+    relay.end()
+    relay.config["known"] = {"index": 3, "endpoints": [{"name": "h0", "status": "LOST"}]}
+    platform.silent = True
+    relay.start(ready=503)
+    time.sleep(0.2)
+    assert relay.get("/ready") == 503
+    relay.end()
+    platform.silent = False
+    relay.start()
+    relay.hand_in("a")
+    until(lambda: platform.sent("a"))
+
+
 def test_a_told_wait_binds(start):
     platform = Platform()
     platform.decide = lambda call: reply(429, Retry_After="0.8") if len(platform.calls) == 1 else reply(200)
