--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -20,24 +20,24 @@
 class Part(Generic[Item]):
     """One packet's part in a job."""
 
-    __slots__ = ("item", "job", "number", "over", "packet", "until")
+    __slots__ = ("_number", "_packet", "item", "job", "over", "until")
 
     def __init__(self, item: Item, job: Job[Item], until: int, packet: Packet, number: int) -> None:
         self.item = item
         self.job = job
         self.until = until  # how long to wait for its outcome
         self.over = False
-        self.packet = packet  # this and the number are for the facade alone
-        self.number = number
+        self._packet = packet  # this and the number are for the facade alone
+        self._number = number
 
 
 class Job(Generic[Item]):
     """One call to make: a host and what travels to it."""
 
-    __slots__ = ("goal", "host", "parts", "picked_at")
+    __slots__ = ("_goal", "host", "parts", "picked_at")
 
     def __init__(self, goal: Host, now: int) -> None:
-        self.goal = goal  # for the facade alone
+        self._goal = goal  # for the facade alone
         self.host = goal.id.decode()
         self.picked_at = now
         self.parts: list[Part[Item]] = []
@@ -94,9 +94,9 @@
         if part.over:
             return
         self._now, part.over = now, True
-        del self._parts[part.packet, part.number]
-        ident, latency = part.packet.id, now - part.job.picked_at
-        self._relay.trip_ended(now, ident, part.number, outcome, finished, latency, wait, load)
+        del self._parts[part._packet, part._number]
+        ident, latency = part._packet.id, now - part.job.picked_at
+        self._relay.trip_ended(now, ident, part._number, outcome, finished, latency, wait, load)
         if finished:
             self._items.pop(ident, None)
 
@@ -115,7 +115,7 @@
 
     def still(self, now: int, part: Part[Item]) -> bool:
         """Whether a part may be written now: its link may have come up long after the job was picked."""
-        return not part.packet.ended and self._relay.may_write(now, part.job.goal)
+        return not part._packet.ended and self._relay.may_write(now, part.job._goal)
 
     def pick(self) -> Job[Item] | None:
         """The next call to make."""
