--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -177,6 +177,22 @@
     assert len(platform.sent("out")) == 1 and not platform.sent("new") and not platform.notices
 
 
+def test_sigterm_waits_for_no_silent_host_beyond_its_time(start):
+    platform = Platform(hosts=1)
+    platform.decide = lambda call: None
+    relay = start(platform)
+    relay.hand_in("once", "once")
+    relay.hand_in("again")
+    until(lambda: len(platform.calls) == 2)
+    began = time.monotonic()
+    relay.send_signal(signal.SIGTERM)
+    assert relay.process.wait(6) == 0 and 3 < time.monotonic() - began < 3.7
+    platform.decide = lambda call: reply(200)
+    relay.start()
+    until(lambda: platform.noticed("once") == ["dead"] and platform.calls[-1].id == "again")
+    assert len(platform.sent("once")) == 1
+
+
 def test_sigterm_ends_an_idle_relay_only_after_late_connections(start):
     relay = start(Platform())
     relay.send_signal(signal.SIGTERM)
