--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -27,7 +27,7 @@
     log = Log(bounds.log_lines)
     loop.set_exception_handler(
         lambda _, what: log.say(f"fault {what.get('message')} {what.get('exception')!r}"))
-    journal = Journal(config.state, bounds.journal_file, bounds.journal_live)
+    journal = Journal(config.state, bounds.journal_file, bounds.journal_live, log.say)
     if journal.torn:
         log.must(f"journal-torn dropped_bytes={journal.torn}")
     desk = Desk(loop, config, facade, journal, log, counters)
@@ -49,9 +49,7 @@
     try:
         config = read_config(os.environ)
         uvloop.run(serve(config))
-    except Misconfigured as fault:
-        sys.exit(f"millweir: {fault}")
-    except OSError as fault:
+    except (Misconfigured, OSError) as fault:
         sys.exit(f"millweir: {fault}")
 
 
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -20,13 +20,12 @@
 class Part(Generic[Item]):
     """One packet's part in a job."""
 
-    __slots__ = ("_number", "_packet", "item", "job", "over", "until")
+    __slots__ = ("_number", "_packet", "item", "job", "until")
 
     def __init__(self, item: Item, job: Job[Item], until: int, packet: Packet, number: int) -> None:
         self.item = item
         self.job = job
         self.until = until  # how long to wait for its outcome
-        self.over = False
         self._packet = packet  # this and the number are for the facade alone
         self._number = number
 
@@ -91,10 +90,9 @@
     def report(self, now: int, part: Part[Item], outcome: Outcome, finished: bool = False, wait: int = 0,
                load: tuple[float, ...] = ()) -> None:
         """How one part of a job ended; `finished`: nothing more is owed for its packet."""
-        if part.over:
+        if self._parts.pop((part._packet, part._number), None) is None:
             return
-        self._now, part.over = now, True
-        del self._parts[part._packet, part._number]
+        self._now = now
         ident, latency = part._packet.id, now - part.job.picked_at
         self._relay.trip_ended(now, ident, part._number, outcome, finished, latency, wait, load)
         if finished:
--- a/millweir/net/clock.py
+++ b/millweir/net/clock.py
@@ -6,9 +6,6 @@
 import time
 from collections.abc import Callable
 
-MILLISECOND = 1_000_000
-SECOND = 1_000_000_000
-
 steady = time.monotonic_ns
 _WALL_AHEAD = time.time_ns() - time.monotonic_ns()
 
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -194,18 +194,12 @@
 
     def _give_up(self, parcel: Parcel, again: bool, wait: int) -> None:
         self._counters.add("packets_dismissed" if again else "packets_errored")
-        try:
-            self._journal.given_up(parcel, again, wait)
-        except OSError as fault:
-            self._log.say(f"journal-failed given-up {fault}")
+        self._journal.given_up(parcel, again, wait)
         self._notices.add(parcel)
 
     def _over(self, parcel: Parcel) -> None:
         if self._owed.pop(parcel.id, None):
-            try:
-                self._journal.over(parcel)
-            except OSError as fault:
-                self._log.say(f"journal-failed over {fault}")
+            self._journal.over(parcel)
 
     def leave(self) -> None:
         """SIGTERM: take nothing new, finish what can be finished; the journal keeps the rest."""
--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -8,8 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from millweir.interface import Bounds, Change, Entry, Phase, Settings
-from millweir.net import clock
+from millweir.interface import MILLISECOND, Bounds, Change, Entry, Phase, Settings
 from millweir.net.config import Misconfigured, read_address
 from millweir.net.counters import Counters
 from millweir.net.exchange import Exchange
@@ -62,14 +61,13 @@
                  counters: Counters) -> None:
         self._loop, self._settings, self._bounds = loop, settings, bounds
         self._index, self._told, self._log, self._counters = index, told, log, counters
-        self._host = f"{address[0]}:{address[1]}".encode()
         self._exchange = Exchange(loop, address, "discovery", bounds.list_most, self._took, log, counters)
 
     def start(self) -> None:
         """Ask; a version of none asks for the whole list."""
-        known = b"?since=%d&timeout_ms=%d" % (self._index, self._bounds.watch // clock.MILLISECOND)
+        known = b"?since=%d&timeout_ms=%d" % (self._index, self._bounds.watch // MILLISECOND)
         query = known if self._index >= 0 else b""
-        head = b"GET /v1/endpoints%b HTTP/1.1\r\nHost: %b\r\n\r\n" % (query, self._host)
+        head = b"GET /v1/endpoints%b HTTP/1.1\r\nHost: %b\r\n\r\n" % (query, self._exchange.host)
         self._exchange.ask([head], self._bounds.silence)
 
     def _took(self, reader: AnswerReader | None) -> None:
--- a/millweir/net/exchange.py
+++ b/millweir/net/exchange.py
@@ -18,6 +18,7 @@
                  took: Callable[[AnswerReader | None], None], log: Log, counters: Counters) -> None:
         self._loop, self._address, self._name, self._most = loop, address, name, most
         self._took, self._log, self._counters = took, log, counters
+        self.host = f"{address[0]}:{address[1]}".encode()  # for the heads of requests
         self._link: Link | None = None
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -51,21 +52,21 @@
         self._tell(None)
 
     def _give_up(self) -> None:
-        self._timer = None
         self.close("silent")
         self._tell(None)
 
     def _tell(self, reader: AnswerReader | None) -> None:
+        self._stop_timer()
+        self._took(reader)
+
+    def _stop_timer(self) -> None:
         if self._timer:
             self._timer.cancel()
             self._timer = None
-        self._took(reader)
 
     def close(self, reason: str = "exit") -> None:
         """Forget what was asked."""
-        if self._timer:
-            self._timer.cancel()
-            self._timer = None
+        self._stop_timer()
         if self._task and not self._task.done():
             self._task.cancel()
         if self._link:
--- a/millweir/net/heads.py
+++ b/millweir/net/heads.py
@@ -7,9 +7,11 @@
 
 import httptools
 
+from millweir.interface import MILLISECOND
+
 BODY_MOST = 64 * 1024
 ID_MOST = 128
-UNITS = {b"m": 1_000_000, b"u": 1_000}
+UNITS = {b"m": MILLISECOND, b"u": MILLISECOND // 1000}
 
 
 def read_span(text: bytes) -> int:
@@ -20,6 +22,13 @@
     return int(number) * UNITS[text[-1:]]
 
 
+def read_token(text: bytes) -> bytes:
+    """A name that goes on in heads and in JSON as it is; ValueError where it can't."""
+    if len(text) > ID_MOST or not text.isascii() or not text.decode().isprintable():
+        raise ValueError(f"no name: {text!r}")
+    return text
+
+
 def read_number(given: Any) -> float:
     """A rate or a share; ValueError where the module could not reckon with it."""
     number = float(given)
@@ -50,8 +59,8 @@
 class Request:
     """One request of a client, as far as read; `fault` is the status that it can only be answered with."""
 
-    __slots__ = ("account", "body", "complete", "destination", "fault", "id", "keep", "key", "left", "length",
-                 "mark", "method", "profile", "url")
+    __slots__ = ("account", "body", "destination", "fault", "id", "keep", "key", "left", "length", "mark",
+                 "method", "profile", "url")
 
     def __init__(self) -> None:
         self.method = self.url = self.id = self.profile = self.account = self.key = self.mark = b""
@@ -60,7 +69,6 @@
         self.body = b""
         self.fault = 0
         self.keep = True
-        self.complete = False
 
 
 class RequestReader:
@@ -119,9 +127,7 @@
         request, name = self._request, name.lower()
         try:
             if name == b"x-correlation-id":
-                if not 0 < len(value) <= ID_MOST or not value.isascii() or not value.decode().isprintable():
-                    raise ValueError("no id")
-                request.id = value
+                request.id = read_token(value)
             elif name == b"x-service-class":
                 request.profile = value
             elif name == b"x-time-left":
@@ -134,9 +140,7 @@
             elif name == b"x-account":
                 request.account = value
             elif name == b"idempotency-key":
-                if len(value) > ID_MOST or not value.isascii() or not value.decode().isprintable():
-                    raise ValueError("no mark")
-                request.mark = value
+                request.mark = read_token(value)
             elif name == b"cookie":
                 for field in value.split(b";"):
                     what, _, key = field.strip().partition(b"=")
@@ -161,7 +165,7 @@
 
     def on_message_complete(self) -> None:
         request = self._request
-        request.body, request.complete = b"".join(self._bodies), True
+        request.body = b"".join(self._bodies)
         if request.fault:
             request.keep = False
         self.requests.append(request)
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from millweir.facade import Job, Part
-from millweir.interface import Bounds, Outcome
+from millweir.interface import MILLISECOND, Bounds, Outcome
 from millweir.net import clock
 from millweir.net.counters import Counters
 from millweir.net.journal import Journal, Parcel
@@ -69,7 +69,7 @@
             return
         self._trips = {part: len(part.item.trips) - 1 for part in parts}
         self.link = link
-        left = max(1, -(-(max(part.until for part in parts) - now) // clock.MILLISECOND))
+        left = max(1, -(-(max(part.until for part in parts) - now) // MILLISECOND))
         if len(parts) == 1:
             parcel = parts[0].item
             path, body, ident = b"/hook", parcel.body, b"X-Correlation-Id: %b\r\n" % parcel.id
@@ -99,7 +99,7 @@
         if not self.waiting:
             self._hosts.done(self)
         if outcome.never_ran and part in self._trips:
-            self._hosts.journal_void(part.item, self._trips[part])
+            self._hosts.journal.void(part.item, self._trips[part])
         self._hosts.report(part, outcome, finished, wait, load)
 
     def all_over(self, outcome: Outcome, finished: bool = False, wait: int = 0, load: bytes = b"") -> None:
@@ -113,7 +113,7 @@
         if self.link is None:
             outcome = Outcome.UNCONNECTED  # nothing was written yet
         elif len(self.waiting) == 1:
-            self.link.close("given-up")
+            self.link.close("given-up", abort=True)
         self.over(part, outcome)
 
     def time_out(self) -> None:
@@ -247,12 +247,6 @@
         if call:
             call.give_up(part, Outcome.CANCELLED)
 
-    def journal_void(self, parcel: Parcel, at: int) -> None:
-        try:
-            self.journal.void(parcel, at)
-        except OSError as fault:  # after a restart it would count as having run: nothing runs twice for it
-            self.log.say(f"journal-failed void {fault}")
-
     def keep(self, door: Door, link: Link) -> None:
         """A link that is free again."""
         if link.open:
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -9,6 +9,7 @@
 import os
 import struct
 import zlib
+from collections.abc import Callable
 from pathlib import Path
 
 FRAME = struct.Struct("<II")
@@ -18,6 +19,7 @@
 GIVEN_UP = struct.Struct("<BQBq")  # kind, number, may come again, wait
 OVER = struct.Struct("<BQ")  # kind, number
 TAKEN_KIND, TRIP_KIND, VOID_KIND, GIVEN_UP_KIND, OVER_KIND = range(1, 6)
+TRIP_SIZE = 2 * FRAME.size + TRIP.size + VOID.size  # the most that one trip takes in a file
 FILE, NEW_FILE = "journal", "journal.new"
 
 
@@ -45,8 +47,7 @@
     def size(self) -> int:
         """The most that it takes in a file."""
         texts = sum(map(len, (*self.texts, self.body)))
-        trips = len(self.trips) * (2 * FRAME.size + TRIP.size + VOID.size)
-        return 2 * FRAME.size + TAKEN.size + GIVEN_UP.size + texts + trips
+        return 2 * FRAME.size + TAKEN.size + GIVEN_UP.size + texts + len(self.trips) * TRIP_SIZE
 
     @property
     def texts(self) -> tuple[bytes, ...]:
@@ -72,8 +73,8 @@
 class Journal:
     """Every parcel that is still owed its end, in memory and on disk alike."""
 
-    def __init__(self, folder: Path, file_most: int, live_most: int) -> None:
-        self._folder, self._file_most, self._live_most = folder, file_most, live_most
+    def __init__(self, folder: Path, file_most: int, live_most: int, say: Callable[[str], None]) -> None:
+        self._folder, self._file_most, self._live_most, self._say = folder, file_most, live_most, say
         self.owed: dict[int, Parcel] = {}
         self.torn = 0  # bytes dropped from the end of the file at start
         self._live = self._size = self._last = 0
@@ -99,24 +100,31 @@
         self._write([TRIP.pack(TRIP_KIND, parcel.number, at) for parcel in parcels])
         for parcel in parcels:
             parcel.trips.append([at, 0])
-            self._live += 2 * FRAME.size + TRIP.size + VOID.size
+            self._live += TRIP_SIZE
 
     def void(self, parcel: Parcel, at: int) -> None:
         """One of its trips never ran."""
         parcel.trips[at][1] = 1
         if parcel.number in self.owed:  # of what is over, nothing more is told
-            self._write([VOID.pack(VOID_KIND, parcel.number, at)])
+            self._note("void", VOID.pack(VOID_KIND, parcel.number, at))
 
     def given_up(self, parcel: Parcel, again: bool, wait: int) -> None:
         """Its end is known, the platform has yet to be told."""
         parcel.given_up = (again, wait)
-        self._write([GIVEN_UP.pack(GIVEN_UP_KIND, parcel.number, again, wait)])
+        self._note("given-up", GIVEN_UP.pack(GIVEN_UP_KIND, parcel.number, again, wait))
 
     def over(self, parcel: Parcel) -> None:
         """Nothing more is owed for it."""
         if self.owed.pop(parcel.number, None):
             self._live -= parcel.size
-            self._write([OVER.pack(OVER_KIND, parcel.number)])
+            self._note("over", OVER.pack(OVER_KIND, parcel.number))
+
+    def _note(self, what: str, body: bytes) -> None:
+        """Where the disk won't take it, work goes on; after a restart less is known to have ended."""
+        try:
+            self._write([body])
+        except OSError as fault:
+            self._say(f"journal-failed {what} {fault}")
 
     def _write(self, bodies: list[bytes]) -> None:
         raw = framed(bodies)
--- a/millweir/net/links.py
+++ b/millweir/net/links.py
@@ -47,16 +47,16 @@
         self.reader.reset()
         self._transport.writelines(pieces)
 
-    def close(self, reason: str) -> None:
+    def close(self, reason: str, abort: bool = False) -> None:
         """End the connection at once; nobody hears of it any more."""
         self._asker = None
-        self._end(reason)
+        self._end(reason, abort)
 
-    def _end(self, reason: str) -> None:
+    def _end(self, reason: str, abort: bool = False) -> None:
         if self.open:
             self.open = False
             self._reason = reason
-            self._transport.abort() if reason == "given-up" else self._transport.close()
+            self._transport.abort() if abort else self._transport.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
--- a/millweir/net/log.py
+++ b/millweir/net/log.py
@@ -4,6 +4,7 @@
 
 import sys
 
+from millweir.interface import SECOND
 from millweir.net import clock
 
 
@@ -19,7 +20,7 @@
 
     def say(self, text: str) -> None:
         now = clock.steady()
-        if now - self._at >= clock.SECOND:
+        if now - self._at >= SECOND:
             self._at, self._left = now, self._rate
             if self._missed:
                 self.must(f"log dropped={self._missed}")
--- a/millweir/net/notices.py
+++ b/millweir/net/notices.py
@@ -6,8 +6,7 @@
 import json
 from collections.abc import Callable
 
-from millweir.interface import Bounds
-from millweir.net import clock
+from millweir.interface import MILLISECOND, Bounds
 from millweir.net.counters import Counters
 from millweir.net.exchange import Exchange
 from millweir.net.heads import AnswerReader
@@ -21,7 +20,6 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], bounds: Bounds,
                  done: Callable[[Parcel], None], log: Log, counters: Counters) -> None:
         self._loop, self._bounds, self._done, self._log, self._counters = loop, bounds, done, log, counters
-        self._host = f"{address[0]}:{address[1]}".encode()
         self._exchange = Exchange(loop, address, "notices", bounds.answer_most, self._took, log, counters)
         self._waiting: dict[Parcel, None] = {}
         self._sent: list[Parcel] = []
@@ -46,11 +44,11 @@
             again, wait = parcel.given_up
             line = {"ref": parcel.id.decode(), "result": "bounced" if again else "dead"}
             if again and wait:
-                line["wait_ms"] = -(-wait // clock.MILLISECOND)
+                line["wait_ms"] = -(-wait // MILLISECOND)
             lines.append(json.dumps(line, separators=(",", ":")) + "\n")
         body = "".join(lines).encode()
         length = b"Content-Length: %d\r\n\r\n" % len(body)
-        head = b"POST /v1/notices HTTP/1.1\r\nHost: %b\r\n%b" % (self._host, length)
+        head = b"POST /v1/notices HTTP/1.1\r\nHost: %b\r\n%b" % (self._exchange.host, length)
         self._exchange.ask([head, body], self._bounds.resend)
 
     def _took(self, reader: AnswerReader | None) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -26,7 +26,7 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_journal_holds_what_is_owed_whatever_is_cut_off_its_end(seed, tmp_path):
     chance = random.Random(seed)
-    journal = Journal(tmp_path, 20_000, 15_000)
+    journal = Journal(tmp_path, 20_000, 15_000, print)
     path, steps, ended = tmp_path / FILE, [], []
     for n in range(400):
         owed = list(journal.owed.values())
@@ -53,7 +53,7 @@
     raw = path.read_bytes()
     for cut in [len(raw), *(chance.randrange(steps[0][0], len(raw) + 1) for _ in range(20))]:
         path.write_bytes(raw[:cut])
-        again = Journal(tmp_path, 20_000, 15_000)
+        again = Journal(tmp_path, 20_000, 15_000, print)
         whole = [seen for size, seen in steps if size <= cut]
         assert repr(state(again)) == whole[-1]
         assert again.room == 15_000 - sum(p.size for p in again.owed.values())
@@ -61,17 +61,17 @@
 
 
 def test_journal_that_is_damaged_in_the_middle_keeps_what_comes_before(tmp_path):
-    journal = Journal(tmp_path, 20_000, 15_000)
+    journal = Journal(tmp_path, 20_000, 15_000, print)
     for n in range(3):
         journal.taken(parcel(b"p%d" % n))
     raw = bytearray((tmp_path / FILE).read_bytes())
     raw[len(raw) // 2] ^= 1
     (tmp_path / FILE).write_bytes(raw)
-    assert [p.id for p in Journal(tmp_path, 20_000, 15_000).owed.values()] == [b"p0"]
+    assert [p.id for p in Journal(tmp_path, 20_000, 15_000, print).owed.values()] == [b"p0"]
 
 
 def test_a_late_word_on_what_is_over_hides_nothing_that_comes_after_it(tmp_path):
-    journal = Journal(tmp_path, 20_000, 15_000)
+    journal = Journal(tmp_path, 20_000, 15_000, print)
     first, second = parcel(b"a"), parcel(b"b")
     journal.taken(first)
     journal.trip([first], 1)
@@ -80,16 +80,16 @@
     with open(tmp_path / FILE, "ab") as file:  # as an earlier build wrote it
         file.write(framed([VOID.pack(VOID_KIND, first.number, 0)]))
     journal.taken(second)
-    again = Journal(tmp_path, 20_000, 15_000)
+    again = Journal(tmp_path, 20_000, 15_000, print)
     assert [p.id for p in again.owed.values()] == [b"b"] and not again.torn
 
 
 def test_journal_numbers_go_on_after_a_restart(tmp_path):
-    journal = Journal(tmp_path, 20_000, 15_000)
+    journal = Journal(tmp_path, 20_000, 15_000, print)
     journal.taken(parcel(b"a"))
-    again = Journal(tmp_path, 20_000, 15_000)
+    again = Journal(tmp_path, 20_000, 15_000, print)
     again.taken(parcel(b"b"))
-    assert [p.id for p in Journal(tmp_path, 20_000, 15_000).owed.values()] == [b"a", b"b"]
+    assert [p.id for p in Journal(tmp_path, 20_000, 15_000, print).owed.values()] == [b"a", b"b"]
 
 
 @pytest.mark.parametrize("seed", range(4))
