SIGHUP moves the watch and the notices to the discovery that the configuration names

Now __main__.reload reads the file again; the address in use is asked on until the new one gives its first answer (asked to come at once), so there is no gap; a notice that is out is answered where it went, or sent again to the new address. A file that can't be used changes nothing. Tests over sockets: three moves in a row with hosts and notices following, four bad files, a new address where nobody is.

--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -19,6 +19,20 @@
 from millweir.net.log import Log
 
 
+def reload(config: Config, desk: Desk, log: Log) -> None:
+    """Read the configuration once more; one that can't be used changes nothing."""
+    try:
+        fresh = read_config(os.environ, again=True)
+    except Misconfigured as fault:
+        log.must(f"reload-failed {str(fault)[:300]}")
+        return
+    parts = ("listen", "state", "limits", "settings")
+    later = [part for part in parts if getattr(config, part) != getattr(fresh, part)]
+    log.must(f"reloaded discovery={':'.join(map(str, fresh.discovery))} "
+             f"at-next-start={','.join(later) or 'none'}")
+    desk.reload(fresh)
+
+
 async def serve(config: Config) -> None:
     """Run until told to stop."""
     loop, counters = asyncio.get_running_loop(), Counters()
@@ -33,9 +47,11 @@
     desk = Desk(loop, config, facade, journal, log, counters)
     loop.add_signal_handler(signal.SIGTERM, desk.leave)
     loop.add_signal_handler(signal.SIGINT, desk.leave)
+    loop.add_signal_handler(signal.SIGHUP, reload, config, desk, log)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.must(counters.line()))
     server = await loop.create_server(lambda: ClientLink(desk.clients), *config.listen, backlog=512)
-    log.must(f"ready name={config.name} listen={':'.join(map(str, config.listen))} owed={len(journal.owed)}")
+    log.must(f"ready name={config.name} listen={':'.join(map(str, config.listen))} "
+             f"discovery={':'.join(map(str, config.discovery))} owed={len(journal.owed)}")
     await desk.stopped
     server.close()
     for _ in range(8):  # rounds of the loop in which what was read up to now gets its answer
@@ -46,6 +62,7 @@
 
 
 def main() -> None:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is heeded: what it tells of is read below anyway
     try:
         config = read_config(os.environ)
         uvloop.run(serve(config))
--- a/millweir/net/config.py
+++ b/millweir/net/config.py
@@ -41,8 +41,11 @@
     return host, int(port)
 
 
-def read_config(environ: Mapping[str, str]) -> Config:
-    """Read RELAY_CONFIG; the other variables win over what the file says."""
+def read_config(environ: Mapping[str, str], again: bool = False) -> Config:
+    """Read RELAY_CONFIG; at start the other variables win over what the file says.
+
+    When it is read again, they still say what was so at the start: the file's word on discovery is newer.
+    """
     path = environ.get("RELAY_CONFIG")
     if not path:
         raise Misconfigured("RELAY_CONFIG is not set")
@@ -61,11 +64,12 @@
         raise Misconfigured(f"RELAY_STATE {state} is no folder that can be written to")
     try:
         limits, known = given.get("limits") or {}, given.get("known") or {}
+        told = environ.get("RELAY_DISCOVERY")
+        discovery = given.get("discovery") or told if again else told or given.get("discovery")
         return Config(
             name=str(environ.get("RELAY_NAME") or given.get("name", "")),
             listen=read_address(environ.get("RELAY_LISTEN") or given.get("listen"), "RELAY_LISTEN"),
-            discovery=read_address(environ.get("RELAY_DISCOVERY") or given.get("discovery"),
-                                   "RELAY_DISCOVERY"),
+            discovery=read_address(discovery, "RELAY_DISCOVERY"),
             state=Path(state),
             seed=int(str(given.get("seed", "0")), 16),
             limits=Limits(int(limits.get("sockets", 1024)), int(limits.get("disk_mb", 1) * MEGABYTE)),
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -30,6 +30,7 @@
         self._profiles = {profile.name.encode(): at for at, profile in enumerate(settings.profiles)}
         self._tenants = {tenant.name.encode(): at for at, tenant in enumerate(settings.tenants)}
         self._reports = settings.reports
+        self._discovery = config.discovery
         self._owed: dict[bytes, Parcel] = {}
         self._scheduled = self._listed = self._leaving = self._lingered = False
         self._alarm: asyncio.TimerHandle | None = None
@@ -44,7 +45,6 @@
             self._restore(parcel)
         self._watch = Watch(loop, config.discovery, settings, bounds, index, self._told, log,
                             counters)
-        self._watch.start()
         self.wake()
 
     def _read_known(self, config: Config) -> int:
@@ -201,6 +201,13 @@
         if self._owed.pop(parcel.id, None):
             self._journal.over(parcel)
 
+    def reload(self, config: Config) -> None:
+        """SIGHUP: discovery and notices move to the address given now; all else is as at the start."""
+        if config.discovery != self._discovery:
+            self._discovery = config.discovery
+            self._watch.move(config.discovery)
+            self._notices.move(config.discovery)
+
     def leave(self) -> None:
         """SIGTERM: take nothing new, finish what can be finished; the journal keeps the rest."""
         if self._leaving:
--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -53,24 +53,66 @@
         raise Garbled(repr(fault)) from fault
 
 
+class Feed:
+    """One address of discovery, asked again as soon as it has answered."""
+
+    __slots__ = ("_exchange", "_loop", "_watch", "closed", "proven")
+
+    def __init__(self, watch: Watch, loop: asyncio.AbstractEventLoop, address: tuple[str, int], most: int,
+                 log: Log, counters: Counters) -> None:
+        self._watch, self._loop = watch, loop
+        self._exchange = Exchange(loop, address, "discovery", most, self._took, log, counters)
+        self.proven = self.closed = False
+
+    def ask(self) -> None:
+        if not self.closed:
+            query = self._watch.query(self.proven)
+            head = b"GET /v1/endpoints%b HTTP/1.1\r\nHost: %b\r\n\r\n" % (query, self._exchange.host)
+            self._exchange.ask([head], self._watch.bounds.silence)
+
+    def _took(self, reader: AnswerReader | None) -> None:
+        if self.closed:
+            return
+        if self._watch.heard(self, reader):
+            self.ask()
+        else:
+            self._loop.call_later(self._watch.bounds.redial / 1e9, self.ask)
+
+    def close(self) -> None:
+        self.closed = True
+        self._exchange.close("moved")
+
+
 class Watch:
     """Keeps asking for what is newer than the version at hand; while discovery is silent, that one stays."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], settings: Settings,
                  bounds: Bounds, index: int, told: Callable[[Change, News], None], log: Log,
                  counters: Counters) -> None:
-        self._loop, self._settings, self._bounds = loop, settings, bounds
+        self._loop, self._settings, self.bounds = loop, settings, bounds
         self._index, self._told, self._log, self._counters = index, told, log, counters
-        self._exchange = Exchange(loop, address, "discovery", bounds.list_most, self._took, log, counters)
-
-    def start(self) -> None:
-        """Ask; a version of none asks for the whole list."""
-        known = b"?since=%d&timeout_ms=%d" % (self._index, self._bounds.watch // MILLISECOND)
-        query = known if self._index >= 0 else b""
-        head = b"GET /v1/endpoints%b HTTP/1.1\r\nHost: %b\r\n\r\n" % (query, self._exchange.host)
-        self._exchange.ask([head], self._bounds.silence)
-
-    def _took(self, reader: AnswerReader | None) -> None:
+        self._feeds: list[Feed] = []  # the one in use first, then the one that is to take its place
+        self.move(address)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Ask there from now on.
+
+        Guards against a gap in what is told: the address in use is asked on until the new one answers.
+        """
+        for feed in self._feeds[1:]:
+            feed.close()
+        del self._feeds[1:]
+        self._feeds.append(
+            Feed(self, self._loop, address, self.bounds.list_most, self._log, self._counters))
+        self._feeds[-1].ask()
+
+    def query(self, proven: bool) -> bytes:
+        """What to ask for; a version of none asks for the whole list, a first answer is wanted at once."""
+        wait = self.bounds.watch // MILLISECOND if proven or len(self._feeds) < 2 else 1
+        return b"?since=%d&timeout_ms=%d" % (self._index, wait) if self._index >= 0 else b""
+
+    def heard(self, feed: Feed, reader: AnswerReader | None) -> bool:
+        """Take in an answer; False where it is none."""
         try:
             if reader is None or reader.status != 200:
                 raise Garbled("no answer" if reader is None else f"status {reader.status}")
@@ -78,13 +120,16 @@
         except (Garbled, ValueError, RecursionError) as fault:
             self._counters.add("list_failures")
             self._log.say(f"list-failed {str(fault)[:200]}")
-            self._loop.call_later(self._bounds.redial / 1e9, self.start)
-            return
+            return False
+        feed.proven = True
+        while self._feeds[0] is not feed and feed in self._feeds:
+            self._feeds.pop(0).close()
         self._index = news.index
         self._counters.add("lists_told")
         if news.whole or news.entries:
             self._told(Change.FULL if news.whole else Change.DELTA, news)
-        self.start()
+        return True
 
     def close(self) -> None:
-        self._exchange.close()
+        for feed in self._feeds:
+            feed.close()
--- a/millweir/net/notices.py
+++ b/millweir/net/notices.py
@@ -19,13 +19,30 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], bounds: Bounds,
                  done: Callable[[Parcel], None], log: Log, counters: Counters) -> None:
-        self._loop, self._bounds, self._done, self._log, self._counters = loop, bounds, done, log, counters
-        self._exchange = Exchange(loop, address, "notices", bounds.answer_most, self._took, log, counters)
+        self._loop, self._bounds, self._done, self._log = loop, bounds, done, log
+        self._counters = counters
+        self._exchange = self._to(address)
+        self._next: Exchange | None = None  # takes its place once what is out has its answer
         self._waiting: dict[Parcel, None] = {}
         self._sent: list[Parcel] = []
         self._most = bounds.notices
         self._resting = False
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Send to that address from now on; what is out at the old one is answered there or sent again."""
+        self._next = self._to(address)
+        if not self._sent:
+            self._change_over()
+
+    def _to(self, address: tuple[str, int]) -> Exchange:
+        most = self._bounds.answer_most
+        return Exchange(self._loop, address, "notices", most, self._took, self._log, self._counters)
+
+    def _change_over(self) -> None:
+        if self._next:
+            self._exchange.close("moved")
+            self._exchange, self._next = self._next, None
+
     @property
     def busy(self) -> bool:
         return bool(self._waiting or self._sent)
@@ -53,6 +70,7 @@
 
     def _took(self, reader: AnswerReader | None) -> None:
         sent, self._sent = self._sent, []
+        self._change_over()
         if reader is not None and reader.status == 204:
             self._counters.add("notices_sent", len(sent))
             self._most = self._bounds.notices
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -246,6 +246,11 @@
     return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{head}\r\n".encode() + body
 
 
+def cut(link):
+    with contextlib.suppress(OSError):  # ended already
+        link.shutdown(socket.SHUT_RDWR)
+
+
 class Heard:
     """One request as a stand-in read it."""
 
@@ -266,7 +271,7 @@
     """Hosts and discovery; `decide` answers: bytes, (bytes,) and the end, None for silence, or "reset"."""
 
     def __init__(self, hosts=2, kind="small", rate=50.0):
-        self.calls, self.notices, self.notice_calls, self.links = [], [], 0, 0
+        self.calls, self.notices, self.notice_calls, self.links, self.open = [], [], 0, 0, {}
         self.decide = lambda call: reply(200)
         self.notice_status, self.raw_list, self.silent = 204, None, False
         self.changed = threading.Condition()
@@ -288,14 +293,27 @@
         rows = [row for row in self.rows.values() if row["index"] > since]
         return {"index": self.index, "snapshot": since < 0, "endpoints": rows}
 
+    def move(self):
+        """Discovery at a new address; the old one takes no new connection and soon closes those it has."""
+        listener, links = self.open["discovery"]
+        listener.shutdown(socket.SHUT_RDWR)
+        threading.Timer(0.5, lambda: [cut(link) for link in links]).start()
+        self.discovery = self.serve("discovery", self.discover)
+        return self.discovery
+
     def serve(self, who, handle):
         listener = socket.create_server(("127.0.0.1", 0))
+        self.open[who] = listener, []
         threading.Thread(target=self.accept, args=(listener, who, handle), daemon=True).start()
         return f"127.0.0.1:{listener.getsockname()[1]}"
 
     def accept(self, listener, who, handle):
         while True:
-            link, _ = listener.accept()
+            try:
+                link, _ = listener.accept()
+            except OSError:
+                return  # shut
+            self.open[who][1].append(link)
             self.links += who != "discovery"
             threading.Thread(target=self.talk, args=(link, who, handle), daemon=True).start()
 
@@ -376,6 +394,13 @@
         until(lambda: self.process.poll() is not None or self.get("/ready") == ready)
         assert self.process.poll() is None, self.log()
 
+    def reload(self, config):
+        """Replace the configuration (text, or changes to it) and send SIGHUP."""
+        fresh = self.folder / "fresh"
+        fresh.write_text(config if isinstance(config, str) else json.dumps(self.config | config))
+        fresh.rename(self.folder / "config.json")
+        self.send_signal(signal.SIGHUP)
+
     def log(self):
         return (self.folder / "log").read_text()
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -411,6 +411,41 @@
     assert {call.who for call in platform.calls[1:]} == {"h1"}
 
 
+def test_sighup_moves_to_the_new_discovery_without_a_gap_and_a_bad_file_changes_nothing(start):
+    platform = Platform(hosts=1)
+    platform.decide = lambda call: reply(500)
+    relay = start(platform)
+    for n, bad in enumerate(("{", "[]", json.dumps(relay.config | {"discovery": "nowhere"}), "{}")):
+        relay.reload(bad)
+        until(lambda n=n: relay.log().count("reload-failed") == n + 1)
+    for n in range(3):
+        relay.hand_in(f"before{n}", "once")
+        relay.reload({"discovery": platform.move()})
+        platform.add(f"new{n}", group=n + 1)
+        relay.hand_in(f"after{n}", "once", dest=n + 1)
+        until(lambda n=n: platform.sent(f"after{n}"), 1)
+        until(lambda n=n: {f"before{n}", f"after{n}"} <= {notice["ref"] for notice in platform.notices}, 1)
+        time.sleep(0.7)
+    assert len(platform.notices) == 6 and relay.process.poll() is None and "Traceback" not in relay.log()
+
+
+def test_sighup_keeps_the_old_discovery_while_the_new_one_is_not_there(start):
+    platform = Platform(hosts=1)
+    relay = start(platform)
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        nobody = f"127.0.0.1:{free.getsockname()[1]}"
+    relay.reload({"discovery": nobody})
+    until(lambda: "reloaded discovery=" in relay.log())
+    platform.add("h5", group=5)
+    relay.hand_in("a", dest=5)
+    until(lambda: platform.sent("a"), 2)
+    relay.reload({"discovery": platform.move()})
+    time.sleep(0.7)
+    platform.add("h6", group=6)
+    relay.hand_in("b", dest=6)
+    until(lambda: platform.sent("b"), 2)
+
+
 def test_ready_only_once_a_list_is_there(start):
     platform = Platform(hosts=1)
     relay = start(platform)
