Bad clients: unknown destinations and ended ids not taken on, silent and slow ones closed

A probe that printed each packet taken on and each call answered 400: all of the first were for destination 70000, which no list names (control.refusal asked for none); the second came from ids of packets that had just ended, handed in again by strangers with an empty body (desk._take knew only what is owed now). Such a packet spoilt its whole call, up to twelve times, for up to four others (400 counted as 'never ran, try again', hosts.STATUSES). Ruled out: bodies, marks and heads sent on were as handed in. Now: a destination has to have been named by a list; ids are remembered to their hard stop, bounded by memory; what comes back unreadable goes again alone and is dismissed if it was alone. On reading besides: nobody ended a silent or half-sent request; a request's length counted bytes of others in one piece; fields behind a chunked body overwrote those of the head; fields given twice; an answer to a refused upload was lost in a reset; drains in the known list had a new grace after a restart.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -38,12 +38,14 @@
 
 def bounds(settings: Settings, limits: Limits) -> Bounds:
     """What the network code keeps to: links, journal, waits for discovery, the stop and the log."""
+    half, memory, head, body = SECOND // 2, limits.memory // 8, 16 << 10, 64 << 10
     return Bounds(link_life=settings.idle_close * 9 // 10,  # idle for longer, the other end may be closing it
-                  host_links=limits.descriptors // 4, client_links=limits.descriptors // 3,
-                  journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # two fit
-                  resend=SECOND, redial=SECOND // 20, watch=20 * SECOND, silence=30 * SECOND,
-                  linger=SECOND // 2, leave=33 * SECOND // 10, log_lines=200, orphans_again=False,
-                  head_most=16 << 10, answer_most=64 << 10, list_most=16 << 20, notices=500)
+                  host_links=limits.descriptors // 4, ids_known=memory >> 10, head_most=head, body_most=body,
+                  client_links=min(limits.descriptors // 3, memory // (head + body)), request=4 * half,
+                  doubtful=half, journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # two fit
+                  resend=SECOND, redial=SECOND // 20, watch=20 * SECOND, silence=30 * SECOND, linger=half,
+                  leave=33 * SECOND // 10, log_lines=200, orphans_again=False, answer_most=body,
+                  list_most=min(16 << 20, memory), notices=500)
 
 
 class Relay:
@@ -109,7 +111,8 @@
         for entry in entries:
             if entry.phase is not Phase.GONE:
                 host = self._hosts.get(entry.host) or self._meet(entry)
-                host.left_at = 0 if entry.phase is Phase.READY else host.left_at or now
+                told = max(1, now - self._grace) if change is Change.CACHED else now  # in an earlier life
+                host.left_at = 0 if entry.phase is Phase.READY else host.left_at or told
                 if host not in host.destination.hosts:
                     host.destination.hosts.append(host)
                 if self._known_rates and entry.rate > 0 and entry.rate != host.route.listed:
@@ -126,10 +129,11 @@
             route.limit = min(top, max((route.share * top) ** 0.5, SECOND / ROUND))
         return self._hosts.setdefault(entry.host, Host(entry, home, route))
 
-    def refusal(self, size: int, room: int) -> int:
+    def refusal(self, destination: int, size: int, room: int) -> int:
         """0 where a packet may be handed in and stored, else how long its client ought to wait."""
-        full = self._max_open and self._open >= self._max_open
-        return ROUND if full or size > room or self._leave_at < NEVER else 0
+        full, home = self._max_open and self._open >= self._max_open, self._destinations.get(destination)
+        listed = home and home.route  # what no list has named yet may be a destination later, or never
+        return ROUND if full or not listed or size > room or self._leave_at < NEVER else 0
 
     def leave(self, leave_at: int) -> None:
         """Told to stop then: nothing more is taken, and no call goes out that may outlast the process."""
@@ -173,9 +177,8 @@
 
     def _make_room(self) -> None:
         """Guards the packet table: when it is full, the held packet worth least now comes again later."""
-        later = self._now + ROUND
         held = (p for home in self._destinations.values() for p in home.held.values() if not self._risky(p))
-        worst = min(held, key=lambda p: self._worth(p, later), default=None)
+        worst = min(held, key=lambda p: self._worth(p, self._now + ROUND), default=None)
         if worst:
             self._finish(worst)
 
@@ -224,7 +227,8 @@
             self._forget(packet)
         elif finished:
             self._end(packet)
-        elif self._may_go_again(packet):
+        elif self._may_go_again(packet) and (outcome is not Outcome.UNREADABLE or len(trip.call.trips) > 1):
+            packet.alone |= outcome is Outcome.UNREADABLE  # guards those that travel with what none can read
             packet.destination.held[ident] = packet
         else:
             self._finish(packet)
@@ -273,7 +277,8 @@
             route.raised_at = min(route.raised_at, self._now)
             if call.idle >= STALE_LEAST:
                 host.lost = 0
-                self._idle_answered.append((self._now, call.idle))
+                recent = [pair for pair in self._idle_answered if pair[0] > self._now - STALE_PROOF]
+                self._idle_answered = [*recent, (self._now, call.idle)]
         elif outcome is Outcome.FULL:
             if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
                 if route.limit <= route.share * LEAST:  # hardly anything was sent: sick, not full
@@ -303,7 +308,7 @@
                 (self._all_went_ill if latency >= self._slow else self._went_ill)(host, SICK / 2)
         elif outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
-        elif outcome is not Outcome.MOOT and outcome is not Outcome.CANCELLED and not call.late:
+        elif outcome in (Outcome.FAULT, Outcome.TIMED_OUT, Outcome.RESET) and not call.late:
             self._went_ill(host, FAILED_WEIGHT)
 
     def _link_lost(self, call: Call, weight: float, reset: bool) -> None:
@@ -317,8 +322,7 @@
         host.idle_lost = min(host.idle_lost, call.idle) if host.lost else call.idle
         host.lost, host.idle_lost_at = host.lost + (2 if reset else 1), self._now
         recent = self._now - STALE_PROOF
-        self._idle_answered = [(at, idle) for at, idle in self._idle_answered if at > recent]
-        longest = max((idle for _, idle in self._idle_answered), default=0)
+        longest = max((idle for at, idle in self._idle_answered if at > recent), default=0)
         lost = sum(h.idle_lost_at > recent and h.idle_lost > longest for h in self._hosts.values())
         if lost >= STALE_HOSTS:
             self._stale_at = self._now
@@ -389,10 +393,9 @@
                 self._wake = min(self._wake, call.yields_at)
                 continue
             wanted -= 1
-            if not call.given_up:
-                call.given_up = True
-                for packet, number in call.trips:
-                    self._port.cancel(packet, number)
+            for packet, number in () if call.given_up else call.trips:
+                self._port.cancel(packet, number)
+            call.given_up = True
 
     def _enter(self, at: int, what: Packet | Call | Host | Key | None) -> None:
         heappush(self._agenda, (at, self._order(), what))
@@ -414,8 +417,7 @@
                     what.freed_at = self._now
                     self._port.free_links(what)
             elif what.left and not what.late:
-                what.late = True
-                what.host.overdue += 1
+                what.late, what.host.overdue = True, what.host.overdue + 1
                 self._overdue[what] = None
                 silent = what.host.used_at < what.sent_at  # it answered nothing in all that time
                 self._link_lost(what, SICK / 2 if silent else FAILED_WEIGHT, reset=False)
@@ -439,17 +441,15 @@
         route, now = host.route, self._now
         opens = max(route.wait_until, self._trickle_opens(host) if host.pace else 0,
                     host.clear_at if host.out >= host.links else 0)
+        if opens <= now:
+            if route.pressed and route.limit < route.top and now - route.raised_at >= ROUND:
+                route.limit = min(route.top, route.limit + RAISE * max(route.share, route.limit))
+                route.raised_at, route.pressed = now, False
+            opens = self._log_opens(route)
+            route.pressed |= opens > now
         if opens > now:
             self._wake = min(self._wake, opens)
             return False
-        if route.pressed and route.limit < route.top and now - route.raised_at >= ROUND:
-            route.limit = min(route.top, route.limit + RAISE * max(route.share, route.limit))
-            route.raised_at, route.pressed = now, False
-        opens = self._log_opens(route)
-        if opens > now:
-            route.pressed = True
-            self._wake = min(self._wake, opens)
-            return False
         on_trial = host.pace and not host.back_at and host.out > host.overdue
         return not on_trial and route.out < self._route_slots and now + self._patience(host) <= self._leave_at
 
@@ -476,7 +476,8 @@
             ranked.append((loss, packet))
         ranked.sort(key=lambda pair: -pair[0])
         most = self._bundle[hosts[0].kind] if hosts[0].kind < len(self._bundle) else 1
-        ranked = ranked[:1 if trial else most]
+        alone = trial or ranked and ranked[0][1].alone
+        ranked = ranked[:1] if alone else [pair for pair in ranked if not pair[1].alone][:most]
         saved = sum(loss for loss, _ in ranked) * SECOND / took
         return (saved, home, hosts, [packet for _, packet in ranked]) if ranked else None
 
@@ -508,8 +509,7 @@
             packet.destination.held.pop(packet.id)
             call.trips.append((packet, len(packet.trips)))
             packet.trips.append(Trip(call))
-            packet.out += 1
-            call.left += 1
+            packet.out, call.left = packet.out + 1, call.left + 1
             self._port.send(packet, host, self._time_out(packet, patience, len(packets) == 1))
         route.log.append(now)
         route.out, host.out, self._out, host.tried_at = route.out + 1, host.out + 1, self._out + 1, now
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -71,9 +71,9 @@
 
     # What the caller tells.
 
-    def refusal(self, size: int, room: int) -> int:
+    def refusal(self, destination: int, size: int, room: int) -> int:
         """0 where a packet of that size may be handed in, else how long its client ought to wait."""
-        return self._relay.refusal(size, room)
+        return self._relay.refusal(destination, size, room)
 
     def take(self, now: int, item: Item, profile: int, tenant: int, key: int, hard_stop: int,
              destination: int, earlier: tuple[tuple[int, bool], ...] = ()) -> None:
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -34,11 +34,12 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
+    UNREADABLE = "unreadable"
 
     @property
     def never_ran(self) -> bool:
         """All others may have."""
-        return self in (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
+        return self in (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT, Outcome.UNREADABLE)
 
 
 class Change(Enum):
@@ -137,6 +138,7 @@
 
     descriptors: int
     disk: int
+    memory: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +148,9 @@
     link_life: int
     host_links: int
     client_links: int
+    request: int
+    doubtful: int
+    ids_known: int
     journal_file: int
     journal_live: int
     resend: int
@@ -156,6 +161,7 @@
     leave: int
     log_lines: int
     head_most: int
+    body_most: int
     answer_most: int
     list_most: int
     notices: int
--- a/millweir/net/config.py
+++ b/millweir/net/config.py
@@ -72,7 +72,8 @@
             discovery=read_address(discovery, "RELAY_DISCOVERY"),
             state=Path(state),
             seed=int(str(given.get("seed", "0")), 16),
-            limits=Limits(int(limits.get("sockets", 1024)), int(limits.get("disk_mb", 1) * MEGABYTE)),
+            limits=Limits(int(limits.get("sockets", 1024)), int(limits.get("disk_mb", 1) * MEGABYTE),
+                          int(limits.get("memory_mb", 64) * MEGABYTE)),
             known=known,
             settings=read_settings(given["settings"]),
         )
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -32,6 +32,7 @@
         self._reports = settings.reports
         self._discovery = config.discovery
         self._owed: dict[bytes, Parcel] = {}
+        self._ended: dict[bytes, int] = {}  # ids no longer owed, the one that ended first at the front
         self._scheduled = self._listed = self._leaving = self._lingered = False
         self._alarm: asyncio.TimerHandle | None = None
         self._alarm_at = 0
@@ -153,19 +154,21 @@
             self._take(link, request)
 
     def _take(self, link: ClientLink, request: Request) -> None:
-        if request.id in self._owed:  # the same request once more: it is taken on already
+        if request.id in self._owed or request.id in self._ended:
+            # The same request once more, or a stranger's under its id: that id is taken on already.  Guards
+            # rule 2 and the packets it would travel with: hosts can't use a second body under one id.
             link.answer(request, 202)
             return
         hard_stop = clock.to_wall(clock.steady() + request.left)
         parcel = Parcel(request.id, request.profile, request.account, request.key, request.mark,
                         request.destination, hard_stop, request.body)
-        wait = self._facade.refusal(parcel.size, self._journal.room)
+        wait = self._facade.refusal(parcel.destination, parcel.size, self._journal.room)
         if not wait:
             try:
                 self._journal.taken(parcel)
             except OSError as fault:
                 self._log.say(f"journal-failed taken {fault}")
-                wait = self._facade.refusal(1, 0)
+                wait = self._facade.refusal(parcel.destination, 1, 0)
         if wait:
             self._counters.add("packets_refused")
             link.answer(request, 503, wait=wait, keep=not self._leaving)
@@ -200,6 +203,10 @@
     def _over(self, parcel: Parcel) -> None:
         if self._owed.pop(parcel.id, None):
             self._journal.over(parcel)
+            self._ended[parcel.id] = clock.from_wall(parcel.hard_stop)
+            now, most = clock.steady(), self._bounds.ids_known
+            while self._ended and (len(self._ended) > most or now > self._ended[next(iter(self._ended))]):
+                del self._ended[next(iter(self._ended))]
 
     def reload(self, config: Config) -> None:
         """SIGHUP: discovery and notices move to the address given now; all else is as at the start."""
--- a/millweir/net/heads.py
+++ b/millweir/net/heads.py
@@ -9,8 +9,9 @@
 
 from millweir.interface import MILLISECOND
 
-BODY_MOST = 64 * 1024
 ID_MOST = 128
+ONCE = {b"x-correlation-id", b"x-service-class", b"x-time-left", b"x-addressing", b"content-length",
+        b"transfer-encoding"}  # what two of could be read in two ways
 UNITS = {b"m": MILLISECOND, b"u": MILLISECOND // 1000}
 
 
@@ -60,12 +61,13 @@
     """One request of a client, as far as read; `fault` is the status that it can only be answered with."""
 
     __slots__ = ("account", "body", "destination", "fault", "id", "keep", "key", "left", "length", "mark",
-                 "method", "profile", "url")
+                 "method", "once", "profile", "url")
 
     def __init__(self) -> None:
         self.method = self.url = self.id = self.profile = self.account = self.key = self.mark = b""
         self.left = self.destination = -1
         self.length = 0
+        self.once: set[bytes] = set()
         self.body = b""
         self.fault = 0
         self.keep = True
@@ -74,10 +76,10 @@
 class RequestReader:
     """Turns the bytes of one connection into requests; httptools calls the on_ methods."""
 
-    __slots__ = ("_bodies", "_head_most", "_parser", "_request", "_size", "requests")
+    __slots__ = ("_bodies", "_body_most", "_head_most", "_parser", "_request", "_size", "requests")
 
-    def __init__(self, head_most: int) -> None:
-        self._head_most = head_most
+    def __init__(self, head_most: int, body_most: int) -> None:
+        self._head_most, self._body_most = head_most, body_most
         self._parser = httptools.HttpRequestParser(self)
         self._request: Request | None = None
         self._bodies: list[bytes] = []
@@ -91,6 +93,7 @@
 
     def feed(self, data: bytes) -> bool:
         """False once the connection can't be read any further; the last request then holds the fault."""
+        begun = self._request
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -101,10 +104,10 @@
             return False
         request = self._request
         if request is not None:
-            request.length += len(data)
+            request.length += len(data) * (request is begun or not self.requests)  # the rest is others'
             if not self._size and request.length > self._head_most:
                 request.fault = request.fault or 400
-            if request.fault or request.length > 4 * BODY_MOST:
+            if request.fault or request.length > 4 * self._body_most:
                 self._fail(request.fault or 413)
                 return False
         return True
@@ -125,6 +128,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         request, name = self._request, name.lower()
+        if request.method:
+            return  # behind the body: it tells nothing of the packet
+        if name in ONCE:
+            if name in request.once:
+                request.fault = request.fault or 400
+            request.once.add(name)
         try:
             if name == b"x-correlation-id":
                 request.id = read_token(value)
@@ -146,18 +155,20 @@
                     what, _, key = field.strip().partition(b"=")
                     if what == b"about":
                         request.key = key
-            elif name == b"content-length" and int(value) > BODY_MOST:
+            elif name == b"content-length" and int(value) > self._body_most:
                 request.fault = 413
         except ValueError:
             request.fault = request.fault or 400
 
     def on_headers_complete(self) -> None:
+        if self._request.once >= {b"content-length", b"transfer-encoding"}:
+            self._request.fault = 400  # its body may hide another request
         self._request.method = self._parser.get_method()
         self._request.keep = self._parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
-        if self._size > BODY_MOST:
+        if self._size > self._body_most:
             self._request.fault = 413
             self._bodies.clear()
         else:
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -16,7 +16,8 @@
 from millweir.net.log import Log
 
 STATUSES = {200: Outcome.FULFILLED, 429: Outcome.FULL, 503: Outcome.FULL, 504: Outcome.MOOT,
-            410: Outcome.MOOT, 400: Outcome.MOOT, 413: Outcome.MOOT, 404: Outcome.MOOT}  # others may have run
+            410: Outcome.MOOT, 404: Outcome.MOOT, 400: Outcome.UNREADABLE, 413: Outcome.UNREADABLE}
+# An answer with any other status may have run.
 STATES = {"accepted": Outcome.FULFILLED, "fault": Outcome.FAULT, "deferred": Outcome.FULL,
           "expired": Outcome.MOOT, "no_more": Outcome.MOOT}
 
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -124,7 +124,8 @@
     """A packet that this relay took."""
 
     __slots__ = (
-        "aim_at", "destination", "ended", "gain", "hard_stop", "id", "key", "out", "profile", "trips",
+        "aim_at", "alone", "destination", "ended", "gain", "hard_stop", "id", "key", "out", "profile",
+        "trips",
     )
 
     def __init__(self, ident: int, profile: Profile, destination: Destination, hard_stop: int) -> None:
@@ -137,4 +138,5 @@
         self.key: Key | None = None
         self.trips: list[Trip] = []
         self.out = 0
+        self.alone = False
         self.ended = False
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -285,3 +285,22 @@
         rig.take(0)
         rig.pass_time(2 * SECOND, lambda s: Outcome.UNCONNECTED if rig.now - s.at >= SECOND else None)
     assert len({s.at for s in rig.sent}) <= 7  # of 20: two to know, the rest the trickles
+
+
+def test_a_host_known_to_drain_from_an_earlier_life_gets_nothing():
+    # Guards rule 3 after a restart: the grace began when that life was told.
+    rig = Rig(entries=[entry(0, 0, phase=Phase.DRAINING), entry(1, 0)])
+    for destination in (0, 1):
+        rig.take(0, destination)
+    rig.pass_time(SECOND, well()(rig))
+    assert [s.host.id for s in rig.sent] == [rig.entries[1].host]
+
+
+def test_only_destinations_that_a_list_has_named_are_taken_for():
+    rig = Rig(entries=[entry(1, 0)])
+    rig.take(0, 5)  # owed from an earlier life
+    assert not rig.relay.refusal(1, 10, 10) and rig.relay.refusal(5, 10, 10) and rig.relay.refusal(7, 10, 10)
+    rig.list(Change.DELTA, [entry(5, 0)])
+    assert not rig.relay.refusal(5, 10, 10)
+    rig.list(Change.FULL, [])
+    assert not rig.relay.refusal(5, 10, 10)  # nobody is there at the moment
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,6 +1,7 @@
 """The program over sockets: what clients, hosts and discovery see of it, restarts included."""
 
 import base64
+import http.client
 import json
 import os
 import random
@@ -213,11 +214,16 @@
     (request(length="two") + b"hi", 400),
     (request(length=70000) + b"hi", 413),
     (request(length=0, **{"Transfer-Encoding": "chunked"}) + b"hi", 400),
+    (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" + request()[20:] + b"0\r\n\r\n", 400),
+    (request(**{"x-correlation-id": "another"}) + b"hi", 400),
+    (request(**{"content-length": 5}) + b"hi", 400),
+    (request(length=-2) + b"hi", 400),
+    (request(length=200_000) + b"x" * 200_000, 413),
     (b"GET /" + b"a" * 20000, 400),
     (b"POST /api HTTP/1.1\r\n" + b"X-Long: " + b"a" * 20000, 400),
     (b"CONNECT a:1 HTTP/1.1\r\n\r\n", 404),
     (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 400),
-])
+], ids=lambda given: str(given)[-30:])
 def test_malformed_requests_are_refused_and_close(start, raw, status):
     platform = Platform()
     relay = start(platform)
@@ -227,6 +233,67 @@
     assert len(platform.calls) == 1
 
 
+def test_who_does_not_ask_or_not_in_full_is_closed_in_time_and_is_in_nobodys_way(start):
+    platform = Platform()
+    relay, began = start(platform), time.monotonic()
+    address = ("127.0.0.1", relay.port)
+    silent = [socket.create_connection(address, timeout=4) for _ in range(60)]
+    half = [socket.create_connection(address, timeout=4) for _ in range(60)]
+    for n, link in enumerate(half):
+        link.sendall(request()[:20 + n])
+    kept = http.client.HTTPConnection(*address, timeout=4)
+    for n in range(25):
+        head = {"X-Correlation-Id": f"p{n}", "X-Service-Class": "again", "X-Time-Left": "9000m",
+                "X-Addressing": "dest=0"}
+        kept.request("POST", "/api", b"x", head)
+        assert kept.getresponse().read() == b"" and kept.sock
+        time.sleep(0.02)
+    assert all(link.recv(99) == b"" for link in silent)
+    assert all(link.recv(99).startswith(b"HTTP/1.1 408 ") for link in half)
+    assert time.monotonic() - began < 3
+    until(lambda: b"packets_fulfilled 25\n" in relay.ask("GET", "/counters")[1])
+
+
+def test_what_can_not_be_used_is_not_taken_on(start):
+    platform = Platform()
+    relay = start(platform)
+    status, _, head = relay.ask("POST", "/api", b"x", X_Correlation_Id="lost", X_Service_Class="again",
+                                X_Time_Left="9000m", X_Addressing="dest=70000")
+    assert status == 503 and float(head["Retry-After"]) > 0
+    raw = (request("chunks", **{"Transfer-Encoding": "chunked"}).replace(b"Content-Length: 2\r\n", b"")
+           + b"2\r\nhi\r\n0\r\nX-Addressing: dest=70000\r\nX-Correlation-Id: other\r\n\r\n")
+    assert relay.say(raw.replace(b"Host: x", b"Connection: close")).startswith(b"HTTP/1.1 202 ")
+    assert until(lambda: platform.calls)[0].id == "chunks"  # what stands behind a body says nothing of it
+
+
+def test_an_id_that_was_taken_on_once_is_not_taken_on_again(start):
+    platform = Platform()
+    relay = start(platform)
+    for body in (b"mine", b""):  # perhaps a stranger's
+        assert relay.hand_in("a", "once", body=body) == 202
+        until(lambda: b"packets_fulfilled 1\n" in relay.ask("GET", "/counters")[1])
+    time.sleep(0.2)
+    assert [call.body for call in platform.calls] == [b"mine"]
+
+
+def test_a_packet_that_no_host_can_read_spoils_no_others(start):
+    platform = Platform(hosts=0)
+    relay = start(platform)
+    for ident in ("a", "odd", "b", "c"):
+        relay.hand_in(ident, "once")
+
+    def decide(call):
+        rows = [row["id"] for row in call.rows] if call.path != "/hook" else [call.id]
+        states = [{"id": ident, "state": "accepted"} for ident in rows]
+        return reply(400) if "odd" in rows else reply(200, json.dumps(states).encode())
+
+    platform.decide = decide
+    platform.add("b0", kind="big")
+    until(lambda: platform.noticed("odd") == ["bounced"])
+    until(lambda: b"packets_fulfilled 3\n" in relay.ask("GET", "/counters")[1])
+    assert len(platform.calls) == 5 and len(platform.sent("odd")) == 1
+
+
 def test_random_bytes_and_cuts_do_not_end_the_program(start):
     chance, relay = random.Random(5), start(Platform())
     whole = request() + b"hi"
