Spoilt answers: a first line with 200 counts, answers that do not end are cut off

A probe printed what came on each link that ended as garbled or given up: half of the 84 spoilt answers to one packet began with 'HTTP/1.1 200 OK' and broke only in the head (no colon, two lengths, a negative one, a head without end). AnswerReader knew a status only once the head was whole (status=0), so those packets counted as reset; heads without end held a slot for 0.6 to 2.5 s until the time-out. Noise behind a whole answer failed it where both came in one read (complete=True, garbled). Ruled out: load reports (none on this site), second copies read later (the link ends, told-close). SPOILT is an outcome of its own: it weighs less than a failure and says nothing of idle links.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -33,7 +33,7 @@
 MUCH_LEFT = 0.75  # share of a limit: a refusal then is not for the limit
 YOUNG = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
 NEVER = 1 << 62
-MAY_RUN_ON = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
+MAY_RUN_ON = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED, Outcome.SPOILT)
 
 
 def bounds(settings: Settings, limits: Limits) -> Bounds:
@@ -45,7 +45,7 @@
                   doubtful=half, journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # two fit
                   resend=SECOND, redial=SECOND // 20, watch=20 * SECOND, silence=30 * SECOND, linger=half,
                   leave=33 * SECOND // 10, log_lines=200, orphans_again=False, answer_most=body,
-                  list_most=min(16 << 20, memory), notices=500)
+                  answer_time=half, list_most=min(16 << 20, memory), notices=500)
 
 
 class Relay:
@@ -308,8 +308,8 @@
                 (self._all_went_ill if latency >= self._slow else self._went_ill)(host, SICK / 2)
         elif outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
-        elif outcome in (Outcome.FAULT, Outcome.TIMED_OUT, Outcome.RESET) and not call.late:
-            self._went_ill(host, FAILED_WEIGHT)
+        elif outcome in (Outcome.FAULT, Outcome.TIMED_OUT, Outcome.RESET, Outcome.SPOILT) and not call.late:
+            self._went_ill(host, REFUSED_WEIGHT if outcome is Outcome.SPOILT else FAILED_WEIGHT)
 
     def _link_lost(self, call: Call, weight: float, reset: bool) -> None:
         """Guards against idle links cut on the way: links idle as long are closed before use, to a host after
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -34,6 +34,7 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
+    SPOILT = "spoilt"
     UNREADABLE = "unreadable"
 
     @property
@@ -163,6 +164,7 @@
     head_most: int
     body_most: int
     answer_most: int
+    answer_time: int
     list_most: int
     notices: int
     orphans_again: bool
--- a/millweir/net/exchange.py
+++ b/millweir/net/exchange.py
@@ -32,7 +32,7 @@
             self._task = self._loop.create_task(self._dial(pieces))
 
     async def _dial(self, pieces: list[bytes]) -> None:
-        link = Link(self._name, self._most, self._log, self._counters)
+        link = Link(self._loop, self._name, self._most, 0, self._log, self._counters)
         try:
             await self._loop.create_connection(lambda: link, *self._address)
         except OSError as fault:
--- a/millweir/net/heads.py
+++ b/millweir/net/heads.py
@@ -186,49 +186,68 @@
 class AnswerReader:
     """Reads one answer after the other of a connection; httptools calls the on_ methods."""
 
-    __slots__ = ("_bodies", "_most", "_parser", "_size", "body", "complete", "keep", "load", "over_slots",
-                 "status", "wait")
+    __slots__ = ("_bodies", "_most", "_parser", "_seen", "_sized", "begun", "body", "complete", "keep",
+                 "load", "over_slots", "says", "status", "wait")
 
     def __init__(self, most: int) -> None:
-        self._parser = httptools.HttpResponseParser(self)
         self._most = most
         self.reset()
 
     def reset(self) -> None:
-        """Ready for the next answer."""
+        """Ready for the next answer; a parser that is used again still has the status of the last one."""
+        self._parser = httptools.HttpResponseParser(self)
+        self._seen = 0
+        self._start()
+
+    def _start(self) -> None:
         self._bodies: list[bytes] = []
-        self._size = self.status = self.wait = 0
+        self.status = self.says = self.wait = 0  # `says`: what a first line says, whatever comes behind it
         self.body = self.load = b""
-        self.complete = self.over_slots = False
+        self._sized = self.begun = self.complete = self.over_slots = False
         self.keep = True
 
     def feed(self, data: bytes) -> bool:
-        """False where this is no answer, or one too long."""
+        """False where this is no answer, or one too long; a good one stays good whatever comes behind it."""
+        self._seen += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            return False
-        return self._size <= self._most
+        except httptools.HttpParserUpgrade as fault:  # a word on the way that names another protocol
+            self._parser = httptools.HttpResponseParser(self)
+            return not data[fault.args[0]:] or self.feed(data[fault.args[0]:])
+        except httptools.HttpParserError as fault:
+            if not self.says and not isinstance(fault, httptools.HttpParserInvalidStatusError):
+                self.says = self._parser.get_status_code()
+            self.keep = False
+            return self.complete
+        return self.complete or self._seen <= self._most
 
     def end(self) -> None:
         """The connection ended: an answer without a length is complete now."""
-        if self.status and not self.keep:
+        if self.status and not self.keep and not self._sized:
             self.body, self.complete = b"".join(self._bodies), True
 
     def on_message_begin(self) -> None:
+        self.begun = True
         if self.complete:  # bytes behind an answer: what they belong to can't be told
             self.keep = False
 
+    def on_status(self, text: bytes) -> None:
+        if not self.complete:
+            self.says = self._parser.get_status_code()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
         if self.complete:
             return
+        self.says = self.says or self._parser.get_status_code()
         if name == b"retry-after":
             self.wait = read_seconds(value)
         elif name == b"x-backend-load":
             self.load = value
         elif name == b"x-over-slots":
             self.over_slots = value.strip() == b"1"
+        elif name in (b"content-length", b"transfer-encoding"):
+            self._sized = True
 
     def on_headers_complete(self) -> None:
         if not self.complete:
@@ -236,12 +255,11 @@
             self.keep = self._parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:
-        self._size += len(body)
-        if self._size <= self._most and not self.complete:
+        if self._seen <= self._most and not self.complete:
             self._bodies.append(body)
 
     def on_message_complete(self) -> None:
         if 100 <= self.status < 200 and not self.complete:
-            self.reset()  # only a word on the way
+            self._start()  # only a word on the way
         elif not self.complete:
             self.body, self.complete = b"".join(self._bodies), True
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -115,7 +115,9 @@
             outcome = Outcome.UNCONNECTED  # nothing was written yet
         elif len(self.waiting) == 1:
             self.link.close("given-up", abort=True)
-        self.over(part, outcome)
+        if self.delivered:
+            outcome = Outcome.FULFILLED
+        self.over(part, outcome, finished=self.delivered)
 
     def time_out(self) -> None:
         """Give up what has waited long enough."""
@@ -156,14 +158,19 @@
             self._hosts.log.say(f"garbled-answer host={self.door.name}")
         for part in list(self.waiting):
             state = states.get(part.item.id.decode())
-            outcome = STATES.get(state, Outcome.RESET) if isinstance(state, str) else Outcome.RESET
+            outcome = STATES.get(state, Outcome.SPOILT) if isinstance(state, str) else Outcome.SPOILT
             self.over(part, outcome, state in ("accepted", "expired"), wait, load)
 
+    @property
+    def delivered(self) -> bool:
+        """A first line that says 200 is true for the one packet of a call, whatever becomes of the rest."""
+        return self.link is not None and self.link.reader.says == 200 and len(self.job.parts) == 1
+
     def lost(self, link: Link) -> None:
-        if link.reader.status == 200 and len(self.job.parts) == 1:
-            self.all_over(Outcome.FULFILLED, True, link.reader.wait, link.reader.load)  # 200 is enough
+        if self.delivered:
+            self.all_over(Outcome.FULFILLED, True, link.reader.wait, link.reader.load)
         else:
-            self.all_over(Outcome.RESET)
+            self.all_over(Outcome.SPOILT if link.spoilt else Outcome.RESET)
 
 
 class Hosts:
@@ -218,8 +225,8 @@
 
     async def _dial(self, call: Call) -> None:
         door = call.door
-        link = Link(f"{door.name}/{door.address[0]}:{door.address[1]}", self._bounds.answer_most, self.log,
-                    self.counters)
+        link = Link(self.loop, f"{door.name}/{door.address[0]}:{door.address[1]}", self._bounds.answer_most,
+                    self._bounds.answer_time, self.log, self.counters)
         try:
             async with asyncio.timeout(self._connect_timeout):
                 await self.loop.create_connection(lambda: link, *door.address)
--- a/millweir/net/links.py
+++ b/millweir/net/links.py
@@ -24,10 +24,15 @@
 class Link(asyncio.Protocol):
     """Reads answers; whoever asked hears of each once."""
 
-    __slots__ = ("_asker", "_counters", "_log", "_peer", "_reason", "_transport", "asked", "idle_since",
-                 "open", "reader", "when_closed")
-
-    def __init__(self, peer: str, most: int, log: Log, counters: Counters) -> None:
+    __slots__ = ("_asker", "_counters", "_log", "_loop", "_peer", "_reason", "_time", "_timer", "_transport",
+                 "asked", "idle_since", "open", "reader", "spoilt", "when_closed")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, peer: str, most: int, time: int, log: Log,
+                 counters: Counters) -> None:
+        """`time`: how long an answer may take from its first bytes to its last, 0 for any time."""
+        self._loop = loop
+        self._time = time
+        self._timer: asyncio.TimerHandle | None = None
         self._peer = peer
         self._log = log
         self._counters = counters
@@ -38,6 +43,7 @@
         self.asked = 0
         self.idle_since = clock.steady()
         self.open = False
+        self.spoilt = False  # what came is no answer, or no end of one
         self.when_closed = None  # told when an idle link ends
 
     def ask(self, asker: Asker, pieces: list[bytes]) -> None:
@@ -53,6 +59,7 @@
         self._end(reason, abort)
 
     def _end(self, reason: str, abort: bool = False) -> None:
+        self._stop_timer()
         if self.open:
             self.open = False
             self._reason = reason
@@ -71,12 +78,27 @@
             self._end("unasked")  # an answer that nobody asked for: whatever comes next can't be trusted
             if self.when_closed:
                 self.when_closed(self)
-        elif fine and self.reader.complete:
+        elif self.reader.complete:
             self._finish()
         elif not fine:
             self._fail("garbled")
+        elif not self.reader.begun:
+            self._stop_timer()  # only words on the way so far
+        elif self._time and not self._timer:
+            self._timer = self._loop.call_later(self._time / 1e9, clock.once_read, self._loop, self._stall)
+
+    def _stall(self) -> None:
+        """Guards slots and memory against an answer that has begun and does not end."""
+        if self._timer and self._asker:
+            self._fail("endless")
+
+    def _stop_timer(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
 
     def _finish(self) -> None:
+        self._stop_timer()
         asker, self._asker = self._asker, None
         self.idle_since = clock.steady()
         if not self.reader.keep:
@@ -85,6 +107,7 @@
 
     def _fail(self, reason: str) -> None:
         asker, self._asker = self._asker, None
+        self.spoilt = self.open
         self._end(reason)
         if asker:
             asker.lost(self)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -30,7 +30,7 @@
 )
 
 NEVER_RAN = {Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT, Outcome.UNREADABLE}
-RUNS_ON = {Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED}
+RUNS_ON = {Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED, Outcome.SPOILT}
 STEP = 5 * MILLISECOND
 
 
@@ -268,7 +268,7 @@
 
 
 class Platform:
-    """Hosts and discovery; `decide` answers: bytes, (bytes,) and the end, None for silence, or "reset"."""
+    """Hosts and discovery; `decide` answers: bytes, bytes and rests, (bytes,) and the end, None, "reset"."""
 
     def __init__(self, hosts=2, kind="small", rate=50.0):
         self.calls, self.notices, self.notice_calls, self.links, self.open = [], [], 0, 0, {}
@@ -338,7 +338,8 @@
                 if answer is None:
                     source.read()
                     return
-                link.sendall(answer)
+                for piece in answer if isinstance(answer, list) else [answer]:
+                    link.sendall(piece) if isinstance(piece, bytes) else time.sleep(piece)
 
     def host(self, heard):
         self.calls.append(heard)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -348,13 +348,17 @@
 
 @pytest.mark.parametrize("answer", [
     "reset", b"HTTP/1.1 2x0 ?\r\n\r\n", b"\0\1\2", b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
-    b"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
-])
+    b"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 OK 200\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\ncut", b"HTTP/1.1 100 Continue\r\n\r\n" * 5000,
+    b"HTTP/1.1 500 X\r\nX-Pad: p",
+], ids=lambda given: str(given)[:40])
 def test_an_answer_that_does_not_say_it_never_ran_ends_single_use(start, answer):
-    platform = Platform()
-    platform.decide = lambda call: answer if len(platform.calls) < 3 else reply(200)
+    platform = Platform(hosts=1)
+    platform.decide = lambda call: answer if 1 < len(platform.calls) < 4 else reply(200)
     relay = start(platform)
-    relay.hand_in("once", "once")
+    relay.hand_in("well")
+    until(lambda: b"packets_fulfilled 1\n" in relay.ask("GET", "/counters")[1])
+    relay.hand_in("once", "once")  # on the link that has just carried a good answer
     until(lambda: platform.noticed("once") == ["dead"])
     relay.hand_in("again", "again")
     until(lambda: len(platform.sent("again")) == 2)
@@ -366,7 +370,15 @@
     (b"HTTP/1.1 200 OK\r\n\r\nwithout a length",),
     b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\nHTTP/",
     b"HTTP/1.1 100 Continue\r\n\r\n" + reply(200, b"well"),
-])
+    [b"HTTP/1.1 102 Processing\r\n\r\n", 0.8, reply(200, b"well")],
+    b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n" + reply(200),
+    b"HTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nno colon here\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nhi",
+    b"HTTP/1.1 200\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nhi",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", b"HTTP/1.1 200 OK\r\nX-Pad: p",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 200_000,
+], ids=lambda given: str(given)[:60])
 def test_a_first_line_with_200_delivers_whatever_follows_it(start, answer):
     platform = Platform()
     platform.decide = lambda call: answer
@@ -378,6 +390,24 @@
     assert not platform.notices and len(platform.calls) == 3
 
 
+@pytest.mark.parametrize("more", [b"\xff\xfe noise\r\n\r\n", reply(500), b"\r\n"])
+def test_more_than_belongs_to_a_good_answer_spoils_nothing(start, more):
+    platform = Platform(hosts=0)
+    relay = start(platform)
+
+    def decide(call):
+        first = [row["id"] for row in call.rows] if call.path != "/hook" else [call.id]
+        taken = json.dumps([{"id": ident, "state": "accepted"} for ident in first]).encode()
+        return (reply(503) if len(platform.calls) == 1 else reply(200, taken)) + more
+
+    platform.decide = decide
+    for n in range(3):
+        relay.hand_in(f"p{n}", "once")
+    platform.add("b0", kind="big")
+    until(lambda: b"packets_fulfilled 3\n" in relay.ask("GET", "/counters")[1])
+    assert len(platform.calls) == 2 and not platform.notices
+
+
 def test_a_host_that_can_not_be_reached_has_run_nothing(start):
     platform = Platform(hosts=1)
     with socket.create_server(("127.0.0.1", 0)) as free:
