Calls that are not full wait an eighth of the quoted time where calls are scarce

Probes printed the module's state by destination and each call with its outcome: all of it was held at the four destinations with a limit by calls (8, 9, 11, 13), 30 to 70 packets at one relay, which sent full calls of five, while the other spent as many calls on one packet each. Checked and ruled out: slots (6 to 11 of 11 out), links, health (no doubt), told waits (under 0.5 s), the limits (85 to 90 % of what the destination takes was used). At fault: control._load sent what there was. Now a call that is not full waits until its oldest packet has been here for an eighth of the quoted time, for ten seconds after a cut or a start.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -31,6 +31,7 @@
 FORGOTTEN_AFTER = 60 * SECOND  # a host that left the list
 FAR = 2  # what a host in another zone counts against one here
 MUCH_LEFT = 0.75  # share of a limit: a refusal then is not for the limit
+GATHER, SCARCE = 8, 10 * SECOND  # part of the quoted time for which short calls wait, so long after a cut
 YOUNG = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
 NEVER = 1 << 62
 MAY_RUN_ON = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED, Outcome.SPOILT)
@@ -123,9 +124,8 @@
         home = self._destinations[entry.destination]
         route = None if entry.kind < len(self._apart) and self._apart[entry.kind] else home.route
         if route is None:
-            known = self._known_rates and entry.rate > 0
-            top = entry.rate if known else float(NEVER)
-            route = home.route = Route(entry.rate if known else 1.0, top / self._relays, top, self._now)
+            top = entry.rate if self._known_rates and entry.rate > 0 else float(NEVER)
+            route = home.route = Route(top if top < NEVER else 1.0, top / self._relays, top, self._now)
             route.limit = min(top, max((route.share * top) ** 0.5, SECOND / ROUND))
         return self._hosts.setdefault(entry.host, Host(entry, home, route))
 
@@ -178,8 +178,7 @@
     def _make_room(self) -> None:
         """Guards the packet table: when it is full, the held packet worth least now comes again later."""
         held = (p for home in self._destinations.values() for p in home.held.values() if not self._risky(p))
-        worst = min(held, key=lambda p: self._worth(p, self._now + ROUND), default=None)
-        if worst:
+        if worst := min(held, key=lambda p: self._worth(p, self._now + ROUND), default=None):
             self._finish(worst)
 
     def _finish(self, packet: Packet) -> None:
@@ -373,7 +372,8 @@
         ready = [load for home in self._destinations.values() if home.held and (load := self._load(home))]
         while ready and self._out < self._slots:
             best = max(ready, key=lambda load: load[0])
-            self._call(self._favoured(best[2]), best[3])
+            drawn = self._sample(best[2], min(2, len(best[2])))  # the one that this relay's own counts favour
+            self._call(min(drawn, key=self._burden), best[3])
             ready.remove(best)
             if again := self._load(best[1]):
                 ready.append(again)
@@ -389,14 +389,18 @@
         for call in self._overdue:
             if wanted <= 0:
                 break
-            if not call.given_up and self._now < call.yields_at:
-                self._wake = min(self._wake, call.yields_at)
+            if not call.given_up and self._too_soon(call.yields_at):
                 continue
             wanted -= 1
             for packet, number in () if call.given_up else call.trips:
                 self._port.cancel(packet, number)
             call.given_up = True
 
+    def _too_soon(self, at: int) -> bool:
+        """Whether that is still to come; a round is due then."""
+        self._wake = min(self._wake, at) if at > self._now else self._wake
+        return at > self._now
+
     def _enter(self, at: int, what: Packet | Call | Host | Key | None) -> None:
         heappush(self._agenda, (at, self._order(), what))
 
@@ -447,8 +451,7 @@
                 route.raised_at, route.pressed = now, False
             opens = self._log_opens(route)
             route.pressed |= opens > now
-        if opens > now:
-            self._wake = min(self._wake, opens)
+        if self._too_soon(opens):
             return False
         on_trial = host.pace and not host.back_at and host.out > host.overdue
         return not on_trial and route.out < self._route_slots and now + self._patience(host) <= self._leave_at
@@ -464,10 +467,8 @@
             if not self._may_go_again(packet):
                 self._finish(packet)
                 continue
-            if packet.key and packet.key.line[0] is not packet:  # rule 5
-                continue
-            if packet.key and self._now < packet.key.rest_until and not packet.trips:
-                self._wake = min(self._wake, packet.key.rest_until)
+            if packet.key and (packet.key.line[0] is not packet  # rule 5
+                               or not packet.trips and self._too_soon(packet.key.rest_until)):
                 continue
             loss = self._worth(packet, soon) - self._worth(packet, soon + self._aim) + 0.001 * packet.gain
             loss *= len(packet.key.line) if packet.key else 1  # those behind it wait as well
@@ -478,6 +479,10 @@
         most = self._bundle[hosts[0].kind] if hosts[0].kind < len(self._bundle) else 1
         alone = trial or ranked and ranked[0][1].alone
         ranked = ranked[:1] if alone else [pair for pair in ranked if not pair[1].alone][:most]
+        if 0 < len(ranked) < most and not alone and self._now < hosts[0].route.cut_at + SCARCE:
+            since = min(packet.aim_at - packet.profile.quoted for _, packet in ranked)
+            if self._too_soon(since + self._aim // GATHER):  # calls are short there
+                return None
         saved = sum(loss for loss, _ in ranked) * SECOND / took
         return (saved, home, hosts, [packet for _, packet in ranked]) if ranked else None
 
@@ -490,10 +495,6 @@
             return packet.gain * max(profile.late_share, 0.5 ** (late / profile.quoted))
         return packet.gain * (1 - (1 - profile.late_share) * late / max(1, profile.give_up - profile.quoted))
 
-    def _favoured(self, hosts: list[Host]) -> Host:
-        """Of two hosts drawn at random, the one that this relay's own counts favour."""
-        return min(self._sample(hosts, min(2, len(hosts))), key=self._burden)
-
     def _burden(self, host: Host) -> tuple[bool, float]:
         linked = host.used_at > host.freed_at  # a new link costs round trips, the more the further away
         busy = 2 - linked + host.out + 2 * host.doubt
@@ -513,8 +514,7 @@
             self._port.send(packet, host, self._time_out(packet, patience, len(packets) == 1))
         route.log.append(now)
         route.out, host.out, self._out, host.tried_at = route.out + 1, host.out + 1, self._out + 1, now
-        once = any(p.profile.effect is Effect.SINGLE_USE for p in packets)  # others give the slot up sooner
-        call.yields_at = now + patience * (1 + once)
+        call.yields_at = now + patience * (1 + any(p.profile.effect is Effect.SINGLE_USE for p in packets))
         self._enter(now + patience, call)
 
     def _patience(self, host: Host) -> int:
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -27,7 +27,7 @@
         self.wait_until = 0
         self.pressed = False
         self.raised_at = now
-        self.cut_at = 0
+        self.cut_at = now - 1  # nothing is known of its limit yet
         self.turned = 0
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -312,3 +312,27 @@
         rig.take(0, 1)
         rig.pass_time(600 * MILLISECOND, well()(rig))
     assert len(rig.sent) == 60 and len(rig.relay._idle_answered) < 15
+
+
+def test_short_calls_wait_a_little_to_fill_where_calls_are_scarce():
+    rig = Rig(entries=[entry(0, 0, rate=50.0)], relays=1)
+
+    def delay(packets):
+        begun, sent = rig.now, len(rig.sent)
+        for _ in range(packets):
+            rig.take(0)
+        rig.round()
+        rig.pass_time(SECOND, well()(rig))
+        assert len(rig.sent) == sent + packets
+        return rig.sent[sent].at - begun
+
+    assert delay(2) == SECOND // 4 and delay(5) == 0  # its limit is not known yet
+    rig.pass_time(10 * SECOND)
+    assert delay(2) == 0
+    rig.take(0)
+    rig.round()
+    rig.end(rig.out()[0], Outcome.FULL)
+    rig.pass_time(2 * SECOND, well()(rig))
+    assert delay(1) == SECOND // 4
+    rig.pass_time(10 * SECOND)
+    assert delay(1) == 0
