--- a/benchmarks/sockets.py
+++ b/benchmarks/sockets.py
@@ -1,12 +1,13 @@
 """A relay on one core between clients and hosts of this file's own, all on loopback.
 
-    python benchmarks/sockets.py links                        packets a second against connections, beside a bare server
-    python benchmarks/sockets.py load --times 0.1 1 10        goodput against offered load; 1 is what a core serves
-    python benchmarks/sockets.py ... --against ../other       in turn with another checkout
-
-`links` is a closed loop: each connection asks, waits for its 202 and asks again.  `load` is an open one: requests
-are due at random moments that don't wait for answers, latency counts from then, and who is refused comes again
-when it is told to.  Hosts answer at once, or after --answer milliseconds.  All is bounded in number and time.
+    python benchmarks/sockets.py links        packets a second by connections, beside a bare server
+    python benchmarks/sockets.py load --times 0.1 1 10  goodput against offered load; 1 is what a core serves
+    python benchmarks/sockets.py ... --against ../other  in turn with another checkout
+
+`links` is a closed loop: each connection asks, waits for its 202 and asks again.  `load` is an open one:
+requests are due at random moments that don't wait for answers, latency counts from then, and who is refused
+comes again when it is told to.  Hosts answer at once, or after --answer milliseconds.  All is bounded in
+number and time.
 """
 
 from __future__ import annotations
@@ -18,7 +19,6 @@
 import os
 import random
 import signal
-import statistics
 import subprocess
 import sys
 import tempfile
@@ -252,9 +252,9 @@
         (self.folder / "config.json").write_text(json.dumps(config))
         env = os.environ | {"RELAY_CONFIG": str(self.folder / "config.json"), "RELAY_STATE": str(self.folder),
                             "PYTHONPATH": str(src)}
-        self.process = subprocess.Popen([sys.executable, "-m", "millweir"], cwd=src, env=env,
-                                        stderr=open(self.folder / "log", "wb"),
-                                        preexec_fn=lambda: pin(cpu))
+        with open(self.folder / "log", "wb") as log:
+            self.process = subprocess.Popen([sys.executable, "-m", "millweir"], cwd=src, env=env, stderr=log,
+                                            preexec_fn=lambda: pin(cpu))
         while b"ready" not in (self.folder / "log").read_bytes():
             assert self.process.poll() is None, (self.folder / "log").read_text()
             time.sleep(0.05)
@@ -274,7 +274,7 @@
 
 def links(given, src, port):
     print("connections    packets/s        bare    ratio   ms to the 202: median, 99th, 99.9th percentile")
-    for at, count in enumerate(given.links):
+    for count in given.links:
         port += 10
         bare = mp.Process(target=serve_bare, args=(port + 5, 0), daemon=True)
         bare.start()
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -64,8 +64,7 @@
         self._slots, self._route_slots = settings.slots, max(2, settings.slots // ROUTE_SHARE)
         self._max_open, self._max_trips = settings.max_open, settings.max_trips
         self._max_wait = settings.max_retry_after if settings.retry_after else 0
-        self._margin = 2 * settings.period
-        self._bundle, self._apart = settings.bundle_max, settings.apart
+        self._margin, self._bundle, self._apart = 2 * settings.period, settings.bundle_max, settings.apart
         self._quotas = [tenant.quota / self._relays for tenant in settings.tenants]
         self._shares = [(quota, now) for quota in self._quotas]
         self._over_share, self._known_rates = settings.over_share, settings.rates_listed
@@ -435,13 +434,15 @@
 
     def _free_slots(self) -> None:
         """Guards the slots: with all taken, calls out far too long give way to packets that could go."""
-        calls = [call for call in self._overdue if call.given_up or call.yields_at <= self._now]
-        if calls:
+        if calls := [call for call in self._overdue if call.given_up or call.yields_at <= self._now]:
             self._weigh()
         for call in calls[:len(self._ready)]:
-            for packet, number in () if call.given_up else call.trips:
-                self._port.cancel(packet, number)
-            call.given_up = True
+            self._give_up(call)
+
+    def _give_up(self, call: Call) -> None:
+        for packet, number in () if call.given_up else call.trips:
+            self._port.cancel(packet, number)
+        call.given_up = True
 
     def _look_again(self, home: Destination, at: int) -> None:
         """Nothing may change there before that time, but by what stirs it."""
@@ -459,9 +460,12 @@
             if what is None:
                 self._port.watch()
             elif isinstance(what, Packet):
-                # Held, so that a repeat is no longer known, or its time is up.
-                if not what.ended and (what.held or self._now >= what.hard_stop - self._margin):
-                    self._finish(what)
+                if what.ended or not what.held and self._now < what.hard_stop - self._margin:
+                    continue
+                # A call has one fate: one overdue that has outlasted a packet is no longer waited for.
+                if what.out and self._cancels and what.trips[-1].call.late:
+                    self._give_up(what.trips[-1].call)
+                self._finish(what)
             elif isinstance(what, Destination):
                 self._stirred[what] = None
             elif isinstance(what, Key):
--- a/millweir/order.py
+++ b/millweir/order.py
@@ -27,8 +27,7 @@
         """`span`: the wait that is weighed; `halves`: worth halves with each quoted time."""
         self.bears_trials = profile.effect is not Effect.SINGLE_USE
         self.worth, self._span = partial(profile.worth, halves), span
-        turns = profile.turns(halves)
-        starts = sorted({-EVER, EVER, *turns, *(turn - span for turn in turns)})
+        starts = sorted({-EVER, EVER, *(turn - at for turn in profile.turns(halves) for at in (0, span))})
         # Each piece: its first and last lateness, and whether the latest packet in it loses most.
         self._pieces = [(first, after - 1, self.loss(after - 1) >= self.loss(first))
                         for first, after in pairwise(starts)]
@@ -72,9 +71,8 @@
                 loss = weight * curve.loss(at - packet.aim_at) if bears else 0.0001 / (1 + weight)
                 found.append((loss, packet))
         found.sort(key=itemgetter(0), reverse=True)
-        if found and found[0][1].alone:
-            return found[:1]
-        return [pair for pair in found if not pair[1].alone][:most]
+        alone = bool(found) and found[0][1].alone
+        return found[:1] if alone else [pair for pair in found if not pair[1].alone][:most]
 
     def least(self, at: int) -> Packet | None:
         """The packet that is worth least when fulfilled at that time: in each line the latest."""
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -135,3 +135,17 @@
     rig.relay._hosts[rig.sent[0].host.id].route.wait_until = rig.now + 12 * SECOND
     rig.pass_time(7 * SECOND)  # its repeat was known for six
     assert rig.answers == {1: "errored"} and len(rig.sent) == 1
+
+
+@pytest.mark.parametrize("left, waits", [(SECOND, True), (12 * SECOND, False)])
+def test_an_overdue_call_that_outlasted_one_of_its_packets_is_no_longer_waited_for(left, waits):
+    rig = Rig(entries=[entry(0, 0)], relays=1)
+    stop = rig.now + left
+    rig.taken[1] = {"hard_stop": stop, "key": 0}
+    rig.relay.packet_taken(rig.now, 1, 2, 0, 0, stop, 0)
+    rig.take(2, ident=2)
+    while 1 not in rig.answers:
+        rig.pass_time(STEP)
+    first, second = rig.sent
+    assert first.at == second.at, "one call"
+    assert rig.answers == {1: "errored"} and bool(rig.cancelled) is not waits
