Turns bounded, pauses of 0.2 s ended, and a door that knows how late turns come

A packet and its calls held each other in circles, an ended packet stayed in the agenda with all its trips until its hard stop, and the collector walked all of it.

Change: the circles are cut when a call or a packet ends (module, jobs, readers), what is there at the start is frozen, and the whole heap is hardly ever walked. A turn answers 64 requests and starts 16 calls at most and leaves the rest to the next; ends and notices go before sends. The door is told how late turns came in the last quarter second: refused is what could end late, and of the rest the more, the later turns are past a sixteenth of the quoted time; nothing is remembered longer. A packet's time counts from when its last byte was read. A parcel's size is reckoned once.

--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import signal
 import sys
@@ -52,6 +53,11 @@
     server = await loop.create_server(lambda: ClientLink(desk.clients), *config.listen, backlog=512)
     log.must(f"ready name={config.name} listen={':'.join(map(str, config.listen))} "
              f"discovery={':'.join(map(str, config.discovery))} owed={len(journal.owed)}")
+    # Guards turns against pauses of 0.2 s: what is there now stays, and what comes holds no circles, so that
+    # the whole heap hardly ever needs a walk.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*gc.get_threshold()[:2], 1000)
     await desk.stopped
     server.close()
     for _ in range(8):  # rounds of the loop in which what was read up to now gets its answer
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -6,12 +6,10 @@
 departures from the paper in docs/design.md.
 """
 
-from __future__ import annotations
-
 import random
 from collections import defaultdict
 from heapq import heappop, heappush
-from itertools import count
+from itertools import count, takewhile
 
 from millweir.interface import SECOND, Bounds, Change, Effect, Entry, Limits, Outcome, Phase, Port, Settings
 from millweir.order import Curve, Order
@@ -33,11 +31,11 @@
 FORGOTTEN_AFTER = 60 * SECOND  # a host that left the list
 FAR = 2  # what a host in another zone counts against one here
 MUCH_LEFT = 0.75  # share of a limit: a refusal then is not for the limit
+LATE = 16  # turns may come late by so small a part of the quoted time
 WEIGHED = 32  # a load is weighed again after so small a part of the quoted time
 GATHER, SCARCE = 8, 10 * SECOND  # part of the quoted time for which short calls wait, so long after a cut
 YOUNG = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
 NEVER = 1 << 62
-MAY_RUN_ON = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED, Outcome.SPOILT)
 
 
 def bounds(settings: Settings, limits: Limits) -> Bounds:
@@ -49,7 +47,8 @@
                   doubtful=half, journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # two fit
                   resend=SECOND, redial=SECOND // 20, watch=20 * SECOND, silence=30 * SECOND, linger=half,
                   leave=33 * SECOND // 10, log_lines=200, orphans_again=False, answer_most=body,
-                  answer_time=half, hold=2 * MILLISECOND, list_most=min(16 << 20, memory), notices=500)
+                  answer_time=half, hold=2 * MILLISECOND, list_most=min(16 << 20, memory), notices=500,
+                  lag_kept=half // 2, turn_reads=64, turn_calls=16)
 
 
 class Relay(Books):
@@ -57,13 +56,10 @@
 
     def __init__(self, port: Port, settings: Settings, seed: int, now: int) -> None:
         super().__init__()
-        self._port = port
-        chance = random.Random(seed)
+        self._port, self._relays, chance = port, max(1, settings.relays), random.Random(seed)
         self._sample, self._random = chance.sample, chance.random
-        self._relays = max(1, settings.relays)
         self._slots, self._route_slots = settings.slots, max(2, settings.slots // ROUTE_SHARE)
         self._max_open, self._max_trips = settings.max_open, settings.max_trips
-        self._max_wait = settings.max_retry_after if settings.retry_after else 0
         self._margin, self._bundle, self._apart = 2 * settings.period, settings.bundle_max, settings.apart
         self._quotas = [tenant.quota / self._relays for tenant in settings.tenants]
         self._shares = [(quota, now) for quota in self._quotas]
@@ -74,12 +70,13 @@
         self._quiet, self._born, self._now = settings.key_quiet, now, now
         self._fall_time, self._cold_time = settings.fall_time, settings.cold_time
         self._least = LEAST if settings.rates_rough else LEAST * ROUGH
-        self._zone, self._aim = settings.zone, min((p.quoted for p in settings.profiles), default=SECOND)
+        self._zone, self._max_wait = settings.zone, settings.max_wait
+        self._aim = min((p.quoted for p in settings.profiles), default=SECOND)
         self._profiles = [(p, Curve(p, self._aim, settings.halves)) for p in settings.profiles]
         self._cold_share = min(1.0, settings.fall_multiple * settings.cold_from)
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
         self._cancels, self._copies, self._failed_asks = settings.cancel, settings.second_copies, 0
-        self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER
+        self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER  # nothing learned of idle links
         self._spare_idle = 2 * settings.idle_close // self._relays
         self._destinations: defaultdict[int, Destination] = defaultdict(lambda: Destination(Order()))
         self._spare = Order()  # held packets that may be dismissed
@@ -128,11 +125,14 @@
             route.limit = min(top, max((route.share * top) ** 0.5, SECOND / ROUND))
         return self._hosts.setdefault(entry.host, Host(entry, home, route))
 
-    def refusal(self, destination: int, size: int, room: int) -> int:
+    def refusal(self, destination: int, size: int, room: int, left: int, lag: int) -> int:
         """0 where a packet may be handed in and stored, else how long its client ought to wait."""
         full, home = self._max_open and self._open >= self._max_open, self._destinations.get(destination)
         listed = home and home.route  # what no list has named yet may be a destination later, or never
-        return ROUND if full or not listed or size > room or self._leave_at < NEVER else 0
+        # Guards rule 1 where the processor runs short: refused are those that could end late, and of the
+        # others the more, the later turns come; with the lateness that ends at once.
+        late = left <= 2 * lag + self._margin or self._random() * lag > self._aim // LATE
+        return ROUND if full or late or not listed or size > room or self._leave_at < NEVER else 0
 
     def leave(self, leave_at: int) -> None:
         """Told to stop then: nothing more is taken, and no call goes out that may outlast the process."""
@@ -148,13 +148,12 @@
         self._now = now
         home = self._destinations[destination]
         packet = Packet(ident, self._order(), *self._profiles[profile], home, hard_stop)
-        packet.aim_at = hard_stop - packet.profile.give_up + packet.profile.quoted
         packet.gain = packet.profile.gain * self._worth_of_share(tenant)
         if packet.profile.in_order and key:
             packet.key = self._keys.get(key) or self._keys.setdefault(key, Key(key))
             packet.key.line.append(packet)
             self._place(packet.key.line[0])
-        packet.trips = [Trip(Call(None, sent_at), over=True, void=void) for sent_at, void in earlier]
+        packet.trips = [Trip(Call(None, sent_at, False), over=True, void=void) for sent_at, void in earlier]
         if packet.key and self._first_risk(packet):
             packet.key.rest_until = now + self._quiet
         self._packets[ident] = packet
@@ -223,7 +222,10 @@
         self._forget(packet)
 
     def _forget(self, packet: Packet) -> None:
-        if not packet.out and self._packets.pop(packet.id, None) and packet.key:
+        if packet.out or not self._packets.pop(packet.id, None):
+            return
+        packet.trips = []  # its hard stop may keep it in the agenda for long
+        if packet.key:
             packet.key.line.remove(packet)
             if packet.key.line:
                 self._place(packet.key.line[0])
@@ -244,13 +246,13 @@
         trip = packet.trips[number]
         trip.over, trip.void, packet.out = True, outcome.never_ran, packet.out - 1
         self._judge_call(trip.call, outcome, latency, wait, report)
-        if packet.key and outcome in MAY_RUN_ON:
+        if packet.key and outcome.may_run_on:
             packet.key.rest_until = now + self._quiet
         if packet.ended:
             self._forget(packet)
         elif finished:
             self._end(packet)
-        elif self._may_go_again(packet) and (outcome is not Outcome.UNREADABLE or len(trip.call.trips) > 1):
+        elif self._may_go_again(packet) and (outcome is not Outcome.UNREADABLE or trip.call.shared):
             packet.alone |= outcome is Outcome.UNREADABLE  # guards those that travel with what none can read
             self._hold(packet)
         else:
@@ -279,8 +281,9 @@
         if outcome in (Outcome.FULFILLED, Outcome.FULL, Outcome.FAULT):
             host.used_at, route.turned = self._now, route.turned * (outcome is Outcome.FULL)
         if not call.left:
+            call.trips = []  # no circles, so that nothing waits for the collector
             route.out, host.out, self._out = route.out - 1, host.out - 1, self._out - 1
-            if not host.out and outcome in MAY_RUN_ON:
+            if not host.out and outcome.may_run_on:
                 host.freed_at = self._now  # that link is gone
             if call.late:
                 host.overdue -= 1
@@ -408,10 +411,8 @@
 
     def _next_load(self) -> Load | None:
         """The call that saves most; those not weighed for long are weighed again, lest they rise unseen."""
-        for home in self._ready:
-            if home.weighed_at > self._now - self._aim // WEIGHED:
-                break
-            self._stirred[home] = None
+        old = takewhile(lambda home: home.weighed_at <= self._now - self._aim // WEIGHED, self._ready)
+        self._stirred.update(dict.fromkeys(old))
         self._weigh()
         while self._loads:
             load = heappop(self._loads)[2]
@@ -544,7 +545,7 @@
     def _call(self, host: Host, packets: list[Packet]) -> None:
         """One call with all that travels in it; it is logged once."""
         now, route = self._now, host.route
-        call = Call(host, now)
+        call = Call(host, now, len(packets) > 1)
         self._refresh_links(host, call)
         patience = self._patience(host)
         for packet in packets:
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -71,9 +71,12 @@
 
     # What the caller tells.
 
-    def refusal(self, destination: int, size: int, room: int) -> int:
-        """0 where a packet of that size may be handed in, else how long its client ought to wait."""
-        return self._relay.refusal(destination, size, room)
+    def refusal(self, destination: int, size: int, room: int, left: int, lag: int) -> int:
+        """0 where a packet of that size may be handed in, else how long its client ought to wait.
+
+        `left`: its time; `lag`: how late requests were answered of late.
+        """
+        return self._relay.refusal(destination, size, room, left, lag)
 
     def take(self, now: int, item: Item, profile: int, tenant: int, key: int, hard_stop: int,
              destination: int, earlier: tuple[tuple[int, bool], ...] = ()) -> None:
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -45,9 +45,15 @@
         """All others may have."""
         return self in NEVER_RAN
 
+    @property
+    def may_run_on(self) -> bool:
+        """Its call may be at work still."""
+        return self in MAY_RUN_ON
+
 
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT, Outcome.UNREADABLE, Outcome.CUT_OFF,
                        Outcome.CROWDED))
+MAY_RUN_ON = frozenset((Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED, Outcome.SPOILT))
 
 
 class Change(Enum):
@@ -143,6 +149,11 @@
     cold_time: int
     key_quiet: int
 
+    @property
+    def max_wait(self) -> int:
+        """For how long a client may be asked to stay away."""
+        return self.max_retry_after if self.retry_after else 0
+
 
 @dataclass(frozen=True, slots=True)
 class Entry:
@@ -191,6 +202,9 @@
     answer_time: int
     list_most: int
     notices: int
+    lag_kept: int
+    turn_reads: int
+    turn_calls: int
     orphans_again: bool
 
 
--- a/millweir/net/clients.py
+++ b/millweir/net/clients.py
@@ -50,6 +50,7 @@
         if self.asked and (self._reader.requests or not was_busy):
             self.begun = clock.steady()
         for request in self._reader.requests:
+            request.read_at = clock.steady()
             self.pending += 1
             self.asked += 1
             self._door.read(self, request)
@@ -64,6 +65,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.open = False
+        self._reader.close()
         self._door.closed(self, self.reason or ("reset" if exc else "client-closed"))
 
     @property
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -15,6 +15,7 @@
 from millweir.net.heads import Request, read_number
 from millweir.net.hosts import Hosts
 from millweir.net.journal import Journal, Parcel
+from millweir.net.lag import Lag
 from millweir.net.log import Log
 from millweir.net.notices import Notices
 
@@ -36,6 +37,7 @@
         self._scheduled = self._listed = self._leaving = self._lingered = False
         self._alarm: asyncio.TimerHandle | None = None
         self._alarm_at = 0
+        self._lag = Lag(bounds.lag_kept, clock.steady())
         self.stopped = loop.create_future()
         self.clients = ClientDoor(loop, bounds, self.wake, log, counters)
         self._hosts = Hosts(loop, bounds, settings.connect_timeout, journal, facade.still,
@@ -91,19 +93,25 @@
 
     def _turn(self) -> None:
         self._scheduled = False
+        began = clock.steady()
         try:
             self._work()
         except Exception:  # one bad packet must not end the service for the others
             self._counters.add("faults")
             self._log.must(f"fault {traceback.format_exc()!r}")
             self._loop.call_later(self._bounds.resend / 1e9, self.wake)
+        now = clock.steady()
+        self._lag.note(now, now - began)  # what came meanwhile is not read yet
 
     def _ring(self) -> None:
+        now = clock.steady()
+        self._lag.note(now, now - self._alarm_at)
         self._alarm_at = 0
         clock.once_read(self._loop, self.wake)
 
     def _work(self) -> None:
-        while self.clients.arrived:
+        """What is due goes first; how much of what has come in and goes out it may wait for is bounded."""
+        for _ in range(min(len(self.clients.arrived), self._bounds.turn_reads)):
             link, request = self.clients.arrived.popleft()
             try:
                 self._answer(link, request)
@@ -111,16 +119,22 @@
                 link.end("fault")
                 raise
         due = self._facade.tick(clock.steady())
+        while ending := self._facade.ended():
+            self._give_up(ending.item, ending.again, ending.wait)
+        self._notices.send()
         while part := self._facade.dropped():
             self._hosts.drop(part)
         while name := self._facade.freed():
             self._hosts.free(name)
-        while job := self._facade.pick():
+        for _ in range(self._bounds.turn_calls):
+            if not (job := self._facade.pick()):
+                break
             self._hosts.start(job)
-        while ending := self._facade.ended():
-            self._give_up(ending.item, ending.again, ending.wait)
+        else:
+            self.wake()
+        if self.clients.arrived:
+            self.wake()
         self._hosts.sweep()
-        self._notices.send()
         if due != self._alarm_at:
             if self._alarm:
                 self._alarm.cancel()
@@ -159,16 +173,18 @@
             # rule 2 and the packets it would travel with: hosts can't use a second body under one id.
             link.answer(request, 202)
             return
-        hard_stop = clock.to_wall(clock.steady() + request.left)
+        now, stop = clock.steady(), request.read_at + request.left
+        self._lag.note(now, now - request.read_at)
         parcel = Parcel(request.id, request.profile, request.account, request.key, request.mark,
-                        request.destination, hard_stop, request.body)
-        wait = self._facade.refusal(parcel.destination, parcel.size, self._journal.room)
+                        request.destination, clock.to_wall(stop), request.body)
+        wait = self._facade.refusal(parcel.destination, parcel.size, self._journal.room, stop - now,
+                                    self._lag.at(now))
         if not wait:
             try:
                 self._journal.taken(parcel)
             except OSError as fault:
                 self._log.say(f"journal-failed taken {fault}")
-                wait = self._facade.refusal(parcel.destination, 1, 0)
+                wait = self._facade.refusal(parcel.destination, 1, 0, stop - now, 0)
         if wait:
             self._counters.add("packets_refused")
             link.answer(request, 503, wait=wait, keep=not self._leaving)
--- a/millweir/net/heads.py
+++ b/millweir/net/heads.py
@@ -61,9 +61,10 @@
     """One request of a client, as far as read; `fault` is the status that it can only be answered with."""
 
     __slots__ = ("account", "body", "destination", "fault", "id", "keep", "key", "left", "length", "mark",
-                 "method", "once", "profile", "url")
+                 "method", "once", "profile", "read_at", "url")
 
     def __init__(self) -> None:
+        self.read_at = 0
         self.method = self.url = self.id = self.profile = self.account = self.key = self.mark = b""
         self.left = self.destination = -1
         self.length = 0
@@ -86,6 +87,10 @@
         self._size = 0
         self.requests: list[Request] = []  # complete ones, or the last one with its fault
 
+    def close(self) -> None:
+        """Nothing more comes: the parser and this no longer hold each other."""
+        self._parser = None
+
     @property
     def busy(self) -> bool:
         """A request has begun and is not complete."""
@@ -199,6 +204,10 @@
         self._seen = 0
         self._start()
 
+    def close(self) -> None:
+        """Nothing more comes: the parser and this no longer hold each other."""
+        self._parser = None
+
     def _start(self) -> None:
         self._bodies: list[bytes] = []
         self.status = self.says = self.wait = 0  # `says`: what a first line says, whatever comes behind it
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -40,13 +40,14 @@
 class Call:
     """One job under way."""
 
-    __slots__ = ("_hosts", "_trips", "_written", "door", "job", "link", "timer", "waiting")
+    __slots__ = ("_hosts", "_trips", "_written", "alone", "door", "job", "link", "timer", "waiting")
 
     def __init__(self, hosts: Hosts, job: Job[Parcel], door: Door) -> None:
         self._hosts = hosts
         self.job = job
         self.door = door
         self.waiting: dict[Part[Parcel], None] = dict.fromkeys(job.parts)
+        self.alone = len(job.parts) == 1
         self.link: Link | None = None
         self.timer: asyncio.TimerHandle | None = None
         self._written: list[Part[Parcel]] = []
@@ -142,14 +143,14 @@
             self.timer.cancel()
             self.timer = None
         if self.waiting:
-            left = min(part.until for part in self.waiting) - clock.steady()
+            left = min([part.until for part in self.waiting]) - clock.steady()
             self.timer = self._hosts.loop.call_later(
                 max(left, 0) / 1e9 + 0.0005, clock.once_read, self._hosts.loop, self.time_out)
 
     def answered(self, link: Link) -> None:
         reader = link.reader
         self._hosts.keep(self.door, link)
-        if reader.status == 200 and len(self.job.parts) > 1:
+        if reader.status == 200 and not self.alone:
             self._read_states(reader.body, reader.wait, reader.load)
         elif reader.over_slots:
             self.all_over(Outcome.MOOT, load=reader.load)
@@ -176,7 +177,7 @@
     @property
     def delivered(self) -> bool:
         """A first line that says 200 is true for the one packet of a call, whatever becomes of the rest."""
-        return self.link is not None and self.link.reader.says == 200 and len(self.job.parts) == 1
+        return self.link is not None and self.link.reader.says == 200 and self.alone
 
     def lost(self, link: Link) -> None:
         if self.delivered:
@@ -264,6 +265,7 @@
     def done(self, call: Call) -> None:
         """No part of the call is waited for any more."""
         self._calls.pop(call.job, None)
+        call.job.parts.clear()  # no circle for the collector to find
         if call.timer:
             call.timer.cancel()
 
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -20,6 +20,7 @@
 OVER = struct.Struct("<BQ")  # kind, number
 TAKEN_KIND, TRIP_KIND, VOID_KIND, GIVEN_UP_KIND, OVER_KIND = range(1, 6)
 TRIP_SIZE = 2 * FRAME.size + TRIP.size + VOID.size  # the most that one trip takes in a file
+FIXED_SIZE = 2 * FRAME.size + TAKEN.size + GIVEN_UP.size  # besides texts, body and trips
 FILE, NEW_FILE = "journal", "journal.new"
 
 
@@ -27,7 +28,7 @@
     """A packet as the sockets know it, from being taken on to its end."""
 
     __slots__ = ("account", "body", "destination", "given_up", "hard_stop", "id", "key", "mark", "number",
-                 "profile", "trips")
+                 "profile", "size", "trips")
 
     def __init__(self, ident: bytes, profile: bytes, account: bytes, key: bytes, mark: bytes,
                  destination: int, hard_stop: int, body: bytes) -> None:
@@ -42,17 +43,17 @@
         self.body = body
         self.trips: list[list[int]] = []  # when each went out, and 1 once it is known that it never ran
         self.given_up: tuple[bool, int] | None = None
-
-    @property
-    def size(self) -> int:
-        """The most that it takes in a file."""
-        texts = sum(map(len, (*self.texts, self.body)))
-        return 2 * FRAME.size + TAKEN.size + GIVEN_UP.size + texts + len(self.trips) * TRIP_SIZE
+        self.size = FIXED_SIZE + sum(map(len, self.texts)) + len(body)  # the most that it takes in a file
 
     @property
     def texts(self) -> tuple[bytes, ...]:
         return self.id, self.profile, self.account, self.key, self.mark
 
+    def went_out(self, at: int) -> None:
+        """It has one trip more."""
+        self.trips.append([at, 0])
+        self.size += TRIP_SIZE
+
     def records(self) -> list[bytes]:
         """All that a file must hold of it."""
         head = TAKEN.pack(TAKEN_KIND, self.number, self.hard_stop, *map(len, self.texts), self.destination)
@@ -67,7 +68,7 @@
 
 
 def framed(bodies: list[bytes]) -> bytes:
-    return b"".join(FRAME.pack(len(body), zlib.crc32(body)) + body for body in bodies)
+    return b"".join([FRAME.pack(len(body), zlib.crc32(body)) + body for body in bodies])
 
 
 class Journal:
@@ -99,7 +100,7 @@
         """Written before the last byte of their call goes out."""
         self._write([TRIP.pack(TRIP_KIND, parcel.number, at) for parcel in parcels])
         for parcel in parcels:
-            parcel.trips.append([at, 0])
+            parcel.went_out(at)
             self._live += TRIP_SIZE
 
     def void(self, parcel: Parcel, at: int) -> None:
@@ -185,7 +186,7 @@
             elif parcel is None:
                 pass  # Guards what comes after: a late word on a parcel that is over is no damage.
             elif body[0] == TRIP_KIND:
-                parcel.trips.append([TRIP.unpack(body)[2], 0])
+                parcel.went_out(TRIP.unpack(body)[2])
             elif body[0] == VOID_KIND:
                 parcel.trips[VOID.unpack(body)[2]][1] = 1
             elif body[0] == GIVEN_UP_KIND:
--- a/millweir/net/links.py
+++ b/millweir/net/links.py
@@ -146,3 +146,4 @@
                 self._fail(reason)
         elif was_open and self.when_closed:
             self.when_closed(self)
+        self.reader.close()
--- a/millweir/order.py
+++ b/millweir/order.py
@@ -5,7 +5,6 @@
 only falls: the best of a piece stands at one of its ends, so each line is asked at a few places.
 """
 
-from __future__ import annotations
 
 from collections import defaultdict
 from functools import partial
@@ -71,8 +70,7 @@
                 loss = weight * curve.loss(at - packet.aim_at) if bears else 0.0001 / (1 + weight)
                 found.append((loss, packet))
         found.sort(key=itemgetter(0), reverse=True)
-        alone = bool(found) and found[0][1].alone
-        return found[:1] if alone else [pair for pair in found if not pair[1].alone][:most]
+        return found[:1] if found and found[0][1].alone else [p for p in found if not p[1].alone][:most]
 
     def least(self, at: int) -> Packet | None:
         """The packet that is worth least when fulfilled at that time: in each line the latest."""
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -110,12 +110,14 @@
     """One call out to a host; packets sent to it in one turn share it."""
 
     __slots__ = (
-        "fresh", "given_up", "host", "idle", "judged", "late", "left", "sent_at", "trips", "yields_at",
+        "fresh", "given_up", "host", "idle", "judged", "late", "left", "sent_at", "shared", "trips",
+        "yields_at",
     )
 
-    def __init__(self, host: Host | None, sent_at: int) -> None:
+    def __init__(self, host: Host | None, sent_at: int, shared: bool) -> None:
         self.host = host  # none for a call made before a restart
         self.sent_at = sent_at
+        self.shared = shared  # by several packets
         self.left = 0
         self.late = False
         self.judged = False
@@ -153,7 +155,7 @@
         self.curve = curve
         self.destination = destination
         self.hard_stop = hard_stop
-        self.aim_at = 0
+        self.aim_at = hard_stop - profile.give_up + profile.quoted  # by when it is wanted
         self.gain = 0.0
         self.key: Key | None = None
         self.trips: list[Trip] = []
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -299,11 +299,26 @@
 def test_only_destinations_that_a_list_has_named_are_taken_for():
     rig = Rig(entries=[entry(1, 0)])
     rig.take(0, 5)  # owed from an earlier life
-    assert not rig.relay.refusal(1, 10, 10) and rig.relay.refusal(5, 10, 10) and rig.relay.refusal(7, 10, 10)
+    def refused(destination):
+        return rig.relay.refusal(destination, 10, 10, SECOND, 0)
+
+    assert not refused(1) and refused(5) and refused(7)
     rig.list(Change.DELTA, [entry(5, 0)])
-    assert not rig.relay.refusal(5, 10, 10)
+    assert not refused(5)
     rig.list(Change.FULL, [])
-    assert not rig.relay.refusal(5, 10, 10)  # nobody is there at the moment
+    assert not refused(5)  # nobody is there at the moment
+
+
+def test_the_door_refuses_what_could_end_late_and_the_more_the_later_turns_come():
+    rig = Rig()  # quoted times of two seconds
+
+    def refused(lag, left=16 * SECOND):
+        return sum(rig.relay.refusal(0, 10, 10, left, lag) > 0 for _ in range(400)) / 400
+
+    assert refused(0) == refused(SECOND // 8) == 0
+    assert 0.4 < refused(SECOND // 4) < 0.6 and 0.8 < refused(SECOND) < 0.95
+    assert refused(20 * MILLISECOND, 50 * MILLISECOND) == 1 and refused(0, 50 * MILLISECOND) == 0
+    assert refused(0) == 0  # nothing stays
 
 
 def test_what_is_remembered_of_idle_links_stays_little():
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,6 +15,7 @@
 from millweir.net.heads import AnswerReader, RequestReader, read_seconds, read_span
 from millweir.net.hosts import Hosts
 from millweir.net.journal import FILE, VOID, VOID_KIND, Journal, Parcel, framed
+from millweir.net.lag import Lag
 from millweir.net.log import Log
 
 
@@ -247,3 +248,13 @@
     log.say("later")
     told = [line.split(" ", 1)[1] for line in capsys.readouterr().err.splitlines()]
     assert told == ["line 0", "line 1", "line 2", "log dropped=7", "later"]
+
+
+def test_lag_is_the_longest_wait_of_late_and_fades():
+    lag = Lag(SECOND, 0)
+    lag.note(SECOND // 2, 300)
+    lag.note(SECOND // 2, 100)
+    assert lag.at(SECOND // 2) == lag.at(2 * SECOND - 1) == 300
+    lag.note(2 * SECOND, 50)
+    assert lag.at(2 * SECOND) == lag.at(4 * SECOND - 1) == 50
+    assert lag.at(4 * SECOND) == 0
