Overdue calls give links that run short to held packets; short-lived packets go alone

Cause, from a probe each second: hosts with small connection tables hold nothing but overdue calls on links that fell silent, new links pause for up to 43 s, hundreds wait behind them with two thirds of the slots free. Change: where a host's links are short, calls past their patience give way as they do where slots are. A packet that may not last as long as a call goes alone, lest it takes others along. The list's hosts of a destination are a dict: a list of thousands is no longer searched for each line. Host.tight, Call.carry, NEVER in records.py.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -13,7 +13,7 @@
 
 from millweir.interface import SECOND, Bounds, Change, Effect, Entry, Limits, Outcome, Phase, Port, Settings
 from millweir.order import Curve, Order
-from millweir.records import Books, Call, Destination, Due, Host, Key, Load, Packet, Route, Trip
+from millweir.records import NEVER, Books, Call, Destination, Due, Host, Key, Load, Packet, Route, Trip
 
 MILLISECOND = SECOND // 1000
 WINDOW = 3 * SECOND // 10  # of the send log; longer where the limit lets less than one call through in it
@@ -35,7 +35,6 @@
 WEIGHED = 32  # a load is weighed again after so small a part of the quoted time
 GATHER, SCARCE = 8, 10 * SECOND  # part of the quoted time for which short calls wait, so long after a cut
 YOUNG = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
-NEVER = 1 << 62
 
 
 def bounds(settings: Settings, limits: Limits) -> Bounds:
@@ -100,7 +99,7 @@
             listed = host in host.destination.hosts
             if ident in gone and listed:
                 host.left_at = host.left_at or now
-                host.destination.hosts.remove(host)
+                del host.destination.hosts[host]
                 self._stirred[host.destination] = None
             elif not listed and now - host.left_at > FORGOTTEN_AFTER and not host.out:
                 del self._hosts[ident]
@@ -110,8 +109,7 @@
                 told = max(1, now - self._grace) if change is Change.CACHED else now  # in an earlier life
                 host.left_at = 0 if entry.phase is Phase.READY else host.left_at or told
                 self._stirred[host.destination] = None
-                if host not in host.destination.hosts:
-                    host.destination.hosts.append(host)
+                host.destination.hosts[host] = None
                 if self._known_rates and entry.rate > 0 and entry.rate != host.route.listed:
                     host.route.listed = host.route.top = entry.rate  # a listed rate may change in the day
                     host.route.share = entry.rate / self._relays
@@ -403,8 +401,8 @@
             # The one that this relay's own counts favour.
             drawn = self._sample(load.hosts, min(2, len(load.hosts)))
             self._call(min(drawn, key=self._burden), load.packets)
-        if self._cancels and self._out >= self._slots:
-            self._free_slots()
+        if self._cancels and self._overdue:
+            self._free_room()
         if self._agenda and not now < self._alarm_at <= self._agenda[0][0]:
             self._alarm_at = max(self._agenda[0][0], now + MILLISECOND)
             self._port.alarm(self._alarm_at - now)
@@ -433,12 +431,13 @@
                 heappush(self._loads, (-home.load.saved, self._order(), home.load))
         self._stirred.clear()
 
-    def _free_slots(self) -> None:
-        """Guards the slots: with all taken, calls out far too long give way to packets that could go."""
+    def _free_room(self) -> None:
+        """Guards slots and links: where these are short, calls out far too long give way to held packets."""
         if calls := [call for call in self._overdue if call.given_up or call.yields_at <= self._now]:
             self._weigh()
-        for call in calls[:len(self._ready)]:
-            self._give_up(call)
+        for at, call in enumerate(calls):
+            if at < len(self._ready) or call.host.destination.held and call.host.tight(self._now):
+                self._give_up(call)
 
     def _give_up(self, call: Call) -> None:
         for packet, number in () if call.given_up else call.trips:
@@ -503,7 +502,7 @@
         """Told waits, the windowed count against the limit, as designed; then what guards slots."""
         route, now = host.route, self._now
         opens = max(route.wait_until, self._trickle_opens(host) if host.pace else 0,
-                    host.clear_at if host.out >= host.links else 0)
+                    host.clear_at if host.tight(now) else 0)
         if opens <= now:
             if route.pressed and route.limit < route.top and now - route.raised_at >= ROUND:
                 route.limit = min(route.top, route.limit + RAISE * max(route.share, route.limit))
@@ -529,6 +528,8 @@
         kind, route = hosts[0].kind, hosts[0].route
         most = 1 if trial or kind >= len(self._bundle) else self._bundle[kind]
         ranked = home.order.best(self._now + took, most, trial)
+        until = self._now + self._patience(hosts[0])  # what may not last as long as a call goes alone
+        ranked = [p for p in ranked if p is ranked[0] or min(p[1].hard_stop, ranked[0][1].hard_stop) > until]
         if 0 < len(ranked) < most and not ranked[0][1].alone and self._now < route.cut_at + SCARCE:
             since = min(packet.aim_at - packet.profile.quoted for _, packet in ranked)
             if since + self._aim // GATHER > self._now:  # calls are short there
@@ -550,9 +551,7 @@
         patience = self._patience(host)
         for packet in packets:
             self._hold(packet, False)
-            call.trips.append((packet, len(packet.trips)))
-            packet.trips.append(Trip(call))
-            packet.out, call.left = packet.out + 1, call.left + 1
+            call.carry(packet)
             self._port.send(packet, host, self._time_out(packet, patience, len(packets) == 1))
         route.log.append(now)
         route.out, host.out, self._out, host.tried_at = route.out + 1, host.out + 1, self._out + 1, now
--- a/millweir/order.py
+++ b/millweir/order.py
@@ -14,9 +14,7 @@
 from sortedcontainers import SortedList
 
 from millweir.interface import Effect, Profile
-from millweir.records import Packet
-
-EVER = 1 << 62
+from millweir.records import NEVER, Packet
 
 
 class Curve:
@@ -26,7 +24,7 @@
         """`span`: the wait that is weighed; `halves`: worth halves with each quoted time."""
         self.bears_trials = profile.effect is not Effect.SINGLE_USE
         self.worth, self._span = partial(profile.worth, halves), span
-        starts = sorted({-EVER, EVER, *(turn - at for turn in profile.turns(halves) for at in (0, span))})
+        starts = sorted({-NEVER, NEVER, *(turn - at for turn in profile.turns(halves) for at in (0, span))})
         # Each piece: its first and last lateness, and whether the latest packet in it loses most.
         self._pieces = [(first, after - 1, self.loss(after - 1) >= self.loss(first))
                         for first, after in pairwise(starts)]
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -10,6 +10,9 @@
     from millweir.order import Curve, Order
 
 
+NEVER = 1 << 62
+
+
 class Route:
     """What one limit holds for: a destination, or one host of it where routes are apart."""
 
@@ -62,10 +65,14 @@
         self.used_at = 0
         self.lost = 0
         self.freed_at = 0
-        self.stale_at = -1 << 62
+        self.stale_at = -NEVER
         self.idle_lost = 0
         self.idle_lost_at = 0
 
+    def tight(self, now: int) -> bool:
+        """Its connection table was full a moment ago, and it has as many calls as then."""
+        return self.out >= self.links and self.clear_at > now
+
 
 class Destination:
     """Where packets are bound, with its hosts and the packets held for it."""
@@ -73,7 +80,7 @@
     __slots__ = ("due_at", "held", "hosts", "load", "order", "route", "taken", "weighed_at")
 
     def __init__(self, order: Order) -> None:
-        self.hosts: list[Host] = []
+        self.hosts: dict[Host, None] = {}  # those that the list names
         self.order = order  # held packets that may go, but for their hosts
         self.held = 0  # all held packets
         self.load: Load | None = None  # the next call here, as weighed last
@@ -127,6 +134,12 @@
         self.yields_at = 0
         self.trips: list[tuple[Packet, int]] = []
 
+    def carry(self, packet: Packet) -> None:
+        """One packet more travels in it."""
+        self.trips.append((packet, len(packet.trips)))
+        packet.trips.append(Trip(self))
+        packet.out, self.left = packet.out + 1, self.left + 1
+
 
 class Trip:
     """One packet's part in a call."""
