A shared call is given up when the time of any packet it carried is up, also of one that left it

Change: the call itself knows when the first of its packets has to end; overdue by then, it is given up whole.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -462,9 +462,6 @@
             elif isinstance(what, Packet):
                 if what.ended or not what.held and self._now < what.hard_stop - self._margin:
                     continue
-                # A call has one fate: one overdue that has outlasted a packet is no longer waited for.
-                if what.out and self._cancels and what.trips[-1].call.late:
-                    self._give_up(what.trips[-1].call)
                 self._finish(what)
             elif isinstance(what, Destination):
                 self._stirred[what] = None
@@ -481,8 +478,11 @@
                 what.late, what.host.overdue = True, what.host.overdue + 1
                 self._overdue[what] = self._stirred[what.host.destination] = None
                 self._enter(what.yields_at, what)
+                self._enter(what.stop - self._margin, what)
                 silent = what.host.used_at < what.sent_at  # it answered nothing in all that time
                 self._link_lost(what, SICK / 2 if silent else FAILED_WEIGHT, reset=False)
+            elif what.left and what.shared and self._cancels and self._now >= what.stop - self._margin:
+                self._give_up(what)  # one fate: overdue, it has outlasted one of its packets
 
     def _hosts_with_room(self, home: Destination) -> list[Host]:
         """Hosts of the destination that may be sent a call now; notes when the next one may."""
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -117,8 +117,8 @@
     """One call out to a host; packets sent to it in one turn share it."""
 
     __slots__ = (
-        "fresh", "given_up", "host", "idle", "judged", "late", "left", "sent_at", "shared", "trips",
-        "yields_at",
+        "fresh", "given_up", "host", "idle", "judged", "late", "left", "sent_at", "shared", "stop",
+        "trips", "yields_at",
     )
 
     def __init__(self, host: Host | None, sent_at: int, shared: bool) -> None:
@@ -132,10 +132,12 @@
         self.idle = 0
         self.fresh = False
         self.yields_at = 0
+        self.stop = NEVER  # when the first of its packets has to end
         self.trips: list[tuple[Packet, int]] = []
 
     def carry(self, packet: Packet) -> None:
         """One packet more travels in it."""
+        self.stop = min(self.stop, packet.hard_stop)
         self.trips.append((packet, len(packet.trips)))
         packet.trips.append(Trip(self))
         packet.out, self.left = packet.out + 1, self.left + 1
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from rig import PROFILES, STEP, Rig, entry
+from rig import PROFILES, STEP, Rig, entry, well
 
 from millweir.interface import MILLISECOND, SECOND, Effect, Outcome, Profile
 from millweir.order import Curve, Order
@@ -137,15 +137,40 @@
     assert rig.answers == {1: "errored"} and len(rig.sent) == 1
 
 
-@pytest.mark.parametrize("left, waits", [(SECOND, True), (12 * SECOND, False)])
-def test_an_overdue_call_that_outlasted_one_of_its_packets_is_no_longer_waited_for(left, waits):
+def test_an_overdue_call_that_outlasted_one_of_its_packets_is_no_longer_waited_for():
     rig = Rig(entries=[entry(0, 0)], relays=1)
-    stop = rig.now + left
-    rig.taken[1] = {"hard_stop": stop, "key": 0}
-    rig.relay.packet_taken(rig.now, 1, 2, 0, 0, stop, 0)
-    rig.take(2, ident=2)
+    stop = rig.now + 6 * SECOND
+    for ident, profile, left in ((1, 2, stop), (2, 2, stop + 9 * SECOND)):
+        rig.taken[ident] = {"hard_stop": left, "key": 0}
+        rig.relay.packet_taken(rig.now, ident, profile, 0, 0, left, 0)
+    rig.stirred = True
     while 1 not in rig.answers:
         rig.pass_time(STEP)
-    first, second = rig.sent
-    assert first.at == second.at, "one call"
-    assert rig.answers == {1: "errored"} and bool(rig.cancelled) is not waits
+    assert len({s.at for s in rig.sent}) == 1 and len(rig.sent) == 2, "one call"
+    assert rig.now >= stop - 3 * STEP and {packet.id for packet, _ in rig.cancelled} == {1, 2}
+
+
+def test_what_may_not_last_as_long_as_a_call_goes_alone():
+    rig = Rig(entries=[entry(0, 0)], relays=1)
+    for ident, left in ((1, SECOND), (2, 9 * SECOND), (3, 9 * SECOND)):
+        rig.taken[ident] = {"hard_stop": rig.now + left, "key": 0}
+        rig.relay.packet_taken(rig.now, ident, 0, 0, 0, rig.now + left, 0)
+    rig.stirred = True
+    rig.pass_time(SECOND, well()(rig))
+    assert len(rig.sent) == 3 and len({s.at for s in rig.sent if s.packet.id != 1}) == 1
+    assert [s.packet.id for s in rig.sent if s.at == next(x.at for x in rig.sent if x.packet.id == 1)] == [1]
+
+
+def test_overdue_calls_give_up_links_that_run_short():
+    rig = Rig(entries=[entry(0, 0, kind=1, rate=50.0)], relays=1, slots=9)
+    for _ in range(3):
+        rig.take(0)
+        rig.pass_time(100 * MILLISECOND)
+    host = rig.sent[0].host
+    assert len(rig.out()) == 3
+    host.links, host.clear_at = 3, rig.now + 60 * SECOND  # its table was full a moment ago
+    rig.take(0)
+    rig.pass_time(SECOND)
+    assert not rig.cancelled and len(rig.sent) == 3  # not overdue for long enough yet
+    rig.pass_time(3 * SECOND)
+    assert rig.cancelled and len(rig.sent) > 3
