Second address: health, counters, cordon, uncordon, quiesce, resume; cordons in the module

Relay.host_cordoned in control.py: out since the call whatever the list says (rule 3), back cold with the trickle of hosts set aside (rule 4); an id no list named is refused. Cordons are written to $RELAY_STATE/cordons.json before SUCCESS and read back at start. quiesce: /ready 503, links closed after their answers and once idle; nothing refused. The clients' listener takes SO_REUSEPORT.

--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -14,6 +14,7 @@
 from millweir.net import clock
 from millweir.net.clients import ClientLink
 from millweir.net.config import Config, Misconfigured, read_config
+from millweir.net.control import ControlDoor
 from millweir.net.counters import Counters
 from millweir.net.desk import Desk
 from millweir.net.journal import Journal, Parcel
@@ -25,9 +26,11 @@
     try:
         fresh = read_config(os.environ, again=True)
     except Misconfigured as fault:
+        desk.reloads[1] += 1
         log.must(f"reload-failed {str(fault)[:300]}")
         return
-    parts = ("listen", "state", "limits", "settings")
+    desk.reloads[0] += 1
+    parts = ("listen", "control", "state", "limits", "settings")
     later = [part for part in parts if getattr(config, part) != getattr(fresh, part)]
     log.must(f"reloaded discovery={':'.join(map(str, fresh.discovery))} "
              f"at-next-start={','.join(later) or 'none'}")
@@ -50,7 +53,12 @@
     loop.add_signal_handler(signal.SIGINT, desk.leave)
     loop.add_signal_handler(signal.SIGHUP, reload, config, desk, log)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.must(counters.line()))
-    server = await loop.create_server(lambda: ClientLink(desk.clients), *config.listen, backlog=512)
+    # Shared with a process that replaces this one, or is replaced by it (an upgrade).
+    server = await loop.create_server(lambda: ClientLink(desk.clients), *config.listen, backlog=512,
+                                      reuse_port=True)
+    if config.control:
+        door = ControlDoor(loop, desk)
+        await loop.create_server(door.link, *config.control, backlog=64)
     log.must(f"ready name={config.name} listen={':'.join(map(str, config.listen))} "
              f"discovery={':'.join(map(str, config.discovery))} owed={len(journal.owed)}")
     # Guards turns against pauses of 0.2 s: what is there now stays, and what comes holds no circles, so that
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -1,9 +1,8 @@
 """Every decision of a relay: which packet goes to which host, when, and what it is told in the end.
 
 Make one Relay with a port, the settings, a seed and the clock; call one method for each thing that happens,
-then round_over once all that came in together has been told.  It acts by calling the port.  Types and port
-are in millweir/interface.py, records in millweir/records.py, the order of held packets in millweir/order.py,
-departures from the paper in docs/design.md.
+then round_over once all that came in together has been told; it acts by calling the port.  Types and port in
+millweir/interface.py, records in records.py, held packets' order in order.py, departures in docs/design.md.
 """
 
 import random
@@ -15,24 +14,18 @@
 from millweir.order import Curve, Order
 from millweir.records import NEVER, Books, Call, Destination, Due, Host, Key, Load, Packet, Route, Trip
 
-MILLISECOND = SECOND // 1000
 WINDOW = 3 * SECOND // 10  # of the send log; longer where the limit lets less than one call through in it
-ROUND = SECOND  # without a refusal, before the limit is raised
+MILLISECOND, ROUND = SECOND // 1000, SECOND  # ROUND: without a refusal, before the limit is raised
 CUT, CUT_AGAIN, RAISE = 0.5, 0.125, 0.25  # a refusal cuts to this part of own use; a round without one adds
 LEAST, ROUGH = 0.5, 1.5  # of the even share; a rough rate is up to half too high, an exact one bears more
 FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
-SICK = 4.6  # log odds of a hundred to one: set aside
 SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
-ROUTE_SHARE = 3  # one route may fill one in so many of the slots
-STALE_KEPT = 30 * SECOND  # how long it is remembered that idle links go stale
-STALE_LEAST = SECOND // 2  # links idle for less are not held stale
+SICK, ROUTE_SHARE = 4.6, 3  # log odds of a hundred to one: set aside; a route fills one in so many slots
+STALE_KEPT, STALE_LEAST = 30 * SECOND, SECOND // 2  # idle links go stale: so long kept; idle less: not stale
 STALE_PROOF, STALE_HOSTS = 5 * SECOND, 3  # what is told of all hosts: within that time, by so many of them
-SHARE_DEPTH = 2  # seconds of a tenant's share that it may send at once
-FORGOTTEN_AFTER = 60 * SECOND  # a host that left the list
-FAR = 2  # what a host in another zone counts against one here
-MUCH_LEFT = 0.75  # share of a limit: a refusal then is not for the limit
-LATE = 16  # turns may come late by so small a part of the quoted time
-WEIGHED = 32  # a load is weighed again after so small a part of the quoted time
+SHARE_DEPTH, FORGOTTEN_AFTER = 2, 60 * SECOND  # seconds of a tenant's share sent at once; a host that left
+FAR, MUCH_LEFT = 2, 0.75  # a host in another zone against one here; so much unused: a refusal not for it
+LATE, WEIGHED = 16, 32  # parts of the quoted time: turns may come so late; a load is weighed again so soon
 GATHER, SCARCE = 8, 10 * SECOND  # part of the quoted time for which short calls wait, so long after a cut
 YOUNG = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
 
@@ -76,9 +69,8 @@
         self._ask_every = settings.must_ask_in // 4 if settings.must_ask else 0
         self._cancels, self._copies, self._failed_asks = settings.cancel, settings.second_copies, 0
         self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER  # nothing learned of idle links
-        self._spare_idle = 2 * settings.idle_close // self._relays
         self._destinations: defaultdict[int, Destination] = defaultdict(lambda: Destination(Order()))
-        self._spare = Order()  # held packets that may be dismissed
+        self._spare, self._spare_idle = Order(), 2 * settings.idle_close // self._relays  # held: dismissable
         self._order, self._alarm_at, self._leave_at = count().__next__, 0, NEVER
         if settings.must_ask:
             port.watch()
@@ -107,7 +99,8 @@
             if entry.phase is not Phase.GONE:
                 host = self._hosts.get(entry.host) or self._meet(entry)
                 told = max(1, now - self._grace) if change is Change.CACHED else now  # in an earlier life
-                host.left_at = 0 if entry.phase is Phase.READY else host.left_at or told
+                host.ready, out = entry.phase is Phase.READY, self._cordoned.get(entry.host, 0)
+                host.left_at = 0 if host.ready and not out else host.left_at or out or told
                 self._stirred[host.destination] = None
                 host.destination.hosts[host] = None
                 if self._known_rates and entry.rate > 0 and entry.rate != host.route.listed:
@@ -123,6 +116,21 @@
             route.limit = min(top, max((route.share * top) ** 0.5, SECOND / ROUND))
         return self._hosts.setdefault(entry.host, Host(entry, home, route))
 
+    def host_cordoned(self, now: int, ident: bytes, out: bool, since: int) -> bool:
+        """By hand: out since then, nothing new after the grace, whatever the list says (rule 3); or back."""
+        host, self._now = self._hosts.get(ident), now
+        if host is None and ident not in self._cordoned:
+            return False  # no list named it
+        if out:
+            self._cordoned.setdefault(ident, since)
+        elif self._cordoned.pop(ident, 0) and host and host.ready:
+            host.left_at = 0
+            self._went_ill(host, SICK)  # it is cold: a trickle that doubles while all goes well (rule 4)
+        if host:
+            host.left_at = host.left_at or self._cordoned.get(ident, 0)
+            self._stirred[host.destination] = None
+        return True
+
     def refusal(self, destination: int, size: int, room: int, left: int, lag: int) -> int:
         """0 where a packet may be handed in and stored, else how long its client ought to wait."""
         full, home = self._max_open and self._open >= self._max_open, self._destinations.get(destination)
@@ -143,8 +151,7 @@
     def packet_taken(self, now: int, ident: int, profile: int, tenant: int, key: int, hard_stop: int,
                      destination: int, earlier: tuple[tuple[int, bool], ...] = ()) -> None:
         """A packet was handed in, or is owed from an earlier life; round_over finds room for it."""
-        self._now = now
-        home = self._destinations[destination]
+        self._now, home = now, self._destinations[destination]
         packet = Packet(ident, self._order(), *self._profiles[profile], home, hard_stop)
         packet.gain = packet.profile.gain * self._worth_of_share(tenant)
         if packet.profile.in_order and key:
@@ -154,9 +161,7 @@
         packet.trips = [Trip(Call(None, sent_at, False), over=True, void=void) for sent_at, void in earlier]
         if packet.key and self._first_risk(packet):
             packet.key.rest_until = now + self._quiet
-        self._packets[ident] = packet
-        self._open += 1
-        home.taken += 1
+        self._packets[ident], self._open, home.taken = packet, self._open + 1, home.taken + 1
         self._enter(hard_stop - self._margin, packet)
         self._hold(packet)
         if earlier and not self._may_go_again(packet):
@@ -201,10 +206,8 @@
 
     def _finish(self, packet: Packet) -> None:
         """Rule 1: the one place that gives an answer; dismissed where no trip may have run, else errored."""
-        if self._first_risk(packet):
-            self._port.error(packet)
-        else:
-            self._port.dismiss(packet, self._advice(packet))
+        (self._port.error(packet) if self._first_risk(packet) else
+         self._port.dismiss(packet, self._advice(packet)))
         self._end(packet)
 
     def _advice(self, packet: Packet) -> int:
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -101,6 +101,16 @@
         if finished:
             self._items.pop(ident, None)
 
+    def cordon(self, now: int, host: bytes, out: bool, since: int = 0) -> bool:
+        """A host out by hand, since then (0: now), or back; False for an id that no list ever named."""
+        self._now = now
+        return self._relay.host_cordoned(now, host, out, since or now)
+
+    def targets(self) -> tuple[int, int]:
+        """Hosts in the list, and of those the ones avoided now: out by hand, draining, or set aside."""
+        listed = [host for host in self._relay._hosts.values() if host in host.destination.hosts]
+        return len(listed), sum(1 for host in listed if host.left_at or (host.pace and not host.back_at))
+
     def leave(self, leave_at: int) -> None:
         """The process is to stop then."""
         self._relay.leave(leave_at)
--- a/millweir/net/clients.py
+++ b/millweir/net/clients.py
@@ -93,7 +93,7 @@
         self.pending -= 1
         if not self.open:
             return
-        keep = keep and request.keep
+        keep = keep and request.keep and not self._door.closing  # a drain: each link ends after its answer
         self._transport.writelines(answer(status, keep, body, wait))
         if not keep:
             self.end("bad-request" if request.fault else "told-close", linger=bool(request.fault))
@@ -124,6 +124,7 @@
         self._links: dict[ClientLink, None] = {}  # the one idle longest first
         self._fresh: deque[tuple[ClientLink, Request]] = deque()
         self._loop = loop
+        self.closing = False  # drained: links are closed once idle
         self.arrived: deque[tuple[ClientLink, Request]] = deque()
         self._sweep()
 
@@ -131,7 +132,10 @@
         """Guards the door against those who connect and never ask, or never finish asking, or never close."""
         now = clock.steady()
         for link in list(self._links):
-            if link.stalls(now - (self.bounds.doubtful if link.reason else self.bounds.request)):
+            fresh = not link.asked and link.begun > now - 2 * self.bounds.doubtful  # its request may come
+            if self.closing and link.idle and not link.reason and not fresh:
+                link.end("quiesced")
+            elif link.stalls(now - (self.bounds.doubtful if link.reason else self.bounds.request)):
                 link.time_out()
         self._loop.call_later(self.bounds.doubtful / 2e9, self._sweep)
 
--- a/millweir/net/config.py
+++ b/millweir/net/config.py
@@ -25,6 +25,7 @@
 
     name: str
     listen: tuple[str, int]
+    control: tuple[str, int] | None  # the second address, where there is one
     discovery: tuple[str, int]
     state: Path
     seed: int
@@ -69,6 +70,8 @@
         return Config(
             name=str(environ.get("RELAY_NAME") or given.get("name", "")),
             listen=read_address(environ.get("RELAY_LISTEN") or given.get("listen"), "RELAY_LISTEN"),
+            control=(read_address(control, "RELAY_CONTROL")
+                     if (control := environ.get("RELAY_CONTROL") or given.get("control")) else None),
             discovery=read_address(discovery, "RELAY_DISCOVERY"),
             state=Path(state),
             seed=int(str(given.get("seed", "0")), 16),
--- a/millweir/net/counters.py
+++ b/millweir/net/counters.py
@@ -13,6 +13,11 @@
     def __init__(self) -> None:
         self._counts: Counter[str] = Counter()
 
+    @property
+    def counts(self) -> Counter[str]:
+        """All counts; a name never counted is 0."""
+        return self._counts
+
     def add(self, name: str, by: int = 1) -> None:
         self._counts[name] += by
 
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
 import traceback
+from typing import Any
 
 from millweir.facade import Facade, Part
 from millweir.interface import Change, Outcome
@@ -34,7 +37,11 @@
         self._discovery = config.discovery
         self._owed: dict[bytes, Parcel] = {}
         self._ended: dict[bytes, int] = {}  # ids no longer owed, the one that ended first at the front
-        self._scheduled = self._listed = self._leaving = self._lingered = False
+        self._scheduled = self._listed = self._leaving = self._lingered = self._quiet = False
+        self._replies: dict[bytes, list[int]] = {}  # success, overload, error, a profile each
+        self._cordons_file = config.state / "cordons.json"
+        self._cordons: dict[str, int] = {}  # host id: when it was put out, wall clock
+        self.reloads = [0, 0]  # taken, turned down
         self._alarm: asyncio.TimerHandle | None = None
         self._alarm_at = 0
         self._lag = Lag(bounds.lag_kept, clock.steady())
@@ -44,6 +51,7 @@
                             self._report, log, counters)
         self._notices = Notices(loop, config.discovery, bounds, self._over, log, counters)
         index = self._read_known(config)
+        self._read_cordons()
         for parcel in list(journal.owed.values()):
             self._restore(parcel)
         self._watch = Watch(loop, config.discovery, settings, bounds, index, self._told, log,
@@ -60,6 +68,78 @@
         self._told(Change.CACHED, known)
         return known.index
 
+    def _read_cordons(self) -> None:
+        """Hosts put out by hand in an earlier life stay out (rule 3 over an upgrade)."""
+        try:
+            self._cordons = {str(k): int(v) for k, v in json.loads(self._cordons_file.read_bytes()).items()}
+        except FileNotFoundError:
+            return
+        except (OSError, ValueError, AttributeError) as fault:
+            self._log.must(f"cordons-unreadable {fault}")
+            return
+        for host, since in self._cordons.items():
+            self._facade.cordon(clock.steady(), host.encode(), True, clock.from_wall(since))
+
+    def _count(self, profile: bytes, which: int) -> None:
+        counts = self._replies.get(profile)
+        if counts is None:
+            counts = self._replies[profile] = [0, 0, 0]
+        counts[which] += 1
+
+    def healthy(self) -> bool:
+        """Ready to serve: a list is known, and it is neither leaving nor drained."""
+        return self._listed and not self._leaving and not self._quiet
+
+    def figures(self) -> dict[str, Any]:
+        """What the second address tells: counts since this process began, and what is so now."""
+        targets, disabled = self._facade.targets()
+        replies = {profile.decode(errors="replace"): {"success": s, "overload": o, "error": e}
+                   for profile, (s, o, e) in self._replies.items()}
+        counts = self._counters.counts
+        return {"replies": replies, "dispatches": counts["trips_sent"], "concurrent": len(self._owed),
+                "targets": targets, "targets_disabled": disabled, "reload_success": self.reloads[0],
+                "reload_failure": self.reloads[1]}
+
+    def cordon(self, host: bytes, out: bool) -> str:
+        """By hand: the host out or back; the module decides what that means.  '' or why not."""
+        now, name = clock.steady(), host.decode()
+        if not self._facade.cordon(now, host, out):
+            return f"no host {name[:80]} was ever listed"
+        if out == (name in self._cordons):
+            return ""  # a repeat changes nothing
+        if out:
+            self._cordons[name] = clock.to_wall(now)
+        else:
+            del self._cordons[name]
+        try:  # written whole before the answer: a process that replaces this one reads it
+            fresh = self._cordons_file.with_suffix(".new")
+            fresh.write_text(json.dumps(self._cordons))
+            os.replace(fresh, self._cordons_file)
+        except OSError as fault:
+            self._log.must(f"cordons-unwritten {fault}")
+        self._log.must(f"{'cordon' if out else 'uncordon'} host={name[:80]}")
+        self.wake()
+        return ""
+
+    def quiesce(self) -> None:
+        """Send clients away: /ready says no, connections close after their answers; nothing is refused."""
+        if not self._quiet:
+            self._log.must("quiesce")
+        self._quiet = True
+        self.clients.closing = True
+        self._loop.call_later(self._bounds.doubtful / 1e9, self._close_idle)
+
+    def _close_idle(self) -> None:
+        if self._quiet:
+            self.clients.close_idle("quiesced")
+
+    def resume(self) -> None:
+        """The end of a drain: ready again."""
+        if self._quiet:
+            self._log.must("resume")
+        self._quiet = False
+        self.clients.closing = self._leaving
+
     def _told(self, change: Change, news: News) -> None:
         self._listed = True
         gone = news.gone if change is Change.DELTA else self._hosts.all_but(news.addresses)
@@ -154,7 +234,7 @@
             self._counters.add("requests_malformed")
             link.answer(request, request.fault)
         elif path == b"/ready":
-            link.answer(request, 200 if self._listed and not self._leaving else 503)
+            link.answer(request, 200 if self.healthy() else 503)
         elif path == b"/counters":
             link.answer(request, 200, self._counters.text())
         elif path != b"/api" or request.method != b"POST":
@@ -187,6 +267,7 @@
                 wait = self._facade.refusal(parcel.destination, 1, 0, stop - now, 0)
         if wait:
             self._counters.add("packets_refused")
+            self._count(parcel.profile, 1)
             link.answer(request, 503, wait=wait, keep=not self._leaving)
             return
         self._owed[parcel.id] = parcel
@@ -198,6 +279,7 @@
         self._counters.add("trips_" + outcome.name.lower())
         if finished and part.item.given_up is None:
             self._counters.add("packets_fulfilled" if outcome is Outcome.FULFILLED else "packets_over")
+            self._count(part.item.profile, 0 if outcome is Outcome.FULFILLED else 2)
             self._over(part.item)
         self._facade.report(clock.steady(), part, outcome, finished, wait, self._read_load(load))
         self.wake()
@@ -213,6 +295,7 @@
 
     def _give_up(self, parcel: Parcel, again: bool, wait: int) -> None:
         self._counters.add("packets_dismissed" if again else "packets_errored")
+        self._count(parcel.profile, 1 if again else 2)
         self._journal.given_up(parcel, again, wait)
         self._notices.add(parcel)
 
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -40,7 +40,7 @@
 
     __slots__ = (
         "back_at", "clear_at", "destination", "doubt", "freed_at", "id", "idle_lost", "idle_lost_at", "kind",
-        "latency", "left_at", "links", "lost", "out", "overdue", "pace", "route", "set_at", "spread",
+        "latency", "left_at", "links", "lost", "out", "overdue", "pace", "ready", "route", "set_at", "spread",
         "stale_at", "tried_at", "used_at", "zone",
     )
 
@@ -51,6 +51,7 @@
         self.destination = destination
         self.route = route
         self.left_at = 0
+        self.ready = False  # as the list says
         self.out = 0
         self.overdue = 0
         self.latency = 0
@@ -189,6 +190,7 @@
 
     def __init__(self) -> None:
         self._hosts: dict[bytes, Host] = {}
+        self._cordoned: dict[bytes, int] = {}  # hosts out by hand, since when
         self._packets: dict[int, Packet] = {}
         self._keys: dict[int, Key] = {}
         self._open = 0  # packets without their end
