--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -41,6 +41,7 @@
         self._replies: dict[bytes, list[int]] = {}  # success, overload, error, a profile each
         self._cordons_file = config.state / "cordons.json"
         self._cordons: dict[str, int] = {}  # host id: when it was put out, wall clock
+        self._cordons_seen = 0  # when the file was written that was read last
         self.reloads = [0, 0]  # taken, turned down
         self._alarm: asyncio.TimerHandle | None = None
         self._alarm_at = 0
@@ -54,6 +55,7 @@
         self._read_cordons()
         for parcel in list(journal.owed.values()):
             self._restore(parcel)
+        self._adopt_later()
         self._watch = Watch(loop, config.discovery, settings, bounds, index, self._told, log,
                             counters)
         self.wake()
@@ -68,17 +70,41 @@
         self._told(Change.CACHED, known)
         return known.index
 
-    def _read_cordons(self) -> None:
+    def _adopt_later(self) -> None:
+        self._loop.call_later(self._bounds.doubtful / 1e9, self._adopt)
+
+    def _adopt(self) -> None:
+        """A process beside this one has ended: what it still owed is owed here (an upgrade, rule 1)."""
+        try:
+            orphans = self._journal.orphans()
+        except OSError as fault:
+            self._log.say(f"journal-failed adopt {fault}")
+            orphans = []
+        for parcel in orphans:
+            self._restore(parcel)
+        if orphans:
+            self._log.must(f"adopted owed={len(orphans)}")
+            self.wake()
+        self._read_cordons(again=True)
+        self._adopt_later()
+
+    def _read_cordons(self, again: bool = False) -> None:
         """Hosts put out by hand in an earlier life stay out (rule 3 over an upgrade)."""
         try:
-            self._cordons = {str(k): int(v) for k, v in json.loads(self._cordons_file.read_bytes()).items()}
+            if again and self._cordons_file.stat().st_mtime_ns == self._cordons_seen:
+                return
+            self._cordons_seen = self._cordons_file.stat().st_mtime_ns
+            told = {str(k): int(v) for k, v in json.loads(self._cordons_file.read_bytes()).items()}
         except FileNotFoundError:
             return
         except (OSError, ValueError, AttributeError) as fault:
             self._log.must(f"cordons-unreadable {fault}")
             return
-        for host, since in self._cordons.items():
+        for host in self._cordons.keys() - told.keys():  # let back by the process beside this one
+            self._facade.cordon(clock.steady(), host.encode(), False)
+        for host, since in told.items():
             self._facade.cordon(clock.steady(), host.encode(), True, clock.from_wall(since))
+        self._cordons = told
 
     def _count(self, profile: bytes, which: int) -> None:
         counts = self._replies.get(profile)
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import fcntl
 import os
 import struct
 import zlib
@@ -21,7 +23,12 @@
 TAKEN_KIND, TRIP_KIND, VOID_KIND, GIVEN_UP_KIND, OVER_KIND = range(1, 6)
 TRIP_SIZE = 2 * FRAME.size + TRIP.size + VOID.size  # the most that one trip takes in a file
 FIXED_SIZE = 2 * FRAME.size + TAKEN.size + GIVEN_UP.size  # besides texts, body and trips
-FILE, NEW_FILE = "journal", "journal.new"
+FILE = "journal"
+SLOTS = 4  # processes that may share the folder at once: one, and the one that replaces it
+
+
+def named(slot: int, end: str = "") -> str:
+    return (FILE if slot == 0 else f"{FILE}.{slot}") + end
 
 
 class Parcel:
@@ -79,10 +86,56 @@
         self.owed: dict[int, Parcel] = {}
         self.torn = 0  # bytes dropped from the end of the file at start
         self._live = self._size = self._last = 0
-        if (folder / FILE).exists():
-            self._read((folder / FILE).read_bytes())
+        self._locks: dict[int, int] = {}
+        # Guards rule 2 in an upgrade: a process beside this one owns its own file, locked while it lives.
+        self.slot = next((slot for slot in range(SLOTS) if self._lock(slot)), SLOTS - 1)
+        if (folder / named(self.slot)).exists():
+            self._read((folder / named(self.slot)).read_bytes())
         self._file = -1
         self._compact()
+        self.orphans()
+
+    def _lock(self, slot: int) -> bool:
+        """Whether this process now holds that slot; where the file system has no locks, it does."""
+        fd = os.open(self._folder / named(slot, ".lock"), os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            os.close(fd)
+            return False
+        except OSError:
+            pass
+        self._locks[slot] = fd
+        return True
+
+    def orphans(self) -> list[Parcel]:
+        """What a process that ended beside this one still owed, now owed by this one and written here."""
+        found: list[Parcel] = []
+        for slot in range(SLOTS):
+            path = self._folder / named(slot)
+            if slot == self.slot or not path.exists() or not self._lock(slot):
+                continue
+            mine, last, torn = self.owed, self._last, self.torn
+            self.owed = {}
+            with contextlib.suppress(OSError):  # unreadable: nothing of it can be owed
+                self._read(path.read_bytes())
+            theirs, self.owed, self._last, self.torn = self.owed, mine, last, torn
+            for parcel in theirs.values():
+                self.taken(parcel)
+                found.append(parcel)
+            path.unlink(missing_ok=True)
+            os.close(self._locks.pop(slot))
+        self._live = sum(parcel.size for parcel in self.owed.values())
+        return found
+
+    def close(self) -> None:
+        """As at the end of the process: its file and its slot are let go."""
+        if self._file >= 0:
+            os.close(self._file)
+            self._file = -1
+        for fd in self._locks.values():
+            os.close(fd)
+        self._locks.clear()
 
     @property
     def room(self) -> int:
@@ -141,15 +194,16 @@
     def _compact(self) -> None:
         """A new file with what is owed replaces the old one at once: a crash leaves either of them whole."""
         raw = framed([body for parcel in self.owed.values() for body in parcel.records()])
-        fresh = os.open(self._folder / NEW_FILE, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        new, name = self._folder / named(self.slot, ".new"), self._folder / named(self.slot)
+        fresh = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         try:
             at = 0
             while at < len(raw):
                 at += os.write(fresh, raw[at:])
-            os.rename(self._folder / NEW_FILE, self._folder / FILE)
+            os.rename(new, name)
         except OSError:
             os.close(fresh)
-            (self._folder / NEW_FILE).unlink(missing_ok=True)
+            new.unlink(missing_ok=True)
             raise
         if self._file >= 0:
             os.close(self._file)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -56,9 +56,11 @@
             steps.clear()  # a new file took its place
         steps.append((size, repr(state(journal))))
     raw = path.read_bytes()
+    journal.close()  # as at a kill: the process's locks go with it
     for cut in [len(raw), *(chance.randrange(steps[0][0], len(raw) + 1) for _ in range(20))]:
         path.write_bytes(raw[:cut])
         again = Journal(tmp_path, 20_000, 15_000, print)
+        again.close()
         whole = [seen for size, seen in steps if size <= cut]
         assert repr(state(again)) == whole[-1]
         assert again.room == 15_000 - sum(p.size for p in again.owed.values())
@@ -72,6 +74,7 @@
     raw = bytearray((tmp_path / FILE).read_bytes())
     raw[len(raw) // 2] ^= 1
     (tmp_path / FILE).write_bytes(raw)
+    journal.close()
     assert [p.id for p in Journal(tmp_path, 20_000, 15_000, print).owed.values()] == [b"p0"]
 
 
@@ -85,6 +88,7 @@
     with open(tmp_path / FILE, "ab") as file:  # as an earlier build wrote it
         file.write(framed([VOID.pack(VOID_KIND, first.number, 0)]))
     journal.taken(second)
+    journal.close()
     again = Journal(tmp_path, 20_000, 15_000, print)
     assert [p.id for p in again.owed.values()] == [b"b"] and not again.torn
 
@@ -92,8 +96,10 @@
 def test_journal_numbers_go_on_after_a_restart(tmp_path):
     journal = Journal(tmp_path, 20_000, 15_000, print)
     journal.taken(parcel(b"a"))
+    journal.close()
     again = Journal(tmp_path, 20_000, 15_000, print)
     again.taken(parcel(b"b"))
+    again.close()
     assert [p.id for p in Journal(tmp_path, 20_000, 15_000, print).owed.values()] == [b"a", b"b"]
 
 
@@ -212,6 +218,7 @@
         server.close()
 
     asyncio.run(asyncio.wait_for(play(), 5))
+    journal.close()
     return heard, [p.trips for p in Journal(folder, 20_000, 15_000, print).owed.values()], calls
 
 
@@ -258,3 +265,19 @@
     lag.note(2 * SECOND, 50)
     assert lag.at(2 * SECOND) == lag.at(4 * SECOND - 1) == 50
     assert lag.at(4 * SECOND) == 0
+
+
+def test_a_process_beside_another_owns_its_own_file_and_adopts_the_others_once_it_ends(tmp_path):
+    # Guards rules 1 and 2 in an upgrade: nothing the old process owes is sent by the new one while the old
+    # one lives, and all of it is owed by the new one once the old one has ended.
+    old = Journal(tmp_path, 20_000, 15_000, print)
+    old.taken(parcel(b"a"))
+    new = Journal(tmp_path, 20_000, 15_000, print)
+    assert new.slot != old.slot and not new.owed and not new.orphans()
+    old.taken(parcel(b"b"))
+    new.taken(parcel(b"c"))
+    old.close()  # it exited, or was killed
+    assert sorted(p.id for p in new.orphans()) == [b"a", b"b"]
+    assert sorted(p.id for p in new.owed.values()) == [b"a", b"b", b"c"]
+    new.close()
+    assert sorted(p.id for p in Journal(tmp_path, 20_000, 15_000, print).owed.values()) == [b"a", b"b", b"c"]
