Waits told to one process bind the process beside it, through a file of each slot

Ruled out: the cordons (none of those hosts was out) and the wait inside one process (may_write and _has_room both check the route's wait).

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -19,7 +19,6 @@
 CUT, CUT_AGAIN, RAISE = 0.5, 0.125, 0.25  # a refusal cuts to this part of own use; a round without one adds
 LEAST, ROUGH = 0.5, 1.5  # of the even share; a rough rate is up to half too high, an exact one bears more
 FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
-SPREADS = 6  # a call is overdue past its mean latency and so many mean deviations
 SICK, ROUTE_SHARE = 4.6, 3  # log odds of a hundred to one: set aside; a route fills one in so many slots
 STALE_KEPT, STALE_LEAST = 30 * SECOND, SECOND // 2  # idle links go stale: so long kept; idle less: not stale
 STALE_PROOF, STALE_HOSTS = 5 * SECOND, 3  # what is told of all hosts: within that time, by so many of them
@@ -27,7 +26,7 @@
 FAR, MUCH_LEFT = 2, 0.75  # a host in another zone against one here; so much unused: a refusal not for it
 LATE, WEIGHED = 16, 32  # parts of the quoted time: turns may come so late; a load is weighed again so soon
 GATHER, SCARCE = 8, 10 * SECOND  # part of the quoted time for which short calls wait, so long after a cut
-YOUNG = 5 * SECOND  # what a relay takes in its first seconds tells little of its use
+SPREADS, YOUNG = 6, 5 * SECOND  # overdue past mean latency and so many deviations; first seconds tell little
 
 
 def bounds(settings: Settings, limits: Limits) -> Bounds:
@@ -127,10 +126,14 @@
             host.left_at = 0
             self._went_ill(host, SICK)  # it is cold: a trickle that doubles while all goes well (rule 4)
         if host:
-            host.left_at = host.left_at or self._cordoned.get(ident, 0)
-            self._stirred[host.destination] = None
+            host.left_at, self._stirred[host.destination] = host.left_at or self._cordoned.get(ident, 0), None
         return True
 
+    def wait_told(self, now: int, ident: bytes, until: int) -> None:
+        """A wait told to a process beside this one binds here too: both are one relay (rule 6)."""
+        if host := self._hosts.get(ident):
+            host.route.wait_until, self._stirred[host.destination] = max(host.route.wait_until, until), None
+
     def refusal(self, destination: int, size: int, room: int, left: int, lag: int) -> int:
         """0 where a packet may be handed in and stored, else how long its client ought to wait."""
         full, home = self._max_open and self._open >= self._max_open, self._destinations.get(destination)
@@ -542,16 +545,14 @@
         return Load(saved, home, hosts, [packet for _, packet in ranked]) if ranked else None
 
     def _burden(self, host: Host) -> tuple[bool, float]:
-        linked = host.used_at > host.freed_at  # a new link costs round trips, the more the further away
-        busy = 2 - linked + host.out + 2 * host.doubt
+        busy = 2 - (host.used_at > host.freed_at) + host.out + 2 * host.doubt  # a new link: round trips
         return host.pace > 0, (1 if host.zone == self._zone else FAR) * busy * (MILLISECOND + host.latency)
 
     def _call(self, host: Host, packets: list[Packet]) -> None:
         """One call with all that travels in it; it is logged once."""
         now, route = self._now, host.route
-        call = Call(host, now, len(packets) > 1)
+        call, patience = Call(host, now, len(packets) > 1), self._patience(host)
         self._refresh_links(host, call)
-        patience = self._patience(host)
         for packet in packets:
             self._hold(packet, False)
             call.carry(packet)
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -106,6 +106,11 @@
         self._now = now
         return self._relay.host_cordoned(now, host, out, since or now)
 
+    def wait_told(self, now: int, host: bytes, until: int) -> None:
+        """A wait told to a process beside this one, until then."""
+        self._now = now
+        self._relay.wait_told(now, host, until)
+
     def targets(self) -> tuple[int, int]:
         """Hosts in the list, and of those the ones avoided now: out by hand, draining, or set aside."""
         listed = [host for host in self._relay._hosts.values() if host in host.destination.hosts]
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -17,11 +17,13 @@
 from millweir.net.discovery import Garbled, News, Watch, read_list
 from millweir.net.heads import Request, read_number
 from millweir.net.hosts import Hosts
-from millweir.net.journal import Journal, Parcel
+from millweir.net.journal import SLOTS, Journal, Parcel, named
 from millweir.net.lag import Lag
 from millweir.net.log import Log
 from millweir.net.notices import Notices
 
+WAITS_READ = 0.05  # seconds between looks at the waits of a process beside this one
+
 
 class Desk:
     """One relay at work."""
@@ -42,6 +44,8 @@
         self._cordons_file = config.state / "cordons.json"
         self._cordons: dict[str, int] = {}  # host id: when it was put out, wall clock
         self._cordons_seen = 0  # when the file was written that was read last
+        self._waits: dict[str, int] = {}  # host: until when it told this process to wait, wall clock
+        self._waits_seen: dict[int, int] = {}  # slot of a process beside this one: when its file was read
         self.reloads = [0, 0]  # taken, turned down
         self._alarm: asyncio.TimerHandle | None = None
         self._alarm_at = 0
@@ -56,6 +60,7 @@
         for parcel in list(journal.owed.values()):
             self._restore(parcel)
         self._adopt_later()
+        self._read_waits()
         self._watch = Watch(loop, config.discovery, settings, bounds, index, self._told, log,
                             counters)
         self.wake()
@@ -70,6 +75,42 @@
         self._told(Change.CACHED, known)
         return known.index
 
+    def _read_waits(self) -> None:
+        """Waits told to a process beside this one bind here too, from 50 ms after they were told (rule 6)."""
+        now, heard = clock.steady(), False
+        for slot in range(SLOTS):
+            path = self._journal.folder / named(slot, ".waits")
+            try:
+                if slot == self._journal.slot or path.stat().st_mtime_ns == self._waits_seen.get(slot):
+                    continue
+                self._waits_seen[slot] = path.stat().st_mtime_ns
+                told = json.loads(path.read_bytes())
+                for host, until in told.items():
+                    self._facade.wait_told(now, str(host).encode(), clock.from_wall(int(until)))
+                heard = True
+            except FileNotFoundError:
+                continue
+            except (OSError, ValueError, AttributeError, TypeError) as fault:
+                self._log.say(f"waits-unreadable slot={slot} {fault}")
+        if heard:  # after a stall, what came meanwhile is read first
+            clock.once_read(self._loop, self.wake)
+        self._loop.call_later(WAITS_READ, self._read_waits)
+
+    def _tell_wait(self, host: str, wait: int) -> None:
+        """Written for a process beside this one; entries that are over are dropped."""
+        now = clock.to_wall(clock.steady())
+        until = now + wait
+        if until <= self._waits.get(host, 0) + WAITS_READ * 1e9 / 5:
+            return  # the process beside this one knows as much
+        self._waits = {name: at for name, at in self._waits.items() if at > now}
+        self._waits[host] = until
+        path = self._journal.folder / named(self._journal.slot, ".waits")
+        try:
+            path.with_suffix(".new").write_text(json.dumps(self._waits))
+            os.replace(path.with_suffix(".new"), path)
+        except OSError as fault:
+            self._log.say(f"waits-unwritten {fault}")
+
     def _adopt_later(self) -> None:
         self._loop.call_later(self._bounds.doubtful / 1e9, self._adopt)
 
@@ -84,7 +125,7 @@
             self._restore(parcel)
         if orphans:
             self._log.must(f"adopted owed={len(orphans)}")
-            self.wake()
+            clock.once_read(self._loop, self.wake)
         self._read_cordons(again=True)
         self._adopt_later()
 
@@ -302,6 +343,8 @@
         self._hand_in(parcel)
 
     def _report(self, part: Part[Parcel], outcome: Outcome, finished: bool, wait: int, load: bytes) -> None:
+        if wait > 0:
+            self._tell_wait(part.job.host, wait)
         self._counters.add("trips_" + outcome.name.lower())
         if finished and part.item.given_up is None:
             self._counters.add("packets_fulfilled" if outcome is Outcome.FULFILLED else "packets_over")
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -82,6 +82,7 @@
     """Every parcel that is still owed its end, in memory and on disk alike."""
 
     def __init__(self, folder: Path, file_most: int, live_most: int, say: Callable[[str], None]) -> None:
+        self.folder = folder
         self._folder, self._file_most, self._live_most, self._say = folder, file_most, live_most, say
         self.owed: dict[int, Parcel] = {}
         self.torn = 0  # bytes dropped from the end of the file at start
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -60,3 +60,14 @@
     first = len({s.at for s in rig.sent if back <= s.at < back + SECOND})  # calls, not packets
     last = len({s.at for s in rig.sent if s.at >= rig.now - SECOND})
     assert first < last / 2  # rule 4: a trickle first
+
+
+def test_a_wait_told_to_the_process_beside_binds_here_too():
+    # Guards rule 6 in an upgrade: both processes are one relay.
+    rig = Rig(entries=[entry(0, 0)], relays=1, slots=20)
+    host = rig.entries[0].host
+    until = rig.now + 2 * SECOND
+    rig.relay.wait_told(rig.now, host, until)
+    rig.relay.wait_told(rig.now, b"never-listed", until)  # nothing to bind
+    busy(rig, 3 * SECOND, well()(rig))
+    assert rig.sent and all(s.at >= until for s in rig.sent)
