Counters as the operators read them: the JSON line alone, then EOT; lines end in CRLF

The JSON alone before EOT is read.

Change: counters answers the JSON object on one line, then EOT; all answers end in CRLF. GET /counters gives the same figures as JSON; every internal count moves to GET /counters/all. Requests of a profile not known here count as errored for it (at most 256 names).

--- a/millweir/net/control.py
+++ b/millweir/net/control.py
@@ -1,9 +1,10 @@
 """The second address: one line a connection, one answer line beginning SUCCESS or FAILURE, then the close.
 
-Calls: `health`, `counters` (the figures as one JSON line, then `EOT`), `cordon ID`, `uncordon ID`,
-`quiesce`, `resume`.  Each connection holds one bounded buffer and one timer; a caller that sends nothing,
-or half a line, is answered FAILURE and closed when the wait runs out, and no more connections than the
-bound are open at once, so that no caller can make another wait (docs/design/control.md).
+Calls: `health`, `counters` (the figures as one JSON line, no SUCCESS before it, then `EOT`), `cordon ID`,
+`uncordon ID`, `quiesce`, `resume`.  Each connection holds one bounded buffer and one timer; a caller that
+sends nothing, or half a line, is answered FAILURE and closed when the wait runs out, and no more
+connections than the bound are open at once, so that no caller can make another wait
+(docs/design/control.md).
 """
 
 from __future__ import annotations
@@ -58,7 +59,7 @@
             return b"SUCCESS ready\n" if desk.healthy() else b"FAILURE not ready\n"
         if name == "counters":
             figures = json.dumps(desk.figures(), separators=(",", ":")).encode()
-            return b"SUCCESS\n" + figures + b"\nEOT\n"
+            return figures + b"\nEOT\n"
         if name == "quiesce":
             desk.quiesce()
             return b"SUCCESS quiescing\n"
@@ -108,7 +109,8 @@
         if len(line) > LINE_MOST:
             self._finish(b"FAILURE the line is longer than %d bytes\n" % LINE_MOST)
         else:
-            self._finish(self._door.call(line.rstrip(b"\r")))
+            answer = self._door.call(line.rstrip(b"\r"))
+            self._finish(answer)
 
     def _late(self) -> None:
         self._timer = None
@@ -117,6 +119,7 @@
     def _finish(self, answer: bytes) -> None:
         if self._done:
             return
+        answer = answer.replace(b"\n", b"\r\n")  # lines end as the protocol's text lines do
         self._done = True
         if self._timer:
             self._timer.cancel()
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -22,6 +22,7 @@
 from millweir.net.log import Log
 from millweir.net.notices import Notices
 
+REPLIES_MOST = 256  # profiles counted, lest names that clients make up grow the table without end
 WAITS_READ = 0.05  # seconds between looks at the waits of a process beside this one
 
 
@@ -302,13 +303,17 @@
             link.answer(request, request.fault)
         elif path == b"/ready":
             link.answer(request, 200 if self.healthy() else 503)
-        elif path == b"/counters":
+        elif path == b"/counters":  # the figures as the second address tells them
+            link.answer(request, 200, json.dumps(self.figures(), separators=(",", ":")).encode())
+        elif path == b"/counters/all":  # every count, a line each
             link.answer(request, 200, self._counters.text())
         elif path != b"/api" or request.method != b"POST":
             link.answer(request, 404 if path != b"/api" else 405)
         elif (not request.id or request.left < 0 or request.destination < 0
               or request.profile not in self._profiles):
             self._counters.add("requests_malformed")
+            if request.profile and (request.profile in self._replies or len(self._replies) < REPLIES_MOST):
+                self._count(request.profile, 2)  # errored for its client, of a profile not known here
             request.fault = 400
             link.answer(request, 400, keep=False)
         else:
--- a/tests/test_control_address.py
+++ b/tests/test_control_address.py
@@ -34,7 +34,7 @@
     (b"health", b"SUCCESS"), (b"cordon h1", b"SUCCESS"), (b"uncordon h1", b"SUCCESS"),
     (b"cordon nope", b"FAILURE"), (b"cordon", b"FAILURE"), (b"cordon h1 h2", b"FAILURE"),
     (b"health now", b"FAILURE"), (b"reboot", b"FAILURE"), (b"", b"FAILURE"), (b"\xff\xfe", b"FAILURE"),
-    (b"quiesce", b"SUCCESS"), (b"resume", b"SUCCESS"), (b"health\x00", b"FAILURE"),
+    (b"quiesce", b"SUCCESS"), (b"resume", b"SUCCESS"), (b"health\x00", b"FAILURE"), (b"health\r", b"SUCCESS"),
 ])
 def test_each_call_gets_one_line_that_says_success_or_failure(line, starts):
     answer = ControlDoor(None, FakeDesk()).call(line)
@@ -43,9 +43,10 @@
 
 
 def test_counters_are_one_json_line_then_eot():
+    # The form that the operators' bench reads: the JSON object alone on its line, then EOT.
     lines = ControlDoor(None, FakeDesk()).call(b"counters").split(b"\n")
-    assert lines[0] == b"SUCCESS" and lines[2] == b"EOT" and lines[3] == b""
-    assert json.loads(lines[1])["replies"]["gold"]["success"] == 3
+    assert lines[1] == b"EOT" and lines[2] == b""
+    assert json.loads(lines[0])["replies"]["gold"]["success"] == 3
 
 
 def test_health_says_no_when_not_ready():
@@ -80,11 +81,11 @@
         return answers, door.links
 
     answers, links = asyncio.run(run())
-    assert answers[0] == b"SUCCESS ready\n"
+    assert answers[0] == b"SUCCESS ready\r\n"
     assert answers[1].startswith(b"FAILURE") and answers[2].startswith(b"FAILURE")
     assert answers[3].startswith(b"FAILURE") and b"longer" in answers[3]
     assert answers[4].startswith(b"SUCCESS")
-    assert answers[5] == b"SUCCESS ready\n"
+    assert answers[5] == b"SUCCESS ready\r\n"
     assert links == 0
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -45,7 +45,7 @@
     assert 0 < int(call.head["x-time-left"].removesuffix("m")) <= 16000
     time.sleep(0.3)
     assert len(platform.calls) == 1 and not platform.notices
-    assert b"packets_fulfilled 1\n" in relay.ask("GET", "/counters")[1]
+    assert b"packets_fulfilled 1\n" in relay.ask("GET", "/counters/all")[1]
 
 
 def test_packets_held_together_travel_as_one_call_and_each_has_its_own_end(start):
@@ -127,7 +127,7 @@
     platform.decide = lambda call: reply(429, Retry_After="1.5")
     relay = start(platform)
     relay.hand_in("a", "once")
-    until(lambda: b"trips_full 1\n" in relay.ask("GET", "/counters")[1])
+    until(lambda: b"trips_full 1\n" in relay.ask("GET", "/counters/all")[1])
     relay.end()
     platform.decide = lambda call: reply(200)
     relay.start()
@@ -251,7 +251,7 @@
     assert all(link.recv(99) == b"" for link in silent)
     assert all(link.recv(99).startswith(b"HTTP/1.1 408 ") for link in half)
     assert time.monotonic() - began < 3
-    until(lambda: b"packets_fulfilled 25\n" in relay.ask("GET", "/counters")[1])
+    until(lambda: b"packets_fulfilled 25\n" in relay.ask("GET", "/counters/all")[1])
 
 
 def test_what_can_not_be_used_is_not_taken_on(start):
@@ -271,7 +271,7 @@
     relay = start(platform)
     for body in (b"mine", b""):  # perhaps a stranger's
         assert relay.hand_in("a", "once", body=body) == 202
-        until(lambda: b"packets_fulfilled 1\n" in relay.ask("GET", "/counters")[1])
+        until(lambda: b"packets_fulfilled 1\n" in relay.ask("GET", "/counters/all")[1])
     time.sleep(0.2)
     assert [call.body for call in platform.calls] == [b"mine"]
 
@@ -290,7 +290,7 @@
     platform.decide = decide
     platform.add("b0", kind="big")
     until(lambda: platform.noticed("odd") == ["bounced"])
-    until(lambda: b"packets_fulfilled 3\n" in relay.ask("GET", "/counters")[1])
+    until(lambda: b"packets_fulfilled 3\n" in relay.ask("GET", "/counters/all")[1])
     assert len(platform.calls) == 5 and len(platform.sent("odd")) == 1
 
 
@@ -317,7 +317,7 @@
     assert relay.hand_in("stays") == 202
     until(lambda: platform.sent("stays"))
     assert not platform.sent("gone")
-    assert b"requests_withdrawn 1\n" in relay.ask("GET", "/counters")[1]
+    assert b"requests_withdrawn 1\n" in relay.ask("GET", "/counters/all")[1]
 
 
 def test_requests_in_one_piece_are_answered_in_order(start):
@@ -357,7 +357,7 @@
     platform.decide = lambda call: answer if 1 < len(platform.calls) < 4 else reply(200)
     relay = start(platform)
     relay.hand_in("well")
-    until(lambda: b"packets_fulfilled 1\n" in relay.ask("GET", "/counters")[1])
+    until(lambda: b"packets_fulfilled 1\n" in relay.ask("GET", "/counters/all")[1])
     relay.hand_in("once", "once")  # on the link that has just carried a good answer
     until(lambda: platform.noticed("once") == ["dead"])
     relay.hand_in("again", "again")
@@ -386,7 +386,7 @@
     for n in range(3):
         relay.hand_in(f"p{n}", "once")
         until(lambda n=n: platform.sent(f"p{n}"))
-    until(lambda: b"packets_fulfilled 3\n" in relay.ask("GET", "/counters")[1])
+    until(lambda: b"packets_fulfilled 3\n" in relay.ask("GET", "/counters/all")[1])
     assert not platform.notices and len(platform.calls) == 3
 
 
@@ -404,7 +404,7 @@
     for n in range(3):
         relay.hand_in(f"p{n}", "once")
     platform.add("b0", kind="big")
-    until(lambda: b"packets_fulfilled 3\n" in relay.ask("GET", "/counters")[1])
+    until(lambda: b"packets_fulfilled 3\n" in relay.ask("GET", "/counters/all")[1])
     assert len(platform.calls) == 2 and not platform.notices
 
 
@@ -430,7 +430,7 @@
         platform.add("mute", address=f"127.0.0.1:{full.getsockname()[1]}")
         relay = start(platform)
         relay.hand_in("a", "once")
-        until(lambda: b"connects_failed 1\n" in relay.ask("GET", "/counters")[1])
+        until(lambda: b"connects_failed 1\n" in relay.ask("GET", "/counters/all")[1])
         platform.add("h0")
         until(lambda: platform.sent("a"))
     assert not platform.notices
@@ -473,7 +473,7 @@
     relay.send_signal(signal.SIGSTOP)
     time.sleep(3)
     relay.send_signal(signal.SIGCONT)
-    until(lambda: b"packets_fulfilled 2\n" in relay.ask("GET", "/counters")[1])
+    until(lambda: b"packets_fulfilled 2\n" in relay.ask("GET", "/counters/all")[1])
     time.sleep(0.3)
     assert len(platform.calls) == 2 and not platform.notices
 
