Settings at SIGHUP: new and changed profiles used at once, bad files turned down whole

Change: settings.check_again turns a file down whole when it is empty, lacks a key the settings at start had (top level and one down, and the keys every profile had), or has a hard stop, quoted time or number of trips that is no number above 0.

--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -24,13 +24,13 @@
 def reload(config: Config, desk: Desk, log: Log) -> None:
     """Read the configuration once more; one that can't be used changes nothing."""
     try:
-        fresh = read_config(os.environ, again=True)
+        fresh = read_config(os.environ, again=True, start=config)
     except Misconfigured as fault:
         desk.reloads[1] += 1
         log.must(f"reload-failed {str(fault)[:300]}")
         return
     desk.reloads[0] += 1
-    parts = ("listen", "control", "state", "limits", "settings")
+    parts = ("listen", "control", "state", "limits")
     later = [part for part in parts if getattr(config, part) != getattr(fresh, part)]
     log.must(f"reloaded discovery={':'.join(map(str, fresh.discovery))} "
              f"at-next-start={','.join(later) or 'none'}")
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -2,8 +2,7 @@
 
 Make one Relay with a port, the settings, a seed and the clock; call one method for each thing that happens,
 then round_over once all that came in together has been told; it acts by calling the port.  Types and port in
-millweir/interface.py, records in records.py, held packets' order in order.py, departures in docs/design.md.
-"""
+millweir/interface.py, records in records.py, held packets' order in order.py, departures: docs/design.md."""
 
 import random
 from collections import defaultdict
@@ -89,9 +88,8 @@
             # Kept for a while, lest a list that flaps lose its told wait or its doubt.
             listed = host in host.destination.hosts
             if ident in gone and listed:
-                host.left_at = host.left_at or now
+                host.left_at, self._stirred[host.destination] = host.left_at or now, None
                 del host.destination.hosts[host]
-                self._stirred[host.destination] = None
             elif not listed and now - host.left_at > FORGOTTEN_AFTER and not host.out:
                 del self._hosts[ident]
         for entry in entries:
@@ -100,8 +98,7 @@
                 told = max(1, now - self._grace) if change is Change.CACHED else now  # in an earlier life
                 host.ready, out = entry.phase is Phase.READY, self._cordoned.get(entry.host, 0)
                 host.left_at = 0 if host.ready and not out else host.left_at or out or told
-                self._stirred[host.destination] = None
-                host.destination.hosts[host] = None
+                self._stirred[host.destination] = host.destination.hosts[host] = None
                 if self._known_rates and entry.rate > 0 and entry.rate != host.route.listed:
                     host.route.listed = host.route.top = entry.rate  # a listed rate may change in the day
                     host.route.share = entry.rate / self._relays
@@ -129,6 +126,11 @@
             host.left_at, self._stirred[host.destination] = host.left_at or self._cordoned.get(ident, 0), None
         return True
 
+    def settings_told(self, settings: Settings) -> None:
+        """SIGHUP: its profiles come after the known ones, packets under way keep theirs; fewer trips bind."""
+        self._profiles += [(p, Curve(p, self._aim, settings.halves)) for p in settings.profiles]
+        self._max_trips = settings.max_trips
+
     def wait_told(self, now: int, ident: bytes, until: int) -> None:
         """A wait told to a process beside this one binds here too: both are one relay (rule 6)."""
         if host := self._hosts.get(ident):
@@ -357,8 +359,7 @@
         recent = self._now - STALE_PROOF
         longest = max((idle for at, idle in self._idle_answered if at > recent), default=0)
         lost = sum(h.idle_lost_at > recent and h.idle_lost > longest for h in self._hosts.values())
-        if lost >= STALE_HOSTS:
-            self._stale_at = self._now
+        self._stale_at = self._now if lost >= STALE_HOSTS else self._stale_at
         if host.lost > 1 or lost >= STALE_HOSTS:
             known = self._span if self._now - self._span_at <= STALE_KEPT else NEVER
             self._span, self._span_at, host.stale_at = min(known, host.idle_lost), self._now, self._now
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -106,6 +106,13 @@
         self._now = now
         return self._relay.host_cordoned(now, host, out, since or now)
 
+    def settings_told(self, settings: Settings) -> int:
+        """Settings read at SIGHUP, with only the profiles that are new or changed; returns the number of
+        the first of them."""
+        first = len(self._relay._profiles)
+        self._relay.settings_told(settings)
+        return first
+
     def wait_told(self, now: int, host: bytes, until: int) -> None:
         """A wait told to a process beside this one, until then."""
         self._now = now
--- a/millweir/net/config.py
+++ b/millweir/net/config.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from millweir.interface import Limits, Settings
-from millweir.settings import read_settings
+from millweir.settings import check_again, read_settings
 
 MEGABYTE = 1 << 20
 
@@ -32,6 +32,7 @@
     limits: Limits
     known: dict[str, Any]
     settings: Settings
+    given: dict[str, Any]  # the settings as the file had them, to check a later file against
 
 
 def read_address(text: object, what: str) -> tuple[str, int]:
@@ -42,7 +43,7 @@
     return host, int(port)
 
 
-def read_config(environ: Mapping[str, str], again: bool = False) -> Config:
+def read_config(environ: Mapping[str, str], again: bool = False, start: Config | None = None) -> Config:
     """Read RELAY_CONFIG; at start the other variables win over what the file says.
 
     When it is read again, they still say what was so at the start: the file's word on discovery is newer.
@@ -64,6 +65,8 @@
     if not os.path.isdir(state) or not os.access(state, os.W_OK):
         raise Misconfigured(f"RELAY_STATE {state} is no folder that can be written to")
     try:
+        if start is not None:
+            check_again(given.get("settings"), start.given)
         limits, known = given.get("limits") or {}, given.get("known") or {}
         told = environ.get("RELAY_DISCOVERY")
         discovery = given.get("discovery") or told if again else told or given.get("discovery")
@@ -79,6 +82,7 @@
                           int(limits.get("memory_mb", 64) * MEGABYTE)),
             known=known,
             settings=read_settings(given["settings"]),
+            given=given["settings"],
         )
     except (KeyError, TypeError, ValueError, AttributeError) as fault:
         raise Misconfigured(f"RELAY_CONFIG {path} can't be used: {fault!r}") from fault
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -6,6 +6,7 @@
 import json
 import os
 import traceback
+from dataclasses import replace
 from typing import Any
 
 from millweir.facade import Facade, Part
@@ -35,6 +36,7 @@
         self._loop, self._facade, self._journal = loop, facade, journal
         self._log, self._counters, self._bounds = log, counters, bounds
         self._profiles = {profile.name.encode(): at for at, profile in enumerate(settings.profiles)}
+        self._known = list(settings.profiles)  # each profile the module knows, by its number
         self._tenants = {tenant.name.encode(): at for at, tenant in enumerate(settings.tenants)}
         self._reports = settings.reports
         self._discovery = config.discovery
@@ -382,7 +384,16 @@
                 del self._ended[next(iter(self._ended))]
 
     def reload(self, config: Config) -> None:
-        """SIGHUP: discovery and notices move to the address given now; all else is as at the start."""
+        """SIGHUP: discovery and notices move to the address given now; profiles new or changed are used from
+        now on, those gone are refused, packets under way keep theirs; fewer trips bind at once."""
+        fresh = [p for p in config.settings.profiles
+                 if (at := self._profiles.get(p.name.encode())) is None or self._known[at] != p]
+        first = self._facade.settings_told(replace(config.settings, profiles=tuple(fresh)))
+        self._known += fresh
+        kept = {p.name.encode(): self._profiles[p.name.encode()] for p in config.settings.profiles
+                if p.name.encode() in self._profiles}
+        self._profiles = kept | {p.name.encode(): first + at for at, p in enumerate(fresh)}
+        self._log.must(f"settings profiles={len(self._profiles)} new-or-changed={len(fresh)}")
         if config.discovery != self._discovery:
             self._discovery = config.discovery
             self._watch.move(config.discovery)
--- a/millweir/settings.py
+++ b/millweir/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from millweir.interface import Effect, Profile, Settings, Tenant
@@ -66,3 +67,38 @@
         cold_time=(rules.get("cold-us") or 0) * 1000,
         key_quiet=(rules.get("key-quiet-us") or 0) * 1000,
     )
+
+
+def _positive(value: Any) -> bool:
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    return number and math.isfinite(value) and value > 0
+
+
+def check_again(given: Any, start: dict[str, Any]) -> None:
+    """Settings read at SIGHUP are taken whole or not at all; ValueError says why they are turned down.
+
+    Turned down: no object or an empty one; a key that the settings at start had, at the top or one level
+    down, missing; no profiles (`grades`), or one without a key that every profile at start had; a hard
+    stop, quoted time or number of trips that is no number above 0.
+    """
+    if not isinstance(given, dict) or not given:
+        raise ValueError("the settings are empty")
+    for key, value in start.items():
+        if key not in given:
+            raise ValueError(f"the settings lack {key!r}")
+        for inner in value if isinstance(value, dict) else ():
+            if not isinstance(given[key], dict) or inner not in given[key]:
+                raise ValueError(f"the settings lack {key}.{inner}")
+    grades, ceilings = given.get("grades"), given.get("ceilings") or {}
+    if not isinstance(grades, list) or not grades or not all(isinstance(grade, dict) for grade in grades):
+        raise ValueError("the settings name no profiles")
+    needed = set.intersection(*(set(grade) for grade in start.get("grades") or [{}]))
+    for grade in grades:
+        if missing := needed - grade.keys():
+            raise ValueError(f"profile {grade.get('name')!r} lacks {sorted(missing)}")
+        for key in ("objective-us", "give-up-us"):
+            if not _positive(grade.get(key)):
+                raise ValueError(f"profile {grade.get('name')!r}: {key} is no number above 0")
+    trips = ceilings.get("max-attempts", 1) if isinstance(ceilings, dict) else None
+    if not _positive(trips):
+        raise ValueError("ceilings.max-attempts is no number above 0")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -692,3 +692,19 @@
     ended = subprocess.run(command, env=env, capture_output=True, text=True, timeout=10)
     assert ended.returncode == 1
     assert ended.stderr.startswith("millweir: ") and says in ended.stderr and "Traceback" not in ended.stderr
+
+
+def test_sighup_brings_a_new_profile_into_use_and_turns_down_a_file_with_no_trips(start):
+    platform = Platform(hosts=1)
+    relay = start(platform)
+    given = relay.config["settings"]
+    assert relay.hand_in("early", "fresh") == 400  # not known yet
+    fresh = dict(given["grades"][0], name="fresh")
+    relay.reload({"settings": given | {"grades": [*given["grades"], fresh]}})
+    until(lambda: "new-or-changed=1" in relay.log())
+    assert relay.hand_in("n", "fresh") == 202
+    until(lambda: platform.sent("n"), 2)
+    relay.reload({"settings": given | {"ceilings": given["ceilings"] | {"max-attempts": 0}}})
+    until(lambda: "reload-failed" in relay.log())
+    assert relay.hand_in("m", "fresh") == 202  # the last file taken holds
+    until(lambda: platform.sent("m"), 2)
