Waits outlast a chain of upgrades and reach hosts listed after they were read

Seen in its log: that process took slot 0, whose waits file it skipped as its own, and the second process's file held only waits told to itself, so a wait told to the first process was known to none. Also seen in the code: waits read for a host not yet listed were dropped and, the file unchanged, never read again. Ruled out: the module's own check of waits (may_write, _has_room) and the clock conversion (both use the system's monotonic clock).

Change: each process writes every wait it knows, its own and those read; at start it reads its own slot's file too (left by the process before it); on news of the list the waits in force are told again.

Test: a wait told to a first process reaches a third one that took the first one's slot, and a host listed later.

--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -63,7 +63,7 @@
         for parcel in list(journal.owed.values()):
             self._restore(parcel)
         self._adopt_later()
-        self._read_waits()
+        self._read_waits(first=True)
         self._watch = Watch(loop, config.discovery, settings, bounds, index, self._told, log,
                             counters)
         self.wake()
@@ -78,35 +78,48 @@
         self._told(Change.CACHED, known)
         return known.index
 
-    def _read_waits(self) -> None:
-        """Waits told to a process beside this one bind here too, from 50 ms after they were told (rule 6)."""
-        now, heard = clock.steady(), False
+    def _read_waits(self, first: bool = False) -> None:
+        """Waits told to a process beside this one, or before it in this slot, bind here too (rule 6).
+
+        Each process writes all waits it knows of, its own and those it read, so that they outlast a chain
+        of upgrades; read every 50 ms, well within the 100 ms in which calls are let through."""
+        now, wall, grown = clock.steady(), clock.to_wall(clock.steady()), False
         for slot in range(SLOTS):
             path = self._journal.folder / named(slot, ".waits")
             try:
-                if slot == self._journal.slot or path.stat().st_mtime_ns == self._waits_seen.get(slot):
+                seen = path.stat().st_mtime_ns
+                if slot == self._journal.slot and not first or seen == self._waits_seen.get(slot):
                     continue
-                self._waits_seen[slot] = path.stat().st_mtime_ns
-                told = json.loads(path.read_bytes())
-                for host, until in told.items():
-                    self._facade.wait_told(now, str(host).encode(), clock.from_wall(int(until)))
-                heard = True
+                self._waits_seen[slot] = seen
+                for host, until in json.loads(path.read_bytes()).items():
+                    if int(until) > max(wall, self._waits.get(str(host), 0)):
+                        self._waits[str(host)], grown = int(until), True
+                        self._facade.wait_told(now, str(host).encode(), clock.from_wall(int(until)))
             except FileNotFoundError:
                 continue
             except (OSError, ValueError, AttributeError, TypeError) as fault:
                 self._log.say(f"waits-unreadable slot={slot} {fault}")
-        if heard:  # after a stall, what came meanwhile is read first
-            clock.once_read(self._loop, self.wake)
+        if grown:
+            self._write_waits(wall)
+            clock.once_read(self._loop, self.wake)  # after a stall, what came meanwhile is read first
         self._loop.call_later(WAITS_READ, self._read_waits)
 
+    def _bind_waits(self) -> None:
+        """News of the list: hosts that were not known when their wait was read get it now."""
+        now, wall = clock.steady(), clock.to_wall(clock.steady())
+        for host, until in self._waits.items():
+            if until > wall:
+                self._facade.wait_told(now, host.encode(), clock.from_wall(until))
+
     def _tell_wait(self, host: str, wait: int) -> None:
-        """Written for a process beside this one; entries that are over are dropped."""
+        """A wait told to this process, written for a process beside it."""
         now = clock.to_wall(clock.steady())
-        until = now + wait
-        if until <= self._waits.get(host, 0) + WAITS_READ * 1e9 / 5:
-            return  # the process beside this one knows as much
-        self._waits = {name: at for name, at in self._waits.items() if at > now}
-        self._waits[host] = until
+        if now + wait > self._waits.get(host, 0) + WAITS_READ * 1e9 / 5:  # else it knows as much
+            self._waits[host] = now + wait
+            self._write_waits(now)
+
+    def _write_waits(self, now: int) -> None:
+        self._waits = {name: at for name, at in self._waits.items() if at > now}  # those over are dropped
         path = self._journal.folder / named(self._journal.slot, ".waits")
         try:
             path.with_suffix(".new").write_text(json.dumps(self._waits))
@@ -215,6 +228,7 @@
         gone = news.gone if change is Change.DELTA else self._hosts.all_but(news.addresses)
         self._hosts.listed(news.addresses, gone)
         self._facade.told(clock.steady(), change, news.entries)
+        self._bind_waits()
         self.wake()
 
     def _restore(self, parcel: Parcel) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -281,3 +281,40 @@
     assert sorted(p.id for p in new.owed.values()) == [b"a", b"b", b"c"]
     new.close()
     assert sorted(p.id for p in Journal(tmp_path, 20_000, 15_000, print).owed.values()) == [b"a", b"b", b"c"]
+
+
+def test_waits_outlast_a_chain_of_processes_and_reach_hosts_listed_later(tmp_path):
+    # Guards rule 6 over upgrades: a wait told to the first process binds the third, also for a host that
+    # the third hears of only after it read the wait.
+    from millweir.net.desk import Desk
+
+    told = []
+
+    class Facade:
+        def wait_told(self, now, host, until):
+            told.append(host)
+
+    class Journal:
+        folder, slot = tmp_path, 0
+
+    def desk(slot):
+        d = Desk.__new__(Desk)
+        d._journal, d._facade, d._waits, d._waits_seen = Journal(), Facade(), {}, {}
+        d._journal.slot = slot
+        loop = type("Loop", (), {"call_later": lambda *a: None, "call_soon": lambda *a: None})()
+        d._log, d._loop = None, loop
+        return d
+
+    first = desk(0)
+    first._tell_wait("h1", 30 * SECOND)
+    second = desk(1)
+    second._read_waits(first=True)  # the first is still there, beside it
+    assert told == [b"h1"]
+    third = desk(0)  # the first has ended; the third takes its slot
+    (tmp_path / "journal.waits").unlink()
+    told.clear()
+    third._read_waits(first=True)
+    assert told == [b"h1"]  # from the second's file, which carries what it read
+    told.clear()
+    third._bind_waits()
+    assert told == [b"h1"]
--- a/tests/test_settings_again.py
+++ b/tests/test_settings_again.py
@@ -1,4 +1,4 @@
-"""Settings at SIGHUP: taken whole or turned down whole; new and changed profiles used, old packets keep theirs."""
+"""Settings at SIGHUP: taken whole or turned down whole."""
 
 import copy
 
