--- a/millweir/net/control.py
+++ b/millweir/net/control.py
@@ -16,6 +16,7 @@
 LINE_MOST = 512  # bytes of one call: an id of a host is far shorter
 WAIT = 0.9  # seconds for the whole line: its answer is due within one
 LINKS_MOST = 32  # open at once; one more is answered at once and closed
+ARGUMENTS = {"health": 0, "counters": 0, "quiesce": 0, "resume": 0, "cordon": 1, "uncordon": 1}  # each call's
 
 
 class Desk(Protocol):
@@ -49,11 +50,10 @@
         if not words or any(not word.isprintable() for word in words):
             return b"FAILURE no call\n"
         name, args = words[0], words[1:]
-        wanted = {"health": 0, "counters": 0, "quiesce": 0, "resume": 0, "cordon": 1, "uncordon": 1}
-        if name not in wanted:
+        if name not in ARGUMENTS:
             return f"FAILURE unknown call {name[:40]!r}\n".encode()
-        if len(args) != wanted[name]:
-            return f"FAILURE {name} takes {wanted[name]} argument(s), not {len(args)}\n".encode()
+        if len(args) != ARGUMENTS[name]:
+            return f"FAILURE {name} takes {ARGUMENTS[name]} argument(s), not {len(args)}\n".encode()
         desk = self._desk
         if name == "health":
             return b"SUCCESS ready\n" if desk.healthy() else b"FAILURE not ready\n"
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -6,7 +6,9 @@
 import json
 import os
 import traceback
+from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 from millweir.facade import Facade, Part
@@ -121,11 +123,16 @@
     def _write_waits(self, now: int) -> None:
         self._waits = {name: at for name, at in self._waits.items() if at > now}  # those over are dropped
         path = self._journal.folder / named(self._journal.slot, ".waits")
+        self._write_json(path, self._waits, "waits", self._log.say)  # often: faults rate-limited
+
+    def _write_json(self, path: Path, value: dict[str, int], what: str, say: Callable[[str], None]) -> None:
+        """Whole or not at all, for a process beside this one or after it: written aside, then renamed."""
+        fresh = path.with_suffix(".new")
         try:
-            path.with_suffix(".new").write_text(json.dumps(self._waits))
-            os.replace(path.with_suffix(".new"), path)
+            fresh.write_text(json.dumps(value))
+            os.replace(fresh, path)
         except OSError as fault:
-            self._log.say(f"waits-unwritten {fault}")
+            say(f"{what}-unwritten {fault}")
 
     def _adopt_later(self) -> None:
         self._loop.call_later(self._bounds.doubtful / 1e9, self._adopt)
@@ -148,9 +155,10 @@
     def _read_cordons(self, again: bool = False) -> None:
         """Hosts put out by hand in an earlier life stay out (rule 3 over an upgrade)."""
         try:
-            if again and self._cordons_file.stat().st_mtime_ns == self._cordons_seen:
+            seen = self._cordons_file.stat().st_mtime_ns
+            if again and seen == self._cordons_seen:
                 return
-            self._cordons_seen = self._cordons_file.stat().st_mtime_ns
+            self._cordons_seen = seen
             told = {str(k): int(v) for k, v in json.loads(self._cordons_file.read_bytes()).items()}
         except FileNotFoundError:
             return
@@ -194,12 +202,7 @@
             self._cordons[name] = clock.to_wall(now)
         else:
             del self._cordons[name]
-        try:  # written whole before the answer: a process that replaces this one reads it
-            fresh = self._cordons_file.with_suffix(".new")
-            fresh.write_text(json.dumps(self._cordons))
-            os.replace(fresh, self._cordons_file)
-        except OSError as fault:
-            self._log.must(f"cordons-unwritten {fault}")
+        self._write_json(self._cordons_file, self._cordons, "cordons", self._log.must)  # before the answer
         self._log.must(f"{'cordon' if out else 'uncordon'} host={name[:80]}")
         self.wake()
         return ""
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -82,8 +82,7 @@
     """Every parcel that is still owed its end, in memory and on disk alike."""
 
     def __init__(self, folder: Path, file_most: int, live_most: int, say: Callable[[str], None]) -> None:
-        self.folder = folder
-        self._folder, self._file_most, self._live_most, self._say = folder, file_most, live_most, say
+        self.folder, self._file_most, self._live_most, self._say = folder, file_most, live_most, say
         self.owed: dict[int, Parcel] = {}
         self.torn = 0  # bytes dropped from the end of the file at start
         self._live = self._size = self._last = 0
@@ -98,7 +97,7 @@
 
     def _lock(self, slot: int) -> bool:
         """Whether this process now holds that slot; where the file system has no locks, it does."""
-        fd = os.open(self._folder / named(slot, ".lock"), os.O_RDWR | os.O_CREAT, 0o600)
+        fd = os.open(self.folder / named(slot, ".lock"), os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
@@ -113,7 +112,7 @@
         """What a process that ended beside this one still owed, now owed by this one and written here."""
         found: list[Parcel] = []
         for slot in range(SLOTS):
-            path = self._folder / named(slot)
+            path = self.folder / named(slot)
             if slot == self.slot or not path.exists() or not self._lock(slot):
                 continue
             mine, last, torn = self.owed, self._last, self.torn
@@ -195,7 +194,7 @@
     def _compact(self) -> None:
         """A new file with what is owed replaces the old one at once: a crash leaves either of them whole."""
         raw = framed([body for parcel in self.owed.values() for body in parcel.records()])
-        new, name = self._folder / named(self.slot, ".new"), self._folder / named(self.slot)
+        new, name = self.folder / named(self.slot, ".new"), self.folder / named(self.slot)
         fresh = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         try:
             at = 0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -302,7 +302,7 @@
         d._journal, d._facade, d._waits, d._waits_seen = Journal(), Facade(), {}, {}
         d._journal.slot = slot
         loop = type("Loop", (), {"call_later": lambda *a: None, "call_soon": lambda *a: None})()
-        d._log, d._loop = None, loop
+        d._log, d._loop = Log(100), loop
         return d
 
     first = desk(0)
