Repeats stay in their building; where no copies may run, a trip given up here has not ended

And with second copies forbidden a packet whose call was cancelled here went out again at once, though the call may run on there.

Change: a referenced packet that may have run is bound to the zone of its first risky trip: it stands in a line of its own in the order and goes only to hosts there, or is errored when its repeat is no longer known. Where no copies may run, a trip ends with the host's word, a refused connect or a broken link; one given up here (time-out, cancel) counts as over once its host has done a call that was sent after it (a hung host does none), one of an earlier life never. There are no time-outs of our own there. After the first packet that a link idle for half a second or more swallowed, links idle for longer than twice what was answered of late are closed before use, for half a minute.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -66,6 +66,7 @@
         self._ask_every = given.must_ask_in // 4 if given.must_ask else 0
         self._cancels, self._copies, self._over_share = given.cancel, given.second_copies, given.over_share
         self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER  # nothing learned of idle links
+        self._swallowed_at = -NEVER  # nor has one swallowed a packet that can't go again
         self._destinations: defaultdict[int, Destination] = defaultdict(lambda: Destination(Order()))
         self._spare, self._spare_idle = Order(), 2 * given.idle_close // self._relays  # held: dismissable
         self._order, self._alarm_at, self._leave_at, self._failed_asks = count().__next__, 0, NEVER, 0
@@ -196,7 +197,7 @@
 
     def _place(self, packet: Packet) -> None:
         """In the order of those that may go now, or out of it."""
-        weight, key = packet.gain * packet.held, packet.key
+        weight, key = packet.gain * packet.held * (not packet.lingers), packet.key
         if key and weight:
             resting = not packet.trips and key.rest_until > self._now  # rule 5
             if resting and key.line[0] is packet:
@@ -225,6 +226,7 @@
 
     def _end(self, packet: Packet) -> None:
         packet.ended, self._open = True, self._open - 1
+        self._linger(packet, False)
         if packet.held:
             self._hold(packet, False)
         self._forget(packet)
@@ -262,6 +264,7 @@
             self._end(packet)
         elif self._may_go_again(packet) and (outcome is not Outcome.UNREADABLE or trip.call.shared):
             packet.alone |= outcome is Outcome.UNREADABLE  # guards those that travel with what none can read
+            self._linger(packet, outcome.given_up and not self._copies)
             self._hold(packet)
         else:
             self._finish(packet)
@@ -274,10 +277,14 @@
         """Rule 2: the one guard on further trips."""
         if len(packet.trips) >= self._max_trips or packet.hard_stop - self._margin <= self._now:
             return False
-        first = self._first_risk(packet)
-        if not first or packet.profile.effect is Effect.REPLAYABLE:
+        if not (first := self._first_risk(packet)):
             return True
-        known = packet.profile.effect is Effect.REFERENCED and not packet.profile.repeat_known_by_zone
+        host = next(trip.call.host for trip in packet.trips if not trip.void)  # none: in an earlier life
+        if packet.profile.effect is Effect.REPLAYABLE:
+            return self._copies or host is not None  # nobody will hear of the end of such a trip
+        known = packet.profile.effect is Effect.REFERENCED and (host is not None or self._copies)
+        if packet.profile.repeat_known_by_zone:  # only in the zone where it went first, or not at all
+            known, packet.bound = known and host is not None, host and host.zone
         return known and self._now < first + packet.profile.repeat_known - self._margin
 
     def _judge_call(self, call: Call, outcome: Outcome, latency: int, wait: int,
@@ -305,6 +312,8 @@
         if (field := self._limit_field) is not None and len(report) > field and report[field] > 0:
             route.top, route.share = report[field], report[field] / self._relays
             route.limit = min(route.limit, route.top)  # guards against limits that change in the day
+        if host.lingering and outcome in (Outcome.FULFILLED, Outcome.FAULT):
+            self._settle_lingering(host, call)
         if outcome is Outcome.FULFILLED:
             host.spread += (abs(latency - host.latency) - host.spread) // 4 if host.latency else latency // 2
             host.latency += (latency - host.latency) // 8 if host.latency else latency
@@ -348,6 +357,19 @@
         elif outcome in (Outcome.FAULT, Outcome.TIMED_OUT, Outcome.RESET, Outcome.SPOILT) and not call.late:
             self._went_ill(host, REFUSED_WEIGHT if outcome is Outcome.SPOILT else FAILED_WEIGHT)
 
+    def _linger(self, packet: Packet, lingers: bool) -> None:
+        """Guards against two trips at once: one given up here may run on there, until `_settle_lingering`."""
+        if lingers is not packet.lingers:
+            packet.lingers, others = lingers, packet.trips[-1].call.host.lingering
+            (others.append if lingers else others.remove)(packet)
+
+    def _settle_lingering(self, host: Host, call: Call) -> None:
+        """What was given up here counts as over, late as it was, once its host has done a call that was sent
+        after it; a hung host does none, and is no reason to go on elsewhere."""
+        for packet in [p for p in host.lingering if p.trips[-1].call.sent_at < call.sent_at]:
+            self._linger(packet, False)
+            self._place(packet)
+
     def _link_lost(self, call: Call, weight: float, reset: bool) -> None:
         """Guards against idle links cut on the way: links idle as long are closed before use, to a host after
         a reset or two losses, to all once three lost calls on links idle longer than any answered of late."""
@@ -357,6 +379,7 @@
             host.lost, host.stale_at = 0, -NEVER if call.fresh else host.stale_at
             return
         host.idle_lost = min(host.idle_lost, call.idle) if host.lost else call.idle
+        self._swallowed_at = self._swallowed_at if self._copies else self._now
         host.lost, host.idle_lost_at = host.lost + (2 if reset else 1), self._now
         recent = self._now - STALE_PROOF
         longest = max((idle for at, idle in self._idle_answered if at > recent), default=0)
@@ -369,7 +392,11 @@
     def _refresh_links(self, host: Host, call: Call) -> None:
         call.idle = self._now - host.used_at if host.used_at > host.freed_at else 0
         learned = max(host.stale_at, self._stale_at)
-        if learned > self._now - STALE_KEPT and self._now - host.freed_at >= self._span * 0.8:
+        longest = max((idle for at, idle in self._idle_answered if at > self._now - STALE_PROOF), default=0)
+        # Guards what can't go again after a call given up: one link swallowed one, those idle for longer than
+        # twice what was answered of late may do so too.  Costs handshakes; not where copies may run.
+        careful = self._swallowed_at > self._now - STALE_KEPT and call.idle > max(STALE_LEAST, 2 * longest)
+        if careful or learned > self._now - STALE_KEPT and self._now - host.freed_at >= self._span * 0.8:
             self._port.free_links(host)
             host.freed_at, call.idle, call.fresh = self._now, 0, True
 
@@ -535,7 +562,7 @@
         trial = all(host.pace and not host.back_at for host in hosts)
         kind, route = hosts[0].kind, hosts[0].route
         most = 1 if trial or kind >= len(self._bundle) else self._bundle[kind]
-        ranked = home.order.best(self._now + took, most, trial)
+        ranked = home.order.best(self._now + took, most, trial, {host.zone for host in hosts})
         until = self._now + self._patience(hosts[0])  # what may not last as long as a call goes alone
         ranked = [p for p in ranked if p is ranked[0] or min(p[1].hard_stop, ranked[0][1].hard_stop) > until]
         if 0 < len(ranked) < most and not ranked[0][1].alone and self._now < route.cut_at + SCARCE:
@@ -544,6 +571,8 @@
                 self._look_again(home, since + self._aim // GATHER)
                 return None
         saved = sum(loss for loss, _ in ranked) * SECOND / took
+        if ranked and (bound := ranked[0][1].bound) is not None:  # rule 2
+            hosts = [host for host in hosts if host.zone == bound]
         return Load(saved, home, hosts, [packet for _, packet in ranked]) if ranked else None
 
     def _burden(self, host: Host) -> tuple[bool, float]:
@@ -558,17 +587,18 @@
         for packet in packets:
             self._hold(packet, False)
             call.carry(packet)
-            self._port.send(packet, host, self._time_out(packet, patience, len(packets) == 1))
+            self._port.send(packet, host, self._time_out(packet, patience))
         route.log.append(now)
         route.out, host.out, self._out, host.tried_at = route.out + 1, host.out + 1, self._out + 1, now
-        call.yields_at = now + patience * (1 + any(p.profile.effect is Effect.SINGLE_USE for p in packets))
+        lost = any(p.profile.effect is Effect.SINGLE_USE for p in packets)  # if given up
+        call.yields_at = now + patience * (1 + lost)
         self._enter(now + patience, call)
 
     def _patience(self, host: Host) -> int:
         return max(self._aim // 4, host.latency + SPREADS * host.spread) if host.latency else self._aim
 
-    def _time_out(self, packet: Packet, patience: int, alone: bool) -> int:
-        """Only what may run again at any time comes back; beside others in its call if copies may run."""
+    def _time_out(self, packet: Packet, patience: int) -> int:
+        """Only what may run again at any time comes back, and only if copies may run: it may run on there."""
         wait = max(self._aim, 2 * patience) * len(packet.trips)
-        again = packet.profile.effect is Effect.REPLAYABLE and (alone or self._copies)
+        again = packet.profile.effect is Effect.REPLAYABLE and self._copies
         return wait if again and self._now + wait < packet.hard_stop else 0
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -45,6 +45,11 @@
         """All others may have."""
         return self in NEVER_RAN
 
+    @property
+    def given_up(self) -> bool:
+        """It ended here alone: the host has said nothing, and the connection stood."""
+        return self in (Outcome.TIMED_OUT, Outcome.CANCELLED)
+
     @property
     def may_run_on(self) -> bool:
         """Its call may be at work still."""
--- a/millweir/order.py
+++ b/millweir/order.py
@@ -46,32 +46,38 @@
 
 
 class Order:
-    """Lines of packets side by side, one for each curve and weight, and for those that can only go alone."""
+    """Lines of packets side by side: one for each curve, weight and zone, and for what can only go alone."""
 
     __slots__ = ("_lines",)
 
     def __init__(self) -> None:
-        self._lines: defaultdict[tuple[Curve, float, bool], SortedList] = defaultdict(SortedList)
+        self._lines: defaultdict[tuple[Curve, float, bool, int | None], SortedList] = defaultdict(SortedList)
+
+    def _line(self, packet: Packet, weight: float) -> SortedList:
+        return self._lines[packet.curve, weight, packet.alone, packet.bound]
 
     def add(self, packet: Packet, weight: float) -> None:
-        self._lines[packet.curve, weight, packet.alone].add((packet.aim_at, packet.nth, packet))
+        self._line(packet, weight).add((packet.aim_at, packet.nth, packet))
 
     def remove(self, packet: Packet, weight: float) -> None:
-        self._lines[packet.curve, weight, packet.alone].remove((packet.aim_at, packet.nth, packet))
+        self._line(packet, weight).remove((packet.aim_at, packet.nth, packet))
 
-    def best(self, at: int, most: int, trial: bool) -> list[tuple[float, Packet]]:
+    def best(self, at: int, most: int, trial: bool, zones: set[int]) -> list[tuple[float, Packet]]:
         """Those that lose most by waiting past that time; on trial, what can't bear it goes last."""
         found = []
-        for (curve, weight, _), line in self._lines.items():
+        for (curve, weight, _, bound), line in self._lines.items():
+            if bound is not None and bound not in zones:
+                continue
             bears = curve.bears_trials or not trial
             for packet in curve.best(line, at, most) if line else ():
                 loss = weight * curve.loss(at - packet.aim_at) if bears else 0.0001 / (1 + weight)
                 found.append((loss, packet))
         found.sort(key=itemgetter(0), reverse=True)
-        return found[:1] if found and found[0][1].alone else [p for p in found if not p[1].alone][:most]
+        alike = [p for p in found if not p[1].alone and p[1].bound == found[0][1].bound]
+        return found[:1] if found and found[0][1].alone else alike[:most]
 
     def least(self, at: int) -> Packet | None:
         """The packet that is worth least when fulfilled at that time: in each line the latest."""
         heads = ((weight * curve.worth(at - line[0][0]), line[0][2])
-                 for (curve, weight, _), line in self._lines.items() if line)
+                 for (curve, weight, *_), line in self._lines.items() if line)
         return min(heads, key=itemgetter(0), default=(0, None))[1]
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -40,8 +40,8 @@
 
     __slots__ = (
         "back_at", "clear_at", "destination", "doubt", "freed_at", "id", "idle_lost", "idle_lost_at", "kind",
-        "latency", "left_at", "links", "lost", "out", "overdue", "pace", "ready", "route", "set_at", "spread",
-        "stale_at", "tried_at", "used_at", "zone",
+        "latency", "left_at", "lingering", "links", "lost", "out", "overdue", "pace", "ready", "route",
+        "set_at", "spread", "stale_at", "tried_at", "used_at", "zone",
     )
 
     def __init__(self, entry: Entry, destination: Destination, route: Route) -> None:
@@ -69,6 +69,7 @@
         self.stale_at = -NEVER
         self.idle_lost = 0
         self.idle_lost_at = 0
+        self.lingering: list[Packet] = []  # whose trips here were given up and may run on
 
     def tight(self, now: int) -> bool:
         """Its connection table was full a moment ago, and it has as many calls as then."""
@@ -159,8 +160,8 @@
     """A packet that this relay took."""
 
     __slots__ = (
-        "aim_at", "alone", "curve", "destination", "ended", "gain", "hard_stop", "held", "id", "key",
-        "nth", "out", "profile", "trips", "weight",
+        "aim_at", "alone", "bound", "curve", "destination", "ended", "gain", "hard_stop", "held", "id", "key",
+        "lingers", "nth", "out", "profile", "trips", "weight",
     )
 
     def __init__(self, ident: int, nth: int, profile: Profile, curve: Curve, destination: Destination,
@@ -179,6 +180,8 @@
         self.held = False
         self.weight = 0.0  # among those that may go, 0 while it is none of them
         self.alone = False
+        self.bound: int | None = None  # to the zone in which its repeat is known
+        self.lingers = False  # its last trip may run on, and no two may run at once
         self.ended = False
 
 
