What a report says is left tells a full bucket from a moment: cut less, and two signs for a hang

And a relay with one packet in many seconds that was refused twice before a call went well fell to an eighth twice over, down to half of an even share of hundreds: its packets waited 20 s (p99 19.7 s) or were turned away, where the limit stood half unused (median of x0 in refusals 0.56).

Change: a refusal with much left is half a verdict, so it takes two in a row; a run of refusals cuts to an eighth only where the report says that under a tenth is left (or says nothing), by half otherwise. Also: a call that would lose its packet if given up is waited for twice as long where no copies may run, unless it went out on an idle link, which has mostly swallowed it.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -22,7 +22,7 @@
 STALE_KEPT, STALE_LEAST = 30 * SECOND, SECOND // 2  # idle links go stale: so long kept; idle less: not stale
 STALE_PROOF, STALE_HOSTS = 5 * SECOND, 3  # what is told of all hosts: within that time, by so many of them
 SHARE_DEPTH, FORGOTTEN_AFTER = 2, 60 * SECOND  # seconds of a tenant's share sent at once; a host that left
-FAR, MUCH_LEFT = 2, 0.75  # a host in another zone against one here; so much unused: a refusal not for it
+FAR, MUCH_LEFT, SOME_LEFT = 2, 0.75, 0.1  # a host in another zone against one here; parts of a limit unused
 LATE, WEIGHED = 16, 32  # parts of the quoted time: turns may come so late; a load is weighed again so soon
 GATHER, SCARCE = 8, 10 * SECOND  # part of the quoted time for which short calls wait, so long after a cut
 SPREADS, YOUNG = 6, 5 * SECOND  # overdue past mean latency and so many deviations; first seconds tell little
@@ -324,19 +324,23 @@
                 recent = [pair for pair in self._idle_answered if pair[0] > self._now - STALE_PROOF]
                 self._idle_answered = [*recent, (self._now, call.idle)]
         elif outcome is Outcome.FULL:
+            left = report[self._left_field] if report and self._left_field is not None else 0.0
             if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
                 if route.limit <= route.share * LEAST:  # hardly anything was sent: sick, not full
                     self._went_ill(host, REFUSED_WEIGHT)
                 sent = sum(at > self._now - ROUND for at in route.log)  # a limit far above use says nothing
-                cut, least = (CUT, self._least) if route.raised_at < NEVER else (CUT_AGAIN, LEAST)
+                # Guards sparse senders against starving: some left says that room comes and goes, in a small
+                # bucket within moments; only an empty one tells of a limit that refused calls use up.
+                once = route.raised_at < NEVER or left > SOME_LEFT
+                cut, least = (CUT, self._least) if once else (CUT_AGAIN, LEAST)
                 route.limit = max(route.share * least, cut * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
-            # A long wait tells of a shut destination, much of the limit left of a hung one (if seldom there).
-            left = report[self._left_field] if report and self._left_field is not None else 0.0
+            # A long wait tells of a shut destination, much of the limit left of a hung one (if seldom there,
+            # and twice in a row: what is left in a small bucket is old news at once).
             seldom = host.destination.taken * self._fall_time < self._now - self._born
             if wait > 2 * ROUND or left > MUCH_LEFT and seldom:
-                self._all_went_ill(host, SICK)
+                self._all_went_ill(host, SICK if wait > 2 * ROUND else SICK / 2)
         elif outcome in (Outcome.UNCONNECTED, Outcome.CROWDED):
             host.links = host.out - (call.left > 0)  # without this call, lest a bundle hide a dead host
             slow = outcome is Outcome.UNCONNECTED and latency >= self._slow
@@ -590,7 +594,9 @@
             self._port.send(packet, host, self._time_out(packet, patience))
         route.log.append(now)
         route.out, host.out, self._out, host.tried_at = route.out + 1, host.out + 1, self._out + 1, now
-        lost = any(p.profile.effect is Effect.SINGLE_USE for p in packets)  # if given up
+        # Giving up loses what can't go again; where no copies may run, all that no idle link has swallowed.
+        lost = any(p.profile.effect is Effect.SINGLE_USE for p in packets)
+        lost |= not self._copies and call.idle < STALE_LEAST
         call.yields_at = now + patience * (1 + lost)
         self._enter(now + patience, call)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -350,6 +350,34 @@
     assert len({s.at for s in rig.sent}) <= 14  # of 40 a call each: the allowed part of a cold host's load
 
 
+def test_one_refusal_with_much_of_its_limit_left_does_not_set_a_small_bucket_aside():
+    def pace(refused):
+        rig = Rig(entries=[entry(0, 0, kind=1)], relays=200, reports=("x0", "x1"), slots=9)
+
+        def decide(s):
+            outcome = Outcome.FULL if rig.sent.index(s) in refused else Outcome.FULFILLED
+            return (outcome, 0, (0.9, 4.0)) if rig.now > s.at else None
+
+        for _ in range(8):
+            rig.take(0)
+            rig.pass_time(4 * SECOND, decide)
+        return rig.relay._hosts[rig.entries[0].host].pace
+
+    assert pace((3,)) == pace((1, 3, 5)) == 0.0 < pace((6, 7))
+
+
+def test_refusals_with_some_of_the_limit_left_slow_a_sparse_sender_less_than_at_an_empty_bucket():
+    def sent(left):
+        rig = Rig(entries=[entry(0, 0, kind=1)], relays=300, slots=3, reports=("x0", "x1"))
+        for _ in range(9):
+            rig.take(0)
+        rig.pass_time(15 * SECOND, lambda s: (
+            Outcome.FULL if s in rig.sent[:2] else Outcome.FULFILLED, 0, (left, 4.0)))
+        return len(rig.sent)
+
+    assert sent(0.3) >= 9 > 2 * sent(0.0) > 2
+
+
 def test_a_listed_rate_that_changes_is_followed():
     rig = Rig(entries=[entry(0, 0, kind=1, rate=4.0)], relays=1, slots=50, max_open=99)
     rig.list(Change.DELTA, [entry(0, 0, kind=1, rate=8.0)])
