Rule 4 on linz: shut ports count for all hosts of a route, runs of refusals cut by what is left

First case: after a hang, twenty relays with a packet each went again after 2, 4 and 8 s, since a run of refusals cut by half only wherever a tenth of the limit was left. Second: after a crash, a clump at fifteen relays, each trying a shut destination of two hosts four or five times, as connects that fail at once were judged host by host.

Change: in a run of refusals the cut is half of what the report says is left, an eighth at least (one constant less). Connects that fail at once are judged for all hosts of the route, as those that time out, unless routes that turned a call away answered within two seconds of late (full tables). Why it can't come back: a relay that saw the failures sends three calls in all, then the trickle.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -22,7 +22,7 @@
 STALE_KEPT, STALE_LEAST = 30 * SECOND, SECOND // 2  # idle links go stale: so long kept; idle less: not stale
 STALE_PROOF, STALE_HOSTS = 5 * SECOND, 3  # what is told of all hosts: within that time, by so many of them
 SHARE_DEPTH, FORGOTTEN_AFTER = 2, 60 * SECOND  # seconds of a tenant's share sent at once; a host that left
-FAR, MUCH_LEFT, SOME_LEFT = 2, 0.75, 0.1  # a host in another zone against one here; parts of a limit unused
+FAR, MUCH_LEFT = 2, 0.75  # a host in another zone against one here; so much unused: a refusal not for it
 LATE, WEIGHED = 16, 32  # parts of the quoted time: turns may come so late; a load is weighed again so soon
 GATHER, SCARCE = 8, 10 * SECOND  # part of the quoted time for which short calls wait, so long after a cut
 SPREADS, YOUNG = 6, 5 * SECOND  # overdue past mean latency and so many deviations; first seconds tell little
@@ -66,7 +66,7 @@
         self._ask_every = given.must_ask_in // 4 if given.must_ask else 0
         self._cancels, self._copies, self._over_share = given.cancel, given.second_copies, given.over_share
         self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER  # nothing learned of idle links
-        self._swallowed_at = -NEVER  # nor has one swallowed a packet that can't go again
+        self._swallowed_at = self._tables_at = -NEVER  # nor any lost packet, nor any full table
         self._destinations: defaultdict[int, Destination] = defaultdict(lambda: Destination(Order()))
         self._spare, self._spare_idle = Order(), 2 * given.idle_close // self._relays  # held: dismissable
         self._order, self._alarm_at, self._leave_at, self._failed_asks = count().__next__, 0, NEVER, 0
@@ -294,6 +294,8 @@
         self._stirred[host.destination] = None
         call.left -= 1
         if outcome in (Outcome.FULFILLED, Outcome.FULL, Outcome.FAULT):
+            if self._now - route.turned_at < 2 * ROUND:
+                self._tables_at = self._now
             host.used_at, route.turned = self._now, route.turned * (outcome is Outcome.FULL)
         if not call.left:
             call.trips = []  # no circles, so that nothing waits for the collector
@@ -329,10 +331,11 @@
                 if route.limit <= route.share * LEAST:  # hardly anything was sent: sick, not full
                     self._went_ill(host, REFUSED_WEIGHT)
                 sent = sum(at > self._now - ROUND for at in route.log)  # a limit far above use says nothing
-                # Guards sparse senders against starving: some left says that room comes and goes, in a small
-                # bucket within moments; only an empty one tells of a limit that refused calls use up.
-                once = route.raised_at < NEVER or left > SOME_LEFT
-                cut, least = (CUT, self._least) if once else (CUT_AGAIN, LEAST)
+                # Guards sparse senders against starving: in a run of refusals, what the report says is left
+                # tells moments in which a small bucket is full from a limit that refused calls use up.
+                cut, least = CUT, self._least
+                if route.raised_at == NEVER:
+                    cut, least = max(CUT_AGAIN, CUT * min(1.0, left)), LEAST
                 route.limit = max(route.share * least, cut * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
@@ -348,14 +351,17 @@
                 # Guards against tables filled by idle links: new ones pause, idle ones to that kind are kept
                 # for less.  Turned away again and again, it may be down (rule 4), but not if it answered.
                 pause = int(ROUND * (0.5 + self._random()))
-                host.clear_at, route.turned = self._now + pause, route.turned + 1
+                host.clear_at, route.turned, route.turned_at = self._now + pause, route.turned + 1, self._now
                 fresh = host.kind not in self._tight_kinds
                 self._tight_kinds.add(host.kind)
                 for other in self._hosts.values() if fresh else ():
                     if other.kind == host.kind and other.used_at > other.freed_at and not other.out:
                         self._enter(max(self._now, other.used_at + self._spare_idle), other)
             if outcome is Outcome.UNCONNECTED and not host.links and (slow or route.turned > 1):
-                (self._all_went_ill if slow else self._went_ill)(host, SICK / 2)
+                # Guards rule 4 where hundreds hold a packet each for what is down: all its hosts are judged,
+                # unless such a route answered within moments of late: then tables are full, and come free.
+                tables = not slow and self._tables_at > self._now - STALE_KEPT
+                (self._went_ill if tables else self._all_went_ill)(host, SICK / 2)
         elif outcome is Outcome.CUT_OFF or outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
         elif outcome in (Outcome.FAULT, Outcome.TIMED_OUT, Outcome.RESET, Outcome.SPOILT) and not call.late:
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -18,7 +18,7 @@
 
     __slots__ = (
         "cut_at", "limit", "listed", "log", "out", "pressed", "raised_at", "share", "top", "turned",
-        "wait_until",
+        "turned_at", "wait_until",
     )
 
     def __init__(self, listed: float, share: float, top: float, now: int) -> None:
@@ -33,6 +33,7 @@
         self.raised_at = now
         self.cut_at = now - 1  # nothing is known of its limit yet
         self.turned = 0
+        self.turned_at = -NEVER
 
 
 class Host:
