Cheap routes first by what packets lose, profiles bound to kinds, last trips with care

Change: a host costs its fee in gain (points by the mean gain of the profiles) and what its packets lose, by their curve, in the time a call takes; the least cost wins among the hosts with room. Without fees the order is as before. The assumption that fell: that nearness and speed are all that tells hosts apart. The last trip goes on trial only if nothing else is held there, and not on a link idle for half a second.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -6,6 +6,7 @@
 
 import random
 from collections import defaultdict
+from functools import partial
 from heapq import heappop, heappush
 from itertools import count, takewhile
 
@@ -64,9 +65,11 @@
         self._profiles = [(p, Curve(p, self._aim, given.halves)) for p in given.profiles]
         self._cold_share = min(1.0, given.fall_multiple * given.cold_from)
         self._ask_every = given.must_ask_in // 4 if given.must_ask else 0
+        mean = sum(p.gain for p in given.profiles) / max(1, len(given.profiles))
+        self._fees = {zone: fee * mean for zone, fee in enumerate(given.fees) if any(given.fees)}
         self._cancels, self._copies, self._over_share = given.cancel, given.second_copies, given.over_share
-        self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER  # nothing learned of idle links
-        self._swallowed_at = self._tables_at = -NEVER  # nor any lost packet, nor any full table
+        self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER  # nothing learned of idle links,
+        self._swallowed_at = self._tables_at = -NEVER  # nor lost to them, nor of full connection tables
         self._destinations: defaultdict[int, Destination] = defaultdict(lambda: Destination(Order()))
         self._spare, self._spare_idle = Order(), 2 * given.idle_close // self._relays  # held: dismissable
         self._order, self._alarm_at, self._leave_at, self._failed_asks = count().__next__, 0, NEVER, 0
@@ -96,6 +99,7 @@
             if entry.phase is not Phase.GONE:
                 host = self._hosts.get(entry.host) or self._meet(entry)
                 told = max(1, now - self._grace) if change is Change.CACHED else now  # in an earlier life
+                host.kind = entry.kind  # a profile may be bound to some kinds
                 host.ready, out = entry.phase is Phase.READY, self._cordoned.get(entry.host, 0)
                 host.left_at = 0 if host.ready and not out else host.left_at or out or told
                 self._stirred[host.destination] = host.destination.hosts[host] = None
@@ -105,12 +109,16 @@
 
     def _meet(self, entry: Entry) -> Host:
         home = self._destinations[entry.destination]
-        route = None if entry.kind < len(self._apart) and self._apart[entry.kind] else home.route
+        route = None if self._is_apart(entry.kind) else home.route
         if route is None:
             top = entry.rate if self._known_rates and entry.rate > 0 else float(NEVER)
             route = home.route = Route(top if top < NEVER else 1.0, top / self._relays, top, self._now)
             route.limit = min(top, max((route.share * top) ** 0.5, SECOND / ROUND))
-        return self._hosts.setdefault(entry.host, Host(entry, home, route))
+        fee = self._fees.get(entry.zone, 0.0) * self._is_apart(entry.kind)
+        return self._hosts.setdefault(entry.host, Host(entry, home, route, fee))
+
+    def _is_apart(self, kind: int) -> bool:
+        return kind < len(self._apart) and self._apart[kind]
 
     def host_cordoned(self, now: int, ident: bytes, out: bool, since: int) -> bool:
         """By hand: out since then, nothing new after the grace, whatever the list says (rule 3); or back."""
@@ -275,6 +283,7 @@
 
     def _may_go_again(self, packet: Packet) -> bool:
         """Rule 2: the one guard on further trips."""
+        packet.last = len(packet.trips) + 1 == self._max_trips
         if len(packet.trips) >= self._max_trips or packet.hard_stop - self._margin <= self._now:
             return False
         if not (first := self._first_risk(packet)):
@@ -294,8 +303,7 @@
         self._stirred[host.destination] = None
         call.left -= 1
         if outcome in (Outcome.FULFILLED, Outcome.FULL, Outcome.FAULT):
-            if self._now - route.turned_at < 2 * ROUND:
-                self._tables_at = self._now
+            self._tables_at = self._now if self._now - route.turned_at < 2 * ROUND else self._tables_at
             host.used_at, route.turned = self._now, route.turned * (outcome is Outcome.FULL)
         if not call.left:
             call.trips = []  # no circles, so that nothing waits for the collector
@@ -333,9 +341,8 @@
                 sent = sum(at > self._now - ROUND for at in route.log)  # a limit far above use says nothing
                 # Guards sparse senders against starving: in a run of refusals, what the report says is left
                 # tells moments in which a small bucket is full from a limit that refused calls use up.
-                cut, least = CUT, self._least
-                if route.raised_at == NEVER:
-                    cut, least = max(CUT_AGAIN, CUT * min(1.0, left)), LEAST
+                cut, least = (CUT, self._least) if route.raised_at < NEVER else (
+                    max(CUT_AGAIN, CUT * min(1.0, left)), LEAST)
                 route.limit = max(route.share * least, cut * min(route.limit, route.top, max(1, sent)))
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
@@ -399,13 +406,14 @@
             known = self._span if self._now - self._span_at <= STALE_KEPT else NEVER
             self._span, self._span_at, host.stale_at = min(known, host.idle_lost), self._now, self._now
 
-    def _refresh_links(self, host: Host, call: Call) -> None:
+    def _refresh_links(self, host: Host, call: Call, packets: list[Packet]) -> None:
         call.idle = self._now - host.used_at if host.used_at > host.freed_at else 0
         learned = max(host.stale_at, self._stale_at)
         longest = max((idle for at, idle in self._idle_answered if at > self._now - STALE_PROOF), default=0)
         # Guards what can't go again after a call given up: one link swallowed one, those idle for longer than
         # twice what was answered of late may do so too.  Costs handshakes; not where copies may run.
         careful = self._swallowed_at > self._now - STALE_KEPT and call.idle > max(STALE_LEAST, 2 * longest)
+        careful |= call.idle >= STALE_LEAST and any(packet.last for packet in packets)
         if careful or learned > self._now - STALE_KEPT and self._now - host.freed_at >= self._span * 0.8:
             self._port.free_links(host)
             host.freed_at, call.idle, call.fresh = self._now, 0, True
@@ -444,8 +452,8 @@
         self._now = now
         self._settle_due()
         while self._out < self._slots and (load := self._next_load()):
-            drawn = self._sample(load.hosts, min(2, len(load.hosts)))
-            self._call(min(drawn, key=self._burden), load.packets)  # the one that own counts favour
+            drawn = load.hosts if self._fees else self._sample(load.hosts, min(2, len(load.hosts)))
+            self._call(min(drawn, key=partial(self._burden, load)), load.packets)
         if self._cancels and self._overdue:
             self._free_room()
         if self._agenda and not now < self._alarm_at <= self._agenda[0][0]:
@@ -569,10 +577,11 @@
         if not (hosts := self._hosts_with_room(home)):
             return None
         took = min(host.latency for host in hosts) or self._aim // 8
-        trial = all(host.pace and not host.back_at for host in hosts)
         kind, route = hosts[0].kind, hosts[0].route
+        hosts = [host for host in hosts if host.kind == kind]  # a list may be behind on some
+        trial = all(host.pace and not host.back_at for host in hosts)
         most = 1 if trial or kind >= len(self._bundle) else self._bundle[kind]
-        ranked = home.order.best(self._now + took, most, trial, {host.zone for host in hosts})
+        ranked = home.order.best(self._now + took, most, trial, {host.zone for host in hosts}, kind)
         until = self._now + self._patience(hosts[0])  # what may not last as long as a call goes alone
         ranked = [p for p in ranked if p is ranked[0] or min(p[1].hard_stop, ranked[0][1].hard_stop) > until]
         if 0 < len(ranked) < most and not ranked[0][1].alone and self._now < route.cut_at + SCARCE:
@@ -580,20 +589,22 @@
             if since + self._aim // GATHER > self._now:  # calls are short there
                 self._look_again(home, since + self._aim // GATHER)
                 return None
-        saved = sum(loss for loss, _ in ranked) * SECOND / took
+        loss = sum(loss for loss, _ in ranked)  # in a quoted time
         if ranked and (bound := ranked[0][1].bound) is not None:  # rule 2
             hosts = [host for host in hosts if host.zone == bound]
-        return Load(saved, home, hosts, [packet for _, packet in ranked]) if ranked else None
+        return ranked and Load(loss * SECOND / took, loss, home, hosts, [p for _, p in ranked]) or None
 
-    def _burden(self, host: Host) -> tuple[bool, float]:
+    def _burden(self, load: Load, host: Host) -> tuple[bool, float]:
+        """What a call there costs: its fee, and the gain that its packets lose in the time it takes."""
         busy = 2 - (host.used_at > host.freed_at) + host.out + 2 * host.doubt  # a new link: round trips
-        return host.pace > 0, (1 if host.zone == self._zone else FAR) * busy * (MILLISECOND + host.latency)
+        time = (1 if host.zone == self._zone else FAR) * busy * (MILLISECOND + host.latency)
+        return host.pace > 0, host.fee * len(load.packets) + load.loss * time / self._aim
 
     def _call(self, host: Host, packets: list[Packet]) -> None:
         """One call with all that travels in it; it is logged once."""
         now, route = self._now, host.route
         call, patience = Call(host, now, len(packets) > 1), self._patience(host)
-        self._refresh_links(host, call)
+        self._refresh_links(host, call, packets)
         for packet in packets:
             self._hold(packet, False)
             call.carry(packet)
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -91,6 +91,7 @@
     repeat_known: int
     repeat_known_by_zone: bool
     in_order: bool
+    kinds: frozenset[int] = frozenset()  # of destinations that it may go to; none named: all
 
     def worth(self, halves: bool, late: int) -> float:
         """What part of its gain is left so late: it halves with each quoted time, or falls evenly."""
@@ -153,6 +154,7 @@
     cold_from: float
     cold_time: int
     key_quiet: int
+    fees: tuple[float, ...]  # by zone, for each trip that a route apart takes on; of a mean packet's gain
 
     @property
     def max_wait(self) -> int:
--- a/millweir/order.py
+++ b/millweir/order.py
@@ -22,6 +22,7 @@
 
     def __init__(self, profile: Profile, span: int, halves: bool) -> None:
         """`span`: the wait that is weighed; `halves`: worth halves with each quoted time."""
+        self.kinds = profile.kinds
         self.bears_trials = profile.effect is not Effect.SINGLE_USE
         self.worth, self._span = partial(profile.worth, halves), span
         starts = sorted({-NEVER, NEVER, *(turn - at for turn in profile.turns(halves) for at in (0, span))})
@@ -51,10 +52,10 @@
     __slots__ = ("_lines",)
 
     def __init__(self) -> None:
-        self._lines: defaultdict[tuple[Curve, float, bool, int | None], SortedList] = defaultdict(SortedList)
+        self._lines: defaultdict[tuple, SortedList] = defaultdict(SortedList)
 
     def _line(self, packet: Packet, weight: float) -> SortedList:
-        return self._lines[packet.curve, weight, packet.alone, packet.bound]
+        return self._lines[packet.curve, weight, packet.alone, packet.bound, packet.last]
 
     def add(self, packet: Packet, weight: float) -> None:
         self._line(packet, weight).add((packet.aim_at, packet.nth, packet))
@@ -62,13 +63,13 @@
     def remove(self, packet: Packet, weight: float) -> None:
         self._line(packet, weight).remove((packet.aim_at, packet.nth, packet))
 
-    def best(self, at: int, most: int, trial: bool, zones: set[int]) -> list[tuple[float, Packet]]:
-        """Those that lose most by waiting past that time; on trial, what can't bear it goes last."""
+    def best(self, at: int, most: int, trial: bool, zones: set[int], kind: int) -> list[tuple[float, Packet]]:
+        """Those that may go there and lose most by waiting past that time; what bears no trial goes last."""
         found = []
-        for (curve, weight, _, bound), line in self._lines.items():
-            if bound is not None and bound not in zones:
+        for (curve, weight, _, bound, last), line in self._lines.items():
+            if bound is not None and bound not in zones or curve.kinds and kind not in curve.kinds:
                 continue
-            bears = curve.bears_trials or not trial
+            bears = curve.bears_trials and not last or not trial
             for packet in curve.best(line, at, most) if line else ():
                 loss = weight * curve.loss(at - packet.aim_at) if bears else 0.0001 / (1 + weight)
                 found.append((loss, packet))
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -40,13 +40,14 @@
     """All that is known of one host."""
 
     __slots__ = (
-        "back_at", "clear_at", "destination", "doubt", "freed_at", "id", "idle_lost", "idle_lost_at", "kind",
-        "latency", "left_at", "lingering", "links", "lost", "out", "overdue", "pace", "ready", "route",
-        "set_at", "spread", "stale_at", "tried_at", "used_at", "zone",
+        "back_at", "clear_at", "destination", "doubt", "fee", "freed_at", "id", "idle_lost",
+        "idle_lost_at", "kind", "latency", "left_at", "lingering", "links", "lost", "out", "overdue",
+        "pace", "ready", "route", "set_at", "spread", "stale_at", "tried_at", "used_at", "zone",
     )
 
-    def __init__(self, entry: Entry, destination: Destination, route: Route) -> None:
+    def __init__(self, entry: Entry, destination: Destination, route: Route, fee: float) -> None:
         self.id = entry.host
+        self.fee = fee  # of gain, for each packet that it takes on
         self.kind = entry.kind
         self.zone = entry.zone
         self.destination = destination
@@ -96,10 +97,12 @@
 class Load:
     """A call that might be made next."""
 
-    __slots__ = ("home", "hosts", "packets", "saved")
+    __slots__ = ("home", "hosts", "loss", "packets", "saved")
 
-    def __init__(self, saved: float, home: Destination, hosts: list[Host], packets: list[Packet]) -> None:
+    def __init__(self, saved: float, loss: float, home: Destination, hosts: list[Host],
+                 packets: list[Packet]) -> None:
         self.saved = saved  # gain for each second of a slot
+        self.loss = loss  # of gain, if it were put off for a quoted time
         self.home = home
         self.hosts = hosts
         self.packets = packets
@@ -162,7 +165,7 @@
 
     __slots__ = (
         "aim_at", "alone", "bound", "curve", "destination", "ended", "gain", "hard_stop", "held", "id", "key",
-        "lingers", "nth", "out", "profile", "trips", "weight",
+        "last", "lingers", "nth", "out", "profile", "trips", "weight",
     )
 
     def __init__(self, ident: int, nth: int, profile: Profile, curve: Curve, destination: Destination,
@@ -182,6 +185,7 @@
         self.weight = 0.0  # among those that may go, 0 while it is none of them
         self.alone = False
         self.bound: int | None = None  # to the zone in which its repeat is known
+        self.last = False  # no more than one trip is left to it
         self.lingers = False  # its last trip may run on, and no two may run at once
         self.ended = False
 
--- a/millweir/settings.py
+++ b/millweir/settings.py
@@ -15,6 +15,7 @@
     ceilings = given.get("ceilings") or {}
     family = given.get("family-info") or {}
     rules = given.get("obligations") or {}
+    skus = tuple(given.get("skus") or ())
     report = given.get("report") or {}
     profiles = tuple(
         Profile(
@@ -27,6 +28,7 @@
             repeat_known=(grade.get("dedup-window-us") or 0) * 1000,
             repeat_known_by_zone=grade.get("key-scope", "all") != "all",
             in_order=bool(grade.get("one-at-a-time", False)),
+            kinds=frozenset(skus.index(kind) if kind in skus else -1 for kind in grade.get("kinds") or ()),
         )
         for grade in given["grades"]
     )
@@ -39,7 +41,7 @@
         tenants=tenants,
         zone=given.get("locality", 0),
         zones=tuple(given.get("localities") or ()),
-        kinds=tuple(given.get("skus") or ()),
+        kinds=skus,
         period=(given.get("period-us") or 0) * 1000,
         slots=family.get("slots", 1),
         max_open=ceilings.get("max-open", 0),
@@ -66,6 +68,7 @@
         cold_from=rules.get("cold-from", 1.0),
         cold_time=(rules.get("cold-us") or 0) * 1000,
         key_quiet=(rules.get("key-quiet-us") or 0) * 1000,
+        fees=tuple(family.get("carriage") or ()),
     )
 
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -52,7 +52,7 @@
         "over_share": 0.1, "must_ask": False, "second_copies": True,
         "must_ask_in": 0, "rates_listed": True, "rates_rough": False, "reports": (), "drain_grace": SECOND,
         "answer_slack": 20 * MILLISECOND, "fall_multiple": 2.0, "fall_time": 2 * SECOND, "cold_from": 0.2,
-        "cold_time": 10 * SECOND, "key_quiet": 300 * MILLISECOND,
+        "cold_time": 10 * SECOND, "key_quiet": 300 * MILLISECOND, "fees": (),
     }
     return Settings(**(base | given))
 
@@ -76,7 +76,7 @@
         self.sent, self.taken, self.answers = [], {}, {}
         self.cancelled = []
         self.stirred = True
-        self.left, self.waits, self.rests, self.lines = {}, {}, {}, {}
+        self.left, self.waits, self.rests, self.lines, self.kinds = {}, {}, {}, {}, {}
         self.entries = entries or [entry(d, n, kind=d % 2) for d in range(3) for n in range(2)]
         self.relay = Relay(self, self.settings, seed, self.now)
         self.list(Change.CACHED, self.entries)
@@ -100,6 +100,8 @@
             for lost in (s for s in trips if s.outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED)):
                 assert any(s.host is lost.host and s.at > lost.at and s.outcome in DONE for s in self.sent), \
                     "sent again while an earlier trip may run on"
+        kinds = packet.profile.kinds
+        assert not kinds or self.kinds[host.id] in kinds, "sent to a kind that its profile is not for"
         told = self.left.get(host.id)
         assert told is None or self.now <= told + self.settings.drain_grace, "sent to a host that left"
         assert self.now >= self.waits.get(self.route(host), 0), "sent during a told wait"
@@ -149,6 +151,7 @@
 
     def list(self, change, entries):
         for row in entries:
+            self.kinds[row.host] = row.kind
             if row.phase is Phase.READY:
                 self.left.pop(row.host, None)
             else:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -349,6 +349,86 @@
     assert tries(False) <= 3 < 4 <= tries(True)
 
 
+def test_a_profile_bound_to_one_kind_leaves_for_no_other_whatever_the_list_says():
+    bound = replace(PROFILES[0], kinds=frozenset((0,)))
+    rig = Rig(entries=[entry(0, 0, kind=1), entry(0, 1, kind=1), entry(2, 0)], relays=1,
+              profiles=[bound, PROFILES[0]])
+    rig.take(0, 0)  # its destination is listed as another kind
+    free = rig.take(1, 0)
+    rig.pass_time(SECOND, well()(rig))
+    assert rig.answers == {free: "fulfilled"}
+    rig.list(Change.FULL, [])
+    rig.pass_time(SECOND, well()(rig))
+    assert len(rig.sent) == 1
+    rig.list(Change.FULL, [entry(0, 0, kind=0), entry(0, 1, kind=1)])  # the list mends one of them
+    rig.pass_time(SECOND, well()(rig))
+    assert rig.answers == {1: "fulfilled", free: "fulfilled"} and rig.sent[-1].host.id[3] == 0
+    rig.list(Change.DELTA, [entry(0, 0, kind=1)])  # and takes it back
+    late = rig.take(0, 0)
+    rig.pass_time(17 * SECOND, well()(rig))
+    assert rig.answers[late] == "dismissed" and len(rig.sent) == 2
+
+
+def test_cheap_routes_go_first_while_no_gain_is_lost_by_it():
+    def routes(late):
+        profile = replace(PROFILES[0], quoted=2 * SECOND, late_share=0.1)
+        rig = Rig(entries=[entry(0, n, kind=1, zone=n, rate=90.0) for n in range(3)], relays=1, halves=False,
+                  zones=("a", "b", "c"), fees=(0.04, 0.01, 0.04), profiles=[profile])
+        for _ in range(12):  # the cheap one takes three times as long
+            rig.take(0)
+            rig.pass_time(SECOND, lambda s: Outcome.FULFILLED if rig.now - s.at >= SECOND * (
+                0.9 if s.host.zone == 1 else 0.3) else None)
+        for _ in range(12):
+            ident, stop = len(rig.taken) + 1, rig.now + 16 * SECOND - late
+            rig.taken[ident], rig.stirred = {"hard_stop": stop, "key": 0}, True
+            rig.relay.packet_taken(rig.now, ident, 0, 0, 0, stop, 0)
+            rig.pass_time(SECOND, lambda s: Outcome.FULFILLED if rig.now - s.at >= SECOND * (
+                0.9 if s.host.zone == 1 else 0.3) else None)
+        return [s.host.zone for s in rig.sent[12:]]
+
+    assert routes(0).count(1) >= 10
+    assert routes(13 * SECOND).count(1) <= 2  # of little time, not much may be lost
+
+
+def test_the_last_trip_bears_no_trial_and_no_idle_link_and_the_end_is_told_when_none_is_left():
+    rig = Rig(entries=[entry(0, 0, kind=1)], relays=1, max_trips=2)
+    host = rig.relay._hosts[rig.entries[0].host]
+    worn = rig.take(0)
+    rig.pass_time(STEP)
+    rig.end(rig.sent[0], Outcome.FAULT)
+    host.doubt, host.pace, host.tried_at = 4.6, 1.0, rig.now  # set aside: one call a second on trial
+    fresh = rig.take(0)
+    rig.pass_time(2 * SECOND, lambda s: Outcome.FAULT)
+    assert [s.packet.id for s in rig.sent[:2]] == [worn, fresh], "the one with a trip to spare tries it"
+    rig.pass_time(4 * SECOND, lambda s: Outcome.FAULT)
+    assert set(rig.answers.values()) == {"dismissed"} or "errored" in rig.answers.values()
+    assert all(len([s for s in rig.sent if s.packet.id == ident]) <= 2 for ident in (worn, fresh))
+
+    rig = Rig(entries=[entry(0, 0, kind=1, rate=1.0)], relays=1, max_trips=2)
+    for _ in range(2):
+        rig.take(0)
+    rig.pass_time(4 * SECOND, lambda s: rig.now > s.at and (
+        Outcome.FAULT if s is rig.sent[0] else Outcome.FULFILLED))
+    again = [s.at for s in rig.sent if s.packet is rig.sent[0].packet][1]
+    assert [at for at, _ in rig.freed] == [again], "on a link of its own"
+
+
+def test_what_is_beyond_the_share_of_the_tenant_that_owns_a_destination_waits_and_goes_first():
+    # Each destination has one tenant's packets: its share decides over slots and table, not over a line.
+    tenants = (Tenant("a", 2.0), Tenant("b", 2.0))
+    rig = Rig(entries=[entry(0, 0, kind=1, rate=50.0), entry(2, 0, kind=1, rate=50.0)], relays=1,
+              tenants=tenants, slots=1, max_open=12, over_share=0.05)
+    flood = [rig.take(0, 0, tenant=0) for _ in range(11)]
+    fair = [rig.take(0, 2, tenant=1) for _ in range(3)]
+    rig.round()
+    assert [rig.answers.get(ident) for ident in flood].count("dismissed") == 3
+    assert not any(ident in rig.answers for ident in fair)
+    rig.pass_time(SECOND, well()(rig))
+    assert all(rig.answers[ident] == "fulfilled" for ident in fair)
+    first = [s.packet.id for s in rig.sent]
+    assert max(first.index(ident) for ident in fair) < 8
+
+
 def test_refusals_in_a_row_slow_a_sparse_sender_far_more_than_one_does():
     def gaps(refused):
         rig = Rig(entries=[entry(0, 0, kind=1)], relays=300, slots=3)
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -44,7 +44,7 @@
             if not held:
                 break
         at, most, trial = chance.randrange(30 * SECOND), chance.choice((1, 1, 3, 5)), chance.random() < 0.2
-        found = order.best(at, most, trial, {0})
+        found = order.best(at, most, trial, {0}, 0)
         plain = sorted((loss(packet, at, trial) for packet in held), reverse=True)
         assert bool(found) == bool(held)
         if found:
