--- a/millweir/control.py
+++ b/millweir/control.py
@@ -115,7 +115,10 @@
             route = home.route = Route(top if top < NEVER else 1.0, top / self._relays, top, self._now)
             route.limit = min(top, max((route.share * top) ** 0.5, SECOND / ROUND))
         fee = self._fees.get(entry.zone, 0.0) * self._is_apart(entry.kind)
-        return self._hosts.setdefault(entry.host, Host(entry, home, route, fee))
+        host = self._hosts[entry.host] = Host(entry, home, route, fee)
+        if route.ill and route.ill.pace and all(other.pace for other in home.hosts):
+            host.set_aside_as(route.ill)  # guards rule 4: all that is held would go there at once
+        return host
 
     def _is_apart(self, kind: int) -> bool:
         return kind < len(self._apart) and self._apart[kind]
@@ -438,7 +441,7 @@
             # The part of own use that all together may send a cold host; spread, lest all return together.
             used = max(host.route.share, host.destination.taken * SECOND / max(self._now - self._born, YOUNG))
             host.pace = self._cold_share * min(used, host.route.listed) / max(1, len(host.destination.hosts))
-            host.set_at, host.back_at = self._now, 0
+            host.route.ill, host.set_at, host.back_at = host, self._now, 0
             ahead = int(self._random() * 0.5 * SECOND / host.pace)
             host.tried_at = max(self._now, host.route.wait_until) - ahead
 
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -17,7 +17,7 @@
     """What one limit holds for: a destination, or one host of it where routes are apart."""
 
     __slots__ = (
-        "cut_at", "limit", "listed", "log", "out", "pressed", "raised_at", "share", "top", "turned",
+        "cut_at", "ill", "limit", "listed", "log", "out", "pressed", "raised_at", "share", "top", "turned",
         "turned_at", "wait_until",
     )
 
@@ -34,6 +34,7 @@
         self.cut_at = now - 1  # nothing is known of its limit yet
         self.turned = 0
         self.turned_at = -NEVER
+        self.ill: Host | None = None  # the host there that was set aside last
 
 
 class Host:
@@ -73,6 +74,11 @@
         self.idle_lost_at = 0
         self.lingering: list[Packet] = []  # whose trips here were given up and may run on
 
+    def set_aside_as(self, other: Host) -> None:
+        """It has that one's place in its way back."""
+        self.doubt, self.pace, self.set_at = other.doubt, other.pace, other.set_at
+        self.back_at, self.tried_at = other.back_at, other.tried_at
+
     def tight(self, now: int) -> bool:
         """Its connection table was full a moment ago, and it has as many calls as then."""
         return self.out >= self.links and self.clear_at > now
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -429,6 +429,23 @@
     assert max(first.index(ident) for ident in fair) < 8
 
 
+@pytest.mark.parametrize("left", [True, False])
+def test_a_new_host_of_a_destination_that_comes_back_is_not_sent_all_that_is_held(left):
+    # Incident linz i0d72c0: the new host of a cold destination was sent up to fifteen packets by each relay.
+    rig = Rig(entries=[entry(0, 0, rate=75.0), entry(0, 1, rate=75.0)], relays=212, slots=9)
+    for _ in range(14):
+        rig.take(0)
+        rig.pass_time(SECOND // 2, lambda s: Outcome.UNCONNECTED if rig.now - s.at >= SECOND else None)
+    if left:
+        rig.list(Change.DELTA, [entry(0, n, phase=Phase.GONE) for n in (0, 1)])
+    rig.list(Change.DELTA, [entry(0, 2, rate=75.0)])
+    begun = len(rig.sent)
+    rig.pass_time(SECOND)
+    assert len(rig.sent) - begun <= 1
+    rig.pass_time(15 * SECOND, well()(rig))
+    assert sum(how == "fulfilled" for how in rig.answers.values()) >= 10, "and it does come back"
+
+
 def test_refusals_in_a_row_slow_a_sparse_sender_far_more_than_one_does():
     def gaps(refused):
         rig = Rig(entries=[entry(0, 0, kind=1)], relays=300, slots=3)
