Cuts are spread, and first refusals cut like runs where firsts of that kind became runs

Change: a cut is spread by a half either way; a first refusal is cut like one of a run as far as first refusals of that kind of destination became runs at this relay. Two tests that the old text fails.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -23,7 +23,7 @@
 STALE_KEPT, STALE_LEAST = 30 * SECOND, SECOND // 2  # idle links go stale: so long kept; idle less: not stale
 STALE_PROOF, STALE_HOSTS = 5 * SECOND, 3  # what is told of all hosts: within that time, by so many of them
 SHARE_DEPTH, FORGOTTEN_AFTER = 2, 60 * SECOND  # seconds of a tenant's share sent at once; a host that left
-FAR, MUCH_LEFT = 2, 0.75  # a host in another zone against one here; so much unused: a refusal not for it
+FAR, MUCH_LEFT, LEARNED = 2, 0.75, 4  # another zone; so much unused: refused not for it; outcomes that count
 LATE, WEIGHED = 16, 32  # parts of the quoted time: turns may come so late; a load is weighed again so soon
 GATHER, SCARCE = 8, 10 * SECOND  # part of the quoted time for which short calls wait, so long after a cut
 SPREADS, YOUNG = 6, 5 * SECOND  # overdue past mean latency and so many deviations; first seconds tell little
@@ -65,12 +65,13 @@
         self._profiles = [(p, Curve(p, self._aim, given.halves)) for p in given.profiles]
         self._cold_share = min(1.0, given.fall_multiple * given.cold_from)
         self._ask_every = given.must_ask_in // 4 if given.must_ask else 0
-        mean = sum(p.gain for p in given.profiles) / max(1, len(given.profiles))
-        self._fees = {zone: fee * mean for zone, fee in enumerate(given.fees) if any(given.fees)}
+        gain = sum(p.gain for p in given.profiles) / max(1, len(given.profiles))  # fees: parts of a mean one
+        self._fees = {zone: fee * gain for zone, fee in enumerate(given.fees) if any(given.fees)}
         self._cancels, self._copies, self._over_share = given.cancel, given.second_copies, given.over_share
         self._span, self._span_at, self._stale_at = NEVER, -NEVER, -NEVER  # nothing learned of idle links,
         self._swallowed_at = self._tables_at = -NEVER  # nor lost to them, nor of full connection tables
         self._destinations: defaultdict[int, Destination] = defaultdict(lambda: Destination(Order()))
+        self._drained: defaultdict[int, float] = defaultdict(float)
         self._spare, self._spare_idle = Order(), 2 * given.idle_close // self._relays  # held: dismissable
         self._order, self._alarm_at, self._leave_at, self._failed_asks = count().__next__, 0, NEVER, 0
         if given.must_ask:
@@ -99,8 +100,8 @@
             if entry.phase is not Phase.GONE:
                 host = self._hosts.get(entry.host) or self._meet(entry)
                 told = max(1, now - self._grace) if change is Change.CACHED else now  # in an earlier life
-                host.kind = entry.kind  # a profile may be bound to some kinds
-                host.ready, out = entry.phase is Phase.READY, self._cordoned.get(entry.host, 0)
+                host.kind, host.ready = entry.kind, entry.phase is Phase.READY
+                out = self._cordoned.get(entry.host, 0)
                 host.left_at = 0 if host.ready and not out else host.left_at or out or told
                 self._stirred[host.destination] = host.destination.hosts[host] = None
                 if self._known_rates and entry.rate > 0 and entry.rate != host.route.listed:
@@ -325,12 +326,16 @@
         if (field := self._limit_field) is not None and len(report) > field and report[field] > 0:
             route.top, route.share = report[field], report[field] / self._relays
             route.limit = min(route.limit, route.top)  # guards against limits that change in the day
-        if host.lingering and outcome in (Outcome.FULFILLED, Outcome.FAULT):
-            self._settle_lingering(host, call)
+        # A later call is done there: what was given up here before is over as well; a hung host does none.
+        done = host.lingering if outcome in (Outcome.FULFILLED, Outcome.FAULT) else ()
+        for packet in [packet for packet in done if packet.trips[-1].call.sent_at < call.sent_at]:
+            self._linger(packet, False)
+            self._place(packet)
         if outcome is Outcome.FULFILLED:
             host.spread += (abs(latency - host.latency) - host.spread) // 4 if host.latency else latency // 2
             host.latency += (latency - host.latency) // 8 if host.latency else latency
             self._went_well(host, call)
+            self._drained[host.kind] *= 1 if route.raised_at < NEVER else 1 - 1 / LEARNED
             route.raised_at = min(route.raised_at, self._now)
             if call.idle >= STALE_LEAST:
                 host.lost = 0
@@ -342,11 +347,13 @@
                 if route.limit <= route.share * LEAST:  # hardly anything was sent: sick, not full
                     self._went_ill(host, REFUSED_WEIGHT)
                 sent = sum(at > self._now - ROUND for at in route.log)  # a limit far above use says nothing
-                # Guards sparse senders against starving: in a run of refusals, what the report says is left
-                # tells moments in which a small bucket is full from a limit that refused calls use up.
-                cut, least = (CUT, self._least) if route.raised_at < NEVER else (
-                    max(CUT_AGAIN, CUT * min(1.0, left)), LEAST)
-                route.limit = max(route.share * least, cut * min(route.limit, route.top, max(1, sent)))
+                # Guards sparse senders against starving: what is left tells, in a run of refusals, buckets
+                # full for moments from those that it uses up; firsts are cut so as far as they became runs.
+                again, drained = route.raised_at == NEVER, self._drained[host.kind]
+                self._drained[host.kind] += (1 - drained) / LEARNED * again
+                cut = CUT + (max(CUT_AGAIN, CUT * min(1.0, left)) - CUT) * (1 if again else drained)
+                cut *= (0.5 + self._random()) * min(route.limit, route.top, max(1, sent))
+                route.limit = max(route.share * (LEAST if again else self._least), cut)
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
             # A long wait tells of a shut destination, much of the limit left of a hung one (if seldom there,
@@ -378,18 +385,11 @@
             self._went_ill(host, REFUSED_WEIGHT if outcome is Outcome.SPOILT else FAILED_WEIGHT)
 
     def _linger(self, packet: Packet, lingers: bool) -> None:
-        """Guards against two trips at once: one given up here may run on there, until `_settle_lingering`."""
+        """Guards against two trips at once: one given up here runs on there till a later one is done."""
         if lingers is not packet.lingers:
             packet.lingers, others = lingers, packet.trips[-1].call.host.lingering
             (others.append if lingers else others.remove)(packet)
 
-    def _settle_lingering(self, host: Host, call: Call) -> None:
-        """What was given up here counts as over, late as it was, once its host has done a call that was sent
-        after it; a hung host does none, and is no reason to go on elsewhere."""
-        for packet in [p for p in host.lingering if p.trips[-1].call.sent_at < call.sent_at]:
-            self._linger(packet, False)
-            self._place(packet)
-
     def _link_lost(self, call: Call, weight: float, reset: bool) -> None:
         """Guards against idle links cut on the way: links idle as long are closed before use, to a host after
         a reset or two losses, to all once three lost calls on links idle longer than any answered of late."""
@@ -413,8 +413,7 @@
         call.idle = self._now - host.used_at if host.used_at > host.freed_at else 0
         learned = max(host.stale_at, self._stale_at)
         longest = max((idle for at, idle in self._idle_answered if at > self._now - STALE_PROOF), default=0)
-        # Guards what can't go again after a call given up: one link swallowed one, those idle for longer than
-        # twice what was answered of late may do so too.  Costs handshakes; not where copies may run.
+        # Guards what can't go again: once a link swallowed one, those idle longer than was answered may too.
         careful = self._swallowed_at > self._now - STALE_KEPT and call.idle > max(STALE_LEAST, 2 * longest)
         careful |= call.idle >= STALE_LEAST and any(packet.last for packet in packets)
         if careful or learned > self._now - STALE_KEPT and self._now - host.freed_at >= self._span * 0.8:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -493,6 +493,32 @@
     assert sent(0.7) > 1.5 * sent(0.0) > 2
 
 
+def test_many_refused_at_once_do_not_come_again_at_once():
+    # Hunted main-campus h3c5bde: stalled relays sent all they held at once, were refused, 2 s later again.
+    again = set()
+    for seed in range(20):
+        rig = Rig(seed, entries=[entry(0, 0, kind=1)], relays=188, slots=3)
+        rig.take(0)
+        rig.pass_time(6 * SECOND, lambda s, rig=rig: Outcome.FULL if s is rig.sent[0] else Outcome.FULFILLED)
+        again.add((rig.sent[1].at - rig.sent[0].at) // (SECOND // 2))
+    assert len(again) >= 4
+
+
+def test_first_refusals_are_cut_like_runs_where_they_became_runs():
+    def gap(runs):
+        rig = Rig(entries=[entry(d, 0, kind=1) for d in range(9)], relays=188, slots=9, max_open=0)
+        for destination in range(1, 9):  # others of that kind
+            rig.take(0, destination)
+            rig.pass_time(25 * SECOND, lambda s, d=destination: Outcome.FULL if sum(
+                x.packet is s.packet for x in rig.sent) <= runs else Outcome.FULFILLED)
+        rig.take(0, 0)
+        begun = len(rig.sent)
+        rig.pass_time(14 * SECOND, lambda s: Outcome.FULL)
+        return rig.sent[begun + 1].at - rig.sent[begun].at
+
+    assert gap(runs=2) > 1.5 * gap(runs=1)
+
+
 def test_a_listed_rate_that_changes_is_followed():
     rig = Rig(entries=[entry(0, 0, kind=1, rate=4.0)], relays=1, slots=50, max_open=99)
     rig.list(Change.DELTA, [entry(0, 0, kind=1, rate=8.0)])
