Full packet tables give up what its destination can't take for long before what has room

Ruled out: limits (no refusals there), slots (calls a relay under three), health (none set aside but the one).

Change: with a full table, where what is held for a destination would take longer than four quoted times at its present limit, the one worth least there is dismissed, if it never ran. The wait told to clients uses the same figure.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -23,7 +23,7 @@
 STALE_KEPT, STALE_LEAST = 30 * SECOND, SECOND // 2  # idle links go stale: so long kept; idle less: not stale
 STALE_PROOF, STALE_HOSTS = 5 * SECOND, 3  # what is told of all hosts: within that time, by so many of them
 SHARE_DEPTH, FORGOTTEN_AFTER = 2, 60 * SECOND  # seconds of a tenant's share sent at once; a host that left
-FAR, MUCH_LEFT, LEARNED = 2, 0.75, 4  # another zone; so much unused: refused not for it; outcomes that count
+FAR, FAR_OFF, MUCH_LEFT, LEARNED = 2, 4, 0.75, 4  # zones; quoted times; unused: not refused for it; outcomes
 LATE, WEIGHED = 16, 32  # parts of the quoted time: turns may come so late; a load is weighed again so soon
 GATHER, SCARCE = 8, 10 * SECOND  # part of the quoted time for which short calls wait, so long after a cut
 SPREADS, YOUNG = 6, 5 * SECOND  # overdue past mean latency and so many deviations; first seconds tell little
@@ -51,8 +51,8 @@
         self._port, self._relays, chance = port, max(1, given.relays), random.Random(seed)
         self._sample, self._random, self._born, self._now = chance.sample, chance.random, now, now
         self._slots, self._route_slots = given.slots, max(2, given.slots // ROUTE_SHARE)
-        self._max_open, self._max_trips = given.max_open, given.max_trips
-        self._margin, self._bundle, self._apart = 2 * given.period, given.bundle_max, given.apart
+        self._max_open, self._max_trips, self._margin = given.max_open, given.max_trips, 2 * given.period
+        self._bundle, self._apart = given.bundle_max, {kind for kind, own in enumerate(given.apart) if own}
         self._quotas = [tenant.quota / self._relays for tenant in given.tenants]
         self._shares = [(quota, now) for quota in self._quotas]
         self._left_field, self._limit_field = (  # where a report has them
@@ -110,20 +110,17 @@
 
     def _meet(self, entry: Entry) -> Host:
         home = self._destinations[entry.destination]
-        route = None if self._is_apart(entry.kind) else home.route
+        route = None if entry.kind in self._apart else home.route
         if route is None:
             top = entry.rate if self._known_rates and entry.rate > 0 else float(NEVER)
             route = home.route = Route(top if top < NEVER else 1.0, top / self._relays, top, self._now)
             route.limit = min(top, max((route.share * top) ** 0.5, SECOND / ROUND))
-        fee = self._fees.get(entry.zone, 0.0) * self._is_apart(entry.kind)
+        fee = self._fees.get(entry.zone, 0.0) * (entry.kind in self._apart)
         host = self._hosts[entry.host] = Host(entry, home, route, fee)
         if route.ill and route.ill.pace and all(other.pace for other in home.hosts):
             host.set_aside_as(route.ill)  # guards rule 4: all that is held would go there at once
         return host
 
-    def _is_apart(self, kind: int) -> bool:
-        return kind < len(self._apart) and self._apart[kind]
-
     def host_cordoned(self, now: int, ident: bytes, out: bool, since: int) -> bool:
         """By hand: out since then, nothing new after the grace, whatever the list says (rule 3); or back."""
         host, self._now = self._hosts.get(ident), now
@@ -186,8 +183,8 @@
         self._hold(packet)
         if earlier and not self._may_go_again(packet):
             self._finish(packet)  # single-use may have run in that life: given up at once
-        elif self._max_open and self._open >= self._max_open and (worst := self._spare.least(now + ROUND)):
-            self._finish(worst)  # guards the packet table: the one worth least then comes again later
+        elif self._max_open and self._open >= self._max_open and (worst := self._worst()):
+            self._finish(worst)  # it comes again later
 
     def _worth_of_share(self, tenant: int) -> float:
         """Guards against one tenant's flood: what lies beyond its share goes last."""
@@ -231,10 +228,19 @@
         self._end(packet)
 
     def _advice(self, packet: Packet) -> int:
-        if (route := packet.destination.route) is None:
-            return self._max_wait
-        queue = packet.destination.held * SECOND / min(route.limit, route.listed)
-        return min(self._max_wait, max(MILLISECOND, route.wait_until - self._now, int(queue)))
+        return min(self._max_wait, max(MILLISECOND, self._delay(packet.destination)))
+
+    def _delay(self, home: Destination) -> int:
+        """Until all that is held there may have gone, as far as is known."""
+        if (route := home.route) is None:
+            return NEVER
+        return max(route.wait_until - self._now, int(home.held * SECOND / min(route.limit, route.listed)))
+
+    def _worst(self) -> Packet | None:
+        """Guards the packet table: what its destination can't take for long gives way before the others."""
+        home = max((home for home in self._destinations.values() if home.held), key=self._delay)
+        worst = home.order.least(self._now + ROUND) if self._delay(home) > FAR_OFF * self._aim else None
+        return worst if worst and not self._first_risk(worst) else self._spare.least(self._now + ROUND)
 
     def _end(self, packet: Packet) -> None:
         packet.ended, self._open = True, self._open - 1
@@ -356,8 +362,7 @@
                 route.limit = max(route.share * (LEAST if again else self._least), cut)
                 route.cut_at = self._now
             route.raised_at = NEVER  # no window is free of refusals before a call went well
-            # A long wait tells of a shut destination, much of the limit left of a hung one (if seldom there,
-            # and twice in a row: what is left in a small bucket is old news at once).
+            # A long wait tells of a shut destination, much of its limit left twice in a row of a hung one.
             seldom = host.destination.taken * self._fall_time < self._now - self._born
             if wait > 2 * ROUND or left > MUCH_LEFT and seldom:
                 self._all_went_ill(host, SICK if wait > 2 * ROUND else SICK / 2)
@@ -375,8 +380,7 @@
                     if other.kind == host.kind and other.used_at > other.freed_at and not other.out:
                         self._enter(max(self._now, other.used_at + self._spare_idle), other)
             if outcome is Outcome.UNCONNECTED and not host.links and (slow or route.turned > 1):
-                # Guards rule 4 where hundreds hold a packet each for what is down: all its hosts are judged,
-                # unless such a route answered within moments of late: then tables are full, and come free.
+                # Guards rule 4: all hosts of what is down are judged, but where full tables came free.
                 tables = not slow and self._tables_at > self._now - STALE_KEPT
                 (self._went_ill if tables else self._all_went_ill)(host, SICK / 2)
         elif outcome is Outcome.CUT_OFF or outcome is Outcome.RESET and latency < host.latency:
@@ -411,12 +415,12 @@
 
     def _refresh_links(self, host: Host, call: Call, packets: list[Packet]) -> None:
         call.idle = self._now - host.used_at if host.used_at > host.freed_at else 0
-        learned = max(host.stale_at, self._stale_at)
         longest = max((idle for at, idle in self._idle_answered if at > self._now - STALE_PROOF), default=0)
         # Guards what can't go again: once a link swallowed one, those idle longer than was answered may too.
         careful = self._swallowed_at > self._now - STALE_KEPT and call.idle > max(STALE_LEAST, 2 * longest)
         careful |= call.idle >= STALE_LEAST and any(packet.last for packet in packets)
-        if careful or learned > self._now - STALE_KEPT and self._now - host.freed_at >= self._span * 0.8:
+        known = max(host.stale_at, self._stale_at) > self._now - STALE_KEPT
+        if careful or known and self._now - host.freed_at >= self._span * 0.8:
             self._port.free_links(host)
             host.freed_at, call.idle, call.fresh = self._now, 0, True
 
@@ -440,9 +444,8 @@
             # The part of own use that all together may send a cold host; spread, lest all return together.
             used = max(host.route.share, host.destination.taken * SECOND / max(self._now - self._born, YOUNG))
             host.pace = self._cold_share * min(used, host.route.listed) / max(1, len(host.destination.hosts))
-            host.route.ill, host.set_at, host.back_at = host, self._now, 0
-            ahead = int(self._random() * 0.5 * SECOND / host.pace)
-            host.tried_at = max(self._now, host.route.wait_until) - ahead
+            host.route.ill, host.set_at, host.back_at, spread = host, self._now, 0, self._random() / 2
+            host.tried_at = max(self._now, host.route.wait_until) - int(spread * SECOND / host.pace)
 
     def _all_went_ill(self, host: Host, weight: float) -> None:
         for other in host.destination.hosts:  # an outage mostly takes them all
--- a/millweir/order.py
+++ b/millweir/order.py
@@ -22,8 +22,7 @@
 
     def __init__(self, profile: Profile, span: int, halves: bool) -> None:
         """`span`: the wait that is weighed; `halves`: worth halves with each quoted time."""
-        self.kinds = profile.kinds
-        self.bears_trials = profile.effect is not Effect.SINGLE_USE
+        self.kinds, self.bears_trials = profile.kinds, profile.effect is not Effect.SINGLE_USE
         self.worth, self._span = partial(profile.worth, halves), span
         starts = sorted({-NEVER, NEVER, *(turn - at for turn in profile.turns(halves) for at in (0, span))})
         # Each piece: its first and last lateness, and whether the latest packet in it loses most.
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -446,6 +446,21 @@
     assert sum(how == "fulfilled" for how in rig.answers.values()) >= 10, "and it does come back"
 
 
+def test_a_full_table_gives_up_what_its_destination_can_not_take_before_what_has_room():
+    # linz overload: packets held for a shut destination filled the table, those that had room were dismissed.
+    rig = Rig(entries=[entry(0, 0, kind=1, rate=1.0), entry(2, 0, kind=1, rate=50.0)], relays=1, slots=3,
+              max_open=20)
+    stuck = [rig.take(0, 0) for _ in range(19)]
+    rig.pass_time(STEP)
+    rig.end(rig.sent[0], Outcome.FULL)
+    late = rig.now + 14 * SECOND  # long past its quoted time, but it can go at once
+    rig.taken[99], rig.stirred = {"hard_stop": late - 13 * SECOND, "key": 0}, True
+    rig.relay.packet_taken(rig.now, 99, 0, 0, 0, late - 13 * SECOND, 2)
+    rig.pass_time(SECOND // 2, well()(rig))
+    assert rig.answers[99] == "fulfilled"
+    assert [rig.answers.get(ident) for ident in stuck].count("dismissed") == 1
+
+
 def test_refusals_in_a_row_slow_a_sparse_sender_far_more_than_one_does():
     def gaps(refused):
         rig = Rig(entries=[entry(0, 0, kind=1)], relays=300, slots=3)
