A packet owed with one trip left no longer crashes its relay when it leaves its line

A packet restored from an earlier life was put in the order of held packets first and marked as on its last trip after that, by _may_go_again; the line it stands in depends on that mark, so taking it out raised ValueError ("not in list").

Change: the mark is set where a packet is put in its line, and nowhere else, so it can't change under it, nor by a SIGHUP that lowers the trips allowed. The test raises that ValueError on the text before.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -197,6 +197,7 @@
 
     def _hold(self, packet: Packet, held: bool = True) -> None:
         """It waits for room, or no longer; what it may do meanwhile changes only where entered here."""
+        packet.last = len(packet.trips) + 1 == self._max_trips if held else packet.last
         packet.held, packet.destination.held = held, packet.destination.held + (1 if held else -1)
         if not (first := self._first_risk(packet)):
             (self._spare.add if held else self._spare.remove)(packet, packet.gain)
@@ -293,7 +294,6 @@
 
     def _may_go_again(self, packet: Packet) -> bool:
         """Rule 2: the one guard on further trips."""
-        packet.last = len(packet.trips) + 1 == self._max_trips
         if len(packet.trips) >= self._max_trips or packet.hard_stop - self._margin <= self._now:
             return False
         if not (first := self._first_risk(packet)):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -461,6 +461,18 @@
     assert [rig.answers.get(ident) for ident in stuck].count("dismissed") == 1
 
 
+def test_a_packet_owed_with_one_trip_left_is_found_again_in_its_line():
+    # Standing days, herd: a relay that came back with such a packet crashed when it went out.
+    rig = Rig(entries=[entry(0, 0)], max_trips=3)
+    void = ((rig.now - 2, True), (rig.now - 1, True))
+    for ident, owed in ((1, void), (2, ())):
+        rig.taken[ident], rig.stirred = {"hard_stop": rig.now + 9 * SECOND, "key": 0}, True
+        rig.relay.packet_taken(rig.now, ident, 0, 0, 0, rig.now + 9 * SECOND, 0, owed)
+    rig.relay.settings_told(replace(rig.settings, max_trips=1))  # SIGHUP while they are held
+    rig.pass_time(SECOND, well()(rig))
+    assert set(rig.answers.values()) == {"fulfilled"}
+
+
 def test_refusals_in_a_row_slow_a_sparse_sender_far_more_than_one_does():
     def gaps(refused):
         rig = Rig(entries=[entry(0, 0, kind=1)], relays=300, slots=3)
