--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -20,6 +21,9 @@
 from millweir.net.journal import Journal, Parcel
 from millweir.net.log import Log
 
+if TYPE_CHECKING:
+    from millweir.operator.start import Operator
+
 
 def reload(config: Config, desk: Desk, log: Log) -> None:
     """Read the configuration once more; one that can't be used changes nothing."""
@@ -37,7 +41,7 @@
     desk.reload(fresh)
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, operator: Operator | None = None) -> None:
     """Run until told to stop."""
     loop, counters = asyncio.get_running_loop(), Counters()
     facade: Facade[Parcel] = Facade(config.settings, config.limits, config.seed, clock.steady())
@@ -49,8 +53,14 @@
     if journal.torn:
         log.must(f"journal-torn dropped_bytes={journal.torn}")
     desk = Desk(loop, config, facade, journal, log, counters)
-    loop.add_signal_handler(signal.SIGTERM, desk.leave)
-    loop.add_signal_handler(signal.SIGINT, desk.leave)
+
+    def leave() -> None:
+        desk.leave()
+        if operator:
+            operator.leave()
+
+    loop.add_signal_handler(signal.SIGTERM, leave)
+    loop.add_signal_handler(signal.SIGINT, leave)
     loop.add_signal_handler(signal.SIGHUP, reload, config, desk, log)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.must(counters.line()))
     # Shared with a process that replaces this one, or is replaced by it (an upgrade).
@@ -59,6 +69,8 @@
     if config.control:
         door = ControlDoor(loop, desk)
         await loop.create_server(door.link, *config.control, backlog=64)
+    if operator:
+        await operator.start(config.name, config.state)
     log.must(f"ready name={config.name} listen={':'.join(map(str, config.listen))} "
              f"discovery={':'.join(map(str, config.discovery))} owed={len(journal.owed)}")
     # Guards turns against pauses of 0.2 s: what is there now stays, and what comes holds no circles, so that
@@ -72,15 +84,24 @@
         await asyncio.sleep(0)
     desk.close()
     await asyncio.sleep(0)
+    if operator:
+        await operator.stop()
     log.must(counters.line())
 
 
 def main() -> None:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is heeded: what it tells of is read below anyway
+    operator = None
     try:
+        if len(sys.argv) > 1:  # without arguments nothing beyond the platform's protocol is loaded
+            from millweir.operator.start import Operator, Unusable
+            try:
+                operator = Operator(sys.argv[1:])
+            except Unusable as fault:
+                sys.exit(f"millweir: {fault}")
         config = read_config(os.environ)
-        uvloop.run(serve(config))
-    except (Misconfigured, OSError) as fault:
+        uvloop.run(serve(config, operator))
+    except (Misconfigured, OSError, ValueError) as fault:
         sys.exit(f"millweir: {fault}")
 
 
--- /dev/null
+++ b/millweir/cli/lab.py
@@ -0,0 +1,49 @@
+"""`millweir lab`: days on real processes, fleets in simulated time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import click
+
+
+@click.group()
+def lab() -> None:
+    """The project's own model of troubles: played, judged, replayed."""
+
+
+@lab.command()
+@click.argument("day", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--keep", type=click.Path(path_type=Path), help="folder for logs, ledger and views")
+@click.option("--json", "as_json", is_flag=True)
+def cluster(day: Path, seed: int, keep: Path | None, as_json: bool) -> None:
+    """Play DAY on real relays with faults between them; exit 1 where a rule broke or a view was wrong."""
+    from millweir.lab.cluster import Rig
+    from millweir.lab.day import read_day
+    try:
+        given = read_day(day)
+    except ValueError as fault:
+        raise click.UsageError(f"{day}: {fault}") from None
+
+    async def run() -> object:
+        async with Rig(given, seed, keep) as rig:
+            return await rig.play(lambda line: click.echo(line, err=True))
+
+    played = asyncio.run(run())
+    verdict, finding = played.verdict, played.finding
+    out = {"seed": seed, "fine": played.fine, "rules": {k: v[:5] for k, v in verdict.broken.items()},
+           "packets": dict(verdict.counts), "wrong": finding.wrong, "missed": finding.missed,
+           "failures": played.failures, "detected": sorted(round(at, 2) for at in finding.detected),
+           "accused": dict(finding.accused), "buried": dict(finding.buried),
+           "member_hours": round(finding.hours, 4),
+           "agreed_after": sorted(round(at, 2) for at in finding.agreed_after)}
+    if as_json:
+        click.echo(json.dumps(out))
+    else:
+        for key, value in out.items():
+            click.echo(f"{key:<13} {value}")
+        click.echo(f"replay        millweir lab cluster {day} --seed {seed}")
+    raise SystemExit(0 if played.fine else 1)
--- /dev/null
+++ b/millweir/lab/day.py
@@ -0,0 +1,100 @@
+"""A day of a cluster: size, load and a timeline of faults, as a TOML file; or composed from a seed."""
+
+from __future__ import annotations
+
+import random
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from millweir.operator.units import Span, decode
+
+SECOND = 1_000_000_000
+PROCESS = ("stop", "kill", "lose", "term", "starve", "full", "slow", "skew")
+LINK = ("cut", "cut-one-way", "loss", "delay", "reorder", "duplicate", "bandwidth", "flap", "split")
+
+
+class Fault(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One fault: `who` for processes; `start` and `end` for links (all pairs between the two sets)."""
+
+    at: Span
+    span: Span = Span(0)  # how long; a kill's is until the relay starts again, 0 for never
+    kind: str
+    who: tuple[str, ...] = ()
+    start: tuple[str, ...] = ()
+    end: tuple[str, ...] = ()
+    share: float = 0.3  # of loss and duplicates; of the processor that a starved one keeps
+    wait: Span = Span(0)  # delay, reordering, half a period of flapping, slowness of a start
+    bytes_second: float = 20_000.0
+    hours: float = 1.0  # skew
+
+    def __post_init__(self) -> None:
+        if self.kind not in PROCESS + LINK:
+            raise ValueError(f"no such fault: {self.kind!r}")
+
+    def line(self) -> str:
+        where = ",".join(self.who) or f"{','.join(self.start)}->{','.join(self.end)}"
+        return f"{self.at / 1e9:.1f} s {self.kind} {where} for {self.span / 1e9:.1f} s"
+
+
+class Day(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"):
+    """What is played."""
+
+    relays: int = 5
+    span: Span = Span(60 * SECOND)
+    calm: Span = Span(20 * SECOND)  # at the end, without faults
+    hosts: int = 4
+    rate: float = 20.0  # packets a second, all relays together
+    interval: Span = Span(SECOND)  # of the members' probes
+    suspicion: float = 6.0
+    alone_patience: Span = Span(120 * SECOND)
+    key: bool = True
+    protocols: dict[str, int] = {}  # relay: highest version of the members' protocol
+    fault: tuple[Fault, ...] = ()
+    compose: tuple[str, ...] = ()  # kinds drawn by the seed, besides those above
+    every: Span = Span(15 * SECOND)  # mean between drawn faults
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        return tuple(f"r{n}" for n in range(1, self.relays + 1))
+
+
+def read_day(path: Path) -> Day:
+    """ValueError says what is wrong."""
+    return msgspec.convert(tomllib.loads(path.read_text()), Day, dec_hook=decode)
+
+
+def timeline(day: Day, seed: int) -> list[Fault]:
+    """The faults of a day; the same seed gives the same ones."""
+    chance, faults, at = random.Random(seed), list(day.fault), 0
+    while day.compose:
+        at += round(chance.uniform(0.4, 1.6) * day.every)
+        if at >= day.span - day.calm:
+            break
+        faults.append(_drawn(day, chance, at))
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def _drawn(day: Day, chance: random.Random, at: int) -> Fault:
+    kind = chance.choice(day.compose)
+    most = (day.span - day.calm - at) / SECOND
+    span = Span(round(min(chance.choice((2.0, 5.0, 10.0, 20.0)), most) * SECOND))
+    names = list(day.names)
+    chance.shuffle(names)
+    if kind in PROCESS:
+        # Killed ones stay away long enough to be found, half of the fleet at the most.
+        count = 1 if kind in ("term", "full", "slow", "skew") else chance.randint(1, max(1, len(names) // 2))
+        if kind in ("kill", "lose", "term"):
+            span = Span(round(min(chance.uniform(15, 30), max(most, 1)) * SECOND))
+        return Fault(at=Span(at), span=span, kind=kind, who=tuple(names[:count]),
+                     share=chance.choice((0.1, 0.3)), wait=Span(2 * SECOND), hours=chance.choice((-1.0, 1.0)))
+    side = chance.randint(1, len(names) - 1)
+    start, end = tuple(names[:side]), tuple(names[side:])
+    if kind in ("cut", "cut-one-way", "flap"):
+        start, end = start[:1], end[:chance.randint(1, len(end))]
+    elif kind != "split":
+        start = end = tuple(day.names)
+    wait = {"flap": SECOND, "delay": round(chance.choice((0.05, 0.3)) * SECOND), "reorder": SECOND // 5}
+    return Fault(at=Span(at), span=span, kind=kind, start=start, end=end, share=0.3,
+                 wait=Span(wait.get(kind, 0)))
--- /dev/null
+++ b/millweir/lab/standins.py
@@ -0,0 +1,228 @@
+"""Hosts, discovery, platform and clients as stand-ins on loopback, in the rig's own loop.
+
+They write down what they saw in the ledger and nothing of what the program means by it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+from collections import deque
+from collections.abc import Callable
+
+from millweir.lab.ledger import Answered, Called, Fallen, Ledger, Listed, Noticed, Offered, Returned, steady
+
+Address = tuple[str, int]
+SECOND = 1_000_000_000
+PATIENCE = 0.4  # seconds that a client waits for its answer
+
+SETTINGS = {
+    "balancers": 5, "period-us": 5000, "weight-source": "nominal", "membership-mode": "push",
+    "localities": ["a"], "skus": ["plain"],
+    "grades": [
+        {"name": "status", "objective-us": 1_000_000, "give-up-us": 6_000_000, "semantics": "pure"},
+        {"name": "order", "objective-us": 1_000_000, "give-up-us": 8_000_000, "semantics": "token",
+         "key-scope": "all", "dedup-window-us": 5_000_000, "one-at-a-time": True},
+        {"name": "charge", "objective-us": 1_000_000, "give-up-us": 8_000_000, "semantics": "side_effect"},
+    ],
+    "family-info": {"slots": 8, "bundle-max": [1], "kind-apart": [False], "late": "by_half"},
+    "ceilings": {"max-attempts": 6, "max-open": 500, "cancel": True, "second-copies": True,
+                 "retry-after": True, "max-retry-after-us": 3_000_000, "idle-close-us": 10_000_000,
+                 "connect-timeout-us": 1_000_000},
+    "obligations": {"drain-grace-us": 500_000, "cold-from": 0.2, "cold-us": 9_000_000, "fall-multiple": 2,
+                    "fall-us": 2_000_000, "answer-slack-us": 20_000, "key-quiet-us": 300_000},
+}
+PROFILES = tuple(grade["name"] for grade in SETTINGS["grades"])
+
+
+async def read_http(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes] | None:
+    """First line, fields and body of one message; None at the end of the connection."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        rows = [line.partition(": ") for line in head[1:] if line]
+        fields = {name.lower(): value for name, _, value in rows}
+        return head[0], fields, await reader.readexactly(int(fields.get("content-length", 0)))
+    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError, ValueError):
+        return None
+
+
+def answer(status: int, body: bytes = b"", **fields: object) -> bytes:
+    extra = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in fields.items())
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{extra}\r\n".encode() + body
+
+
+async def serve(address: Address, handle: Callable) -> asyncio.Server:
+    async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while (message := await read_http(reader)) is not None:
+                raw = await handle(*message)
+                if raw is None:
+                    return
+                writer.write(raw)
+                await writer.drain()
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(talk, *address, backlog=256)
+
+
+class Host:
+    """One host of a partner: a service time, a rate that it takes, and whether it is well."""
+
+    def __init__(self, name: str, group: int, rate: float, address: Address, ledger: Ledger,
+                 chance: random.Random, calls: list[int]) -> None:
+        self.name, self.group, self.rate, self.address = name, group, rate, address
+        self._ledger, self._chance, self._calls = ledger, chance, calls
+        self._tokens, self._at = rate, steady()
+        self.hung = self.failing = False
+        self._server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        self._server = await serve(self.address, self._asked)
+
+    def close(self) -> None:
+        self._server.close()
+
+    async def _asked(self, line: str, fields: dict[str, str], body: bytes) -> bytes | None:
+        ident = fields.get("x-correlation-id", "")
+        self._calls[0] += 1
+        call = self._calls[0]
+        self._ledger.add(Called(steady(), ident, self.name, call))
+        status, wait, ran = 200, 0.0, True
+        now = steady()
+        self._tokens = min(self.rate, self._tokens + (now - self._at) / 1e9 * self.rate)
+        self._at = now
+        if self._tokens < 1:
+            status, wait, ran = 429, round(self._chance.uniform(0.2, 0.8), 2), False
+        else:
+            self._tokens -= 1
+            await asyncio.sleep(min(self._chance.lognormvariate(-3.5, 0.6), 2.0))
+            while self.hung:
+                await asyncio.sleep(0.1)
+            if self.failing:
+                status = 500
+        self._ledger.add(Returned(steady(), ident, call, status, ran, int(wait * 1e9)))
+        return answer(status, **({"Retry-After": wait} if wait else {}))
+
+
+class Platform:
+    """Discovery with its watch, and the address that takes notices."""
+
+    def __init__(self, address: Address, ledger: Ledger) -> None:
+        self.address, self._ledger = address, ledger
+        self._index = 1
+        self._rows: dict[str, dict] = {}
+        self._news = asyncio.Condition()
+        self._server: asyncio.Server | None = None
+        self.silent = False
+        self.watches = 0
+
+    async def open(self) -> None:
+        self._server = await serve(self.address, self._asked)
+
+    def close(self) -> None:
+        self._server.close()
+
+    async def put(self, host: Host, status: str = "SERVING") -> None:
+        self._index += 1
+        self._rows[host.name] = {
+            "name": host.name, "address": f"{host.address[0]}:{host.address[1]}", "zone": "a",
+            "type": "plain", "group": host.group, "status": status, "weight": host.rate, "since_ms": 0,
+            "index": self._index}
+        self._ledger.add(Listed(steady(), host.name, status))
+        async with self._news:
+            self._news.notify_all()
+
+    def list(self, since: int = -1) -> dict:
+        rows = [row for row in self._rows.values() if row["index"] > since]
+        return {"index": self._index, "snapshot": since < 0, "endpoints": rows}
+
+    async def _asked(self, line: str, fields: dict[str, str], body: bytes) -> bytes | None:
+        method, path, _ = line.split(" ")
+        if method == "POST":
+            for row in body.splitlines():
+                notice = json.loads(row)
+                self._ledger.add(Noticed(steady(), notice["ref"], notice["result"]))
+            return answer(204)
+        while self.silent:
+            await asyncio.sleep(0.1)
+        query = dict(part.split("=") for part in path.partition("?")[2].split("&") if part)
+        since, most = int(query.get("since", -1)), int(query.get("timeout_ms", 0)) / 1000
+        self.watches += 1
+        async with self._news:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(most, 0.001)):
+                    await self._news.wait_for(lambda: self._index > since)
+        return answer(200, json.dumps(self.list(since)).encode())
+
+
+class Clients:
+    """Open loop: packets at random moments, to relays that are up; nobody waits for an answer to go on."""
+
+    def __init__(self, relays: Callable[[], list[tuple[str, Address]]], groups: int, rate: float,
+                 ledger: Ledger, chance: random.Random) -> None:
+        self._relays, self._groups, self._rate = relays, groups, rate
+        self._ledger, self._chance = ledger, chance
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._links: dict[Address, deque] = {}
+        self._number = 0
+
+    async def run(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        end, due = loop.time() + seconds, loop.time()
+        while True:
+            due += self._chance.expovariate(self._rate)
+            if due > end:
+                break
+            await asyncio.sleep(max(due - loop.time(), 0))
+            if relays := self._relays():
+                name, address = self._chance.choice(relays)
+                task = loop.create_task(self._hand_in(name, address))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def _hand_in(self, name: str, address: Address) -> None:
+        self._number += 1
+        ident = f"{self._chance.getrandbits(48):012x}{self._number:04x}"
+        grade = self._chance.choice(SETTINGS["grades"])
+        key = f"k{self._chance.randrange(20)}" if grade.get("one-at-a-time") else ""
+        fields = {"X-Correlation-Id": ident, "X-Service-Class": grade["name"],
+                  "X-Time-Left": f"{grade['give-up-us'] // 1000}m",
+                  "X-Addressing": f"dest={self._chance.randrange(self._groups)}"}
+        if key:
+            fields |= {"Cookie": f"about={key}", "Idempotency-Key": ident}
+        body = b"x" * self._chance.randrange(20, 400)
+        head = "".join(f"{field}: {value}\r\n" for field, value in fields.items())
+        raw = f"POST /api HTTP/1.1\r\nHost: x\r\n{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+        status, writer = 0, None
+        idle = self._links.setdefault(address, deque())
+        self._ledger.add(Offered(steady(), ident, name, grade["name"], key, grade["give-up-us"] * 1000))
+        try:
+            async with asyncio.timeout(PATIENCE):
+                reader, writer = idle.pop() if idle else await asyncio.open_connection(*address)
+                writer.write(raw)
+                message = await read_http(reader)
+            status = int(message[0].split(" ")[1]) if message else 0
+            if message and message[1].get("connection") != "close" and len(idle) < 32:
+                idle.append((reader, writer))
+                writer = None
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            if writer:
+                writer.close()
+        self._ledger.add(Answered(steady(), ident, status))
+
+    def close(self) -> None:
+        for idle in self._links.values():
+            for _, writer in idle:
+                writer.close()
+
+
+__all__ = ["SETTINGS", "Clients", "Fallen", "Host", "Platform"]
--- /dev/null
+++ b/millweir/members/core.py
@@ -0,0 +1,857 @@
+"""Who is there: the deciding core.  No I/O, no clock, no chance of its own; whole nanoseconds.
+
+Theory of operation.  Each member probes one other an interval, in an order shuffled anew each round, so
+that everybody is probed within a bound.  A probe is a ping; where no answer comes in time, a second one,
+and a few helpers are asked to ping for us.  Where all that fails the member is *suspected*, which is told
+on; a suspicion that nobody refutes becomes *gone* after a time that shrinks as more members find the same
+(SWIM; Lifeguard).  The suspect refutes with a higher *incarnation*, a number which only the member itself
+raises.  What is told is a *claim*; claims on one name are ordered by (incarnation, rank, birth) and the
+greatest holds, whatever order they come in (`Claim.key`).
+
+Four guards keep this right under pauses and cuts:
+
+- who wakes late has been paused: no probe of that time counts and all suspicions move on by as much;
+- who hears nobody, or whose last probes of several members all failed, is in doubt of itself: it accuses
+  nobody and holds its verdicts back, up to a bound;
+- whom I hear with my own ears is not gone: a suspicion's time starts anew with each word from the suspect;
+- that somebody is gone, told of one who was well a moment ago, is a suspicion first: sides of a healed cut
+  don't bury each other.
+
+The caller tells what happened by one method for each thing, with the time; the core acts through `Port`.
+The view is a hint with degrees, never a right (docs/design/members.md).
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+import msgspec
+
+from millweir.members.messages import (
+    CUTS_SINCE,
+    Claim,
+    Cut,
+    Datagram,
+    Kind,
+    Rank,
+    Told,
+    Whole,
+    encode,
+    mark,
+)
+
+SECOND = 1_000_000_000
+MILLISECOND = 1_000_000
+NEVER = 1 << 62
+Address = tuple[str, int]
+
+
+class Degree(Enum):
+    """How a member stands in this view."""
+
+    ALIVE = "alive"
+    LATE = "late"  # it answers late, or says so itself
+    CUT = "cut"  # it lives, but a path between it and us is down
+    SUSPECTED = "suspected"
+    GONE = "gone"
+    LEFT = "left"
+
+
+class Standing(Enum):
+    """How this member stands itself."""
+
+    OUT = "out"  # not yet in, or its name is another's
+    IN = "in"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """Times in nanoseconds; counts as named."""
+
+    interval: int = SECOND  # between probes
+    timeout: int = SECOND // 2  # until helpers are asked; less than the interval
+    helpers: int = 3
+    suspicion: float = 6.0  # intervals from suspicion to gone at ten members or fewer, at the least
+    patience: float = 6.0  # times as long when nobody else finds the same
+    late_most: int = 8  # how many times slower a member that is late probes
+    news_every: int = SECOND // 5
+    news_to: int = 3
+    retell: int = 4  # times the logarithm of the fleet that a claim is told by each member
+    contact_every: int = 5 * SECOND  # a word to a seed, or to one held gone: heals cuts
+    settle: int = 3 * SECOND  # an unchanged view that differs from another's for so long asks for it whole
+    whole_rest: int = 10 * SECOND  # between whole states asked for
+    alone_patience: int = 120 * SECOND  # how long a member that hears nobody holds its verdicts back
+    forget: int = 24 * 3600 * SECOND  # records of gone members
+    members_most: int = 4096
+    cuts_most: int = 256
+    relays_most: int = 64  # probes for others under way
+    datagram_most: int = 1200  # bytes
+
+    def least(self, members: int) -> int:
+        """The shortest time from a suspicion to gone."""
+        return round(self.suspicion * max(1.0, math.log10(max(members, 1))) * self.interval)
+
+    def told(self, members: int) -> int:
+        """How often one claim is told by each member."""
+        return self.retell * math.ceil(math.log10(members + 1) or 1)
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A member's degree in this view is another one now."""
+
+    at: int
+    name: str
+    before: Degree | None
+    after: Degree
+    by: str
+    incarnation: int
+
+
+class Port(Protocol):
+    """What the core does to the world."""
+
+    def send(self, to: Address, version: int, datagram: Datagram) -> None: ...
+    def ask_whole(self, to: Address) -> None: ...
+    def wake(self, at: int) -> None: ...
+    def changed(self, change: Change) -> None: ...
+    def keep(self, incarnation: int) -> None: ...  # to outlast this process, before it is told
+    def say(self, event: str, **fields: object) -> None: ...
+
+
+class Member:
+    """One other member, as held here."""
+
+    __slots__ = ("accusers", "ask_in_vain", "claim", "cut_in", "cut_out", "degree", "heard_at", "late",
+                 "since", "suspected_at", "vain_since", "verdict_at", "word")
+
+    def __init__(self, claim: Claim, now: int) -> None:
+        self.claim = claim
+        self.degree = Degree.ALIVE  # never CUT or LATE: those show on top of it
+        self.since = now
+        self.word = claim.by
+        self.heard_at = -NEVER  # by its own datagram
+        self.late = 0  # ms, by its own word
+        self.accusers: set[str] | None = None
+        self.suspected_at = 0
+        self.verdict_at = NEVER
+        self.ask_in_vain = 0  # probes in a row answered through helpers only
+        self.vain_since = 0
+        self.cut_out = self.cut_in = 0  # since when from us to it, from it to us; 0 for not
+
+    @property
+    def active(self) -> bool:
+        return self.degree is Degree.ALIVE or self.degree is Degree.SUSPECTED
+
+
+class Probe:
+    """The one probe under way."""
+
+    __slots__ = ("answered", "asked", "asks_at", "began", "direct", "ends", "nacks", "seq", "target",
+                 "wanted")
+
+    def __init__(self, target: Member, seq: int, began: int, asks_at: int, ends: int) -> None:
+        self.target, self.seq, self.began, self.asks_at, self.ends = target, seq, began, asks_at, ends
+        self.answered = self.direct = self.asked = False
+        self.wanted = self.nacks = 0
+
+
+class Core:
+    """One member."""
+
+    def __init__(self, port: Port, rules: Rules, chance: random.Random, now: int, me: Claim,
+                 contacts: Iterable[Address] = ()) -> None:
+        """`me`: the incarnation is the last one kept by an earlier life, 0 for none."""
+        self._port, self.rules, self._chance = port, rules, chance
+        self.me = me.ranked(Rank.ALIVE, me.name)
+        if me.incarnation:  # a new life of one that was there before
+            self.me = msgspec.structs.replace(self.me, incarnation=me.incarnation + 1)
+            port.keep(me.incarnation + 1)
+        self.standing = Standing.OUT
+        self.members: dict[str, Member] = {}
+        self.cuts: dict[tuple[str, str, str], Cut] = {}
+        self.full = False  # more members than the table holds were heard of
+        self._contacts = list(dict.fromkeys(contacts))
+        self._ring: list[Member] = []  # the active ones, in the order of this round
+        self._at = 0  # next of the ring
+        self._probe: Probe | None = None
+        self._past: OrderedDict[int, tuple[Member, int]] = OrderedDict()  # probes over: answers may come late
+        # Probes for others, by our seq: who asked, its seq, the target, when we give up.
+        self._relays: OrderedDict[int, tuple[Claim, int, str, int]] = OrderedDict()
+        self._news: OrderedDict[object, list] = OrderedDict()  # key: item, its bytes, times told
+        self._suspects: dict[str, Member] = {}
+        self._digest = 0
+        self._changed_at = now
+        self._slow = 0  # Lifeguard's awareness: how much slower than planned this member probes
+        self._vain = 0  # probes in a row, of different members, that failed altogether
+        self._heard_at = now
+        self._woke_late_at = -NEVER
+        self._lateness = 0
+        self._whole_at = -NEVER
+        self._cut_number = 0
+        self._began = now
+        self._due = NEVER
+        self._probe_at = now + round(chance.uniform(0.5, 1.5) * rules.interval)  # not all in step
+        self._news_at = NEVER
+        self._contact_at = now
+        if not self._contacts:
+            self._enter(now)
+
+    # What the caller tells.
+
+    def heard(self, now: int, told: Told) -> None:
+        """A datagram came that is authentic and not a repeat."""
+        self._wake(now)
+        sender = told.me
+        if not sender.usable() or sender.name == self.me.name and sender.birth == self.me.birth:
+            return
+        self._heard_at = now
+        if sender.rank in (Rank.ALIVE, Rank.LEFT) and sender.by == sender.name:
+            self._claimed(now, sender)
+        member = self.members.get(sender.name)
+        if member and member.claim.birth == sender.birth:
+            self._word_of(now, member, told)
+        elif member:
+            member = None
+        for claim in told.claims:
+            if claim.usable():
+                self._claimed(now, claim)
+        for cut in told.cuts:
+            self._cut_told(now, cut)
+        if told.kind is Kind.PING and told.target in ("", self.me.name):
+            self._pinged(now, told)
+        elif told.kind is Kind.ACK:
+            self._acked(now, told, member)
+        elif told.kind is Kind.NACK and self._probe and told.seq == self._probe.seq:
+            self._probe.nacks += 1
+        elif told.kind is Kind.ASK and self.standing is Standing.IN:
+            self._asked(now, told)
+        self._compare(now, told)
+        self._arm(now)
+
+    def whole_told(self, now: int, whole: Whole) -> None:
+        """Another member's whole state came, asked for here or there."""
+        self._wake(now)
+        self._heard_at = now
+        claims = [claim for claim in (whole.me, *whole.claims) if claim.usable()]
+        for claim in claims:
+            self._claimed(now, claim)
+        for cut in whole.cuts:
+            self._cut_told(now, cut)
+        if self.standing is Standing.OUT and not any(self._is_anothers(claim) for claim in claims):
+            self._enter(now)
+        self._arm(now)
+
+    def time_passed(self, now: int) -> None:
+        """The time that was asked for by `wake` has come."""
+        self._wake(now)
+        if now >= self._contact_at:
+            self._contact(now)
+        if now >= self._probe_at:
+            self._step(now)
+        self._judge(now)
+        for seq in [seq for seq, relay in self._relays.items() if relay[3] <= now]:
+            asker, theirs, target, _ = self._relays.pop(seq)
+            self._send(now, asker, Kind.NACK, theirs, target=target)
+        if now >= self._news_at:
+            self._tell_news(now)
+        self._arm(now)
+
+    def leave(self, now: int) -> None:
+        """An orderly end: told to as many as a claim is told to, then silence."""
+        if self.standing is Standing.LEAVING:
+            return
+        was, self.standing = self.standing, Standing.LEAVING
+        self.me = self.me.ranked(Rank.LEFT, self.me.name)
+        self._probe = None
+        if was is Standing.IN:
+            for member in self._some(max(self.rules.news_to, 2 * self.rules.helpers)):
+                self._send(now, member.claim, Kind.NEWS, 0)
+            self._news[self.me.name] = [self.me, encode(self.me), 0]
+            self._news_at = now
+        self._arm(now)
+
+    def whole(self, high: int = 1 << 30) -> Whole:
+        """All that is held here, for a member that speaks versions up to `high`."""
+        claims = tuple(member.claim for member in self.members.values())
+        return Whole(self.me, claims, tuple(self.cuts.values()) if high >= CUTS_SINCE else ())
+
+    def introduce(self, now: int, claim: Claim) -> None:
+        """A member known from elsewhere, as if it had always been there."""
+        self._claimed(now, claim)
+
+    def settle(self, now: int, contacts: Iterable[Address]) -> None:
+        """All are introduced: nothing of it is news."""
+        self._contacts = list(dict.fromkeys(contacts))
+        self._news.clear()
+        self._arm(now)
+
+    # What may be asked.
+
+    def in_doubt(self, now: int) -> str:
+        """Why this member trusts its own verdicts not at all at present; empty where it does."""
+        if now - self._woke_late_at < self._span(self.rules.interval):
+            return "late"
+        quiet = now - self._heard_at
+        if self._ring and 3 * self.rules.interval < quiet < self.rules.alone_patience:
+            return "alone"
+        if self._vain >= max(2, min(3, len(self._ring))) and self._vain < 3 * len(self._ring) + 3:
+            return "unanswered"
+        return ""
+
+    def degree(self, now: int, member: Member) -> Degree:
+        """What the view shows of a member."""
+        if member.degree is Degree.ALIVE:
+            if member.cut_in or member.cut_out:
+                return Degree.CUT
+            if member.late * MILLISECOND > self.rules.timeout // 2:
+                return Degree.LATE
+        return member.degree
+
+    @property
+    def alive(self) -> int:
+        """How many others are held for there."""
+        return len(self._ring)
+
+    @property
+    def slow(self) -> int:
+        return self._slow
+
+    @property
+    def lateness(self) -> int:
+        """Milliseconds by which this member's turns ran late of late."""
+        return self._lateness
+
+    @property
+    def contacts(self) -> list[Address]:
+        """Where others can be found after a restart."""
+        return [member.claim.address for member in self._ring]
+
+    # Time.
+
+    def _wake(self, now: int) -> None:
+        """Guards against what a pause makes of others: nobody answers who was not listened to."""
+        late = now - self._due
+        if late > self.rules.timeout // 2:
+            self._woke_late_at = now
+            self._lateness = min(late // MILLISECOND, 1 << 30)
+            self._slow = min(self._slow + 1, self.rules.late_most)
+            if self._probe and not self._probe.answered:
+                self._probe = None
+            self._probe_at = max(self._probe_at, now + self.rules.timeout)
+            for member in self._suspects.values():
+                member.verdict_at += late
+                member.suspected_at += late
+            self._vain = 0
+            self._heard_at = max(self._heard_at, min(now, self._heard_at + late))
+            self._port.say("members.woke-late", late_ms=late // MILLISECOND)
+        elif self._lateness and now - self._woke_late_at > 3 * self.rules.interval:
+            self._lateness = 0
+        self._due = max(self._due, now)
+
+    def _span(self, planned: int) -> int:
+        return planned * (1 + self._slow)
+
+    def _arm(self, now: int) -> None:
+        due = min(self._probe_at, self._contact_at)
+        if self._news:
+            self._news_at = min(self._news_at, now + self.rules.news_every)
+            due = min(due, self._news_at)
+        else:
+            self._news_at = NEVER
+        for member in self._suspects.values():
+            due = min(due, member.verdict_at)
+        for relay in self._relays.values():
+            due = min(due, relay[3])
+            break  # the oldest ends first
+        due = max(due, now + MILLISECOND)
+        if due != self._due:
+            self._due = due
+            self._port.wake(due)
+
+    # Probes.
+
+    def _step(self, now: int) -> None:
+        """The probe under way goes on, or the next one begins."""
+        probe = self._probe
+        if probe and now < probe.ends:
+            if not probe.answered and not probe.asked:
+                self._ask_helpers(now, probe)
+            self._probe_at = probe.ends
+            return
+        if probe and not probe.answered:
+            self._failed(now, probe)
+        self._probe = None
+        target = self._next() if self.standing is Standing.IN else None
+        if target is None:
+            self._probe_at = now + self.rules.interval
+            return
+        seq = self._chance.getrandbits(48)
+        probe = self._probe = Probe(target, seq, now, now + self._span(self.rules.timeout),
+                                    now + self._span(self.rules.interval))
+        self._past[seq] = target, now
+        while len(self._past) > 32:
+            self._past.popitem(last=False)
+        self._send(now, target.claim, Kind.PING, seq, target=target.claim.name)
+        self._probe_at = probe.asks_at
+
+    def _next(self) -> Member | None:
+        last = self._ring[self._at - 1] if 0 < self._at <= len(self._ring) else None
+        if last and 0 < last.ask_in_vain < 3:
+            return last  # is its path down, or was that chance? A large fleet would not be back here for long
+        if self._at >= len(self._ring):
+            self._chance.shuffle(self._ring)
+            self._at = 0
+        if not self._ring:
+            return None
+        self._at += 1
+        return self._ring[self._at - 1]
+
+    def _ask_helpers(self, now: int, probe: Probe) -> None:
+        probe.asked = True
+        claim = probe.target.claim
+        self._send(now, claim, Kind.PING, probe.seq, target=claim.name)  # the first one may just be lost
+        for helper in self._some(self.rules.helpers, probe.target):
+            probe.wanted += 1
+            self._send(now, helper.claim, Kind.ASK, probe.seq, target=claim.name, host=claim.host,
+                       port=claim.port)
+
+    def _failed(self, now: int, probe: Probe) -> None:
+        """No answer on any way."""
+        member = probe.target
+        missed = probe.wanted - probe.nacks if probe.wanted else 1
+        self._slow = min(self._slow + max(missed, 0), self.rules.late_most)
+        self._vain += 1
+        if not member.active or self.in_doubt(now):
+            return
+        if member.heard_at < probe.began:  # else it lives: our words to it, or its answers, get lost
+            self._claimed(now, member.claim.ranked(max(Rank.SUSPECTED, member.claim.rank), self.me.name))
+
+    def _pinged(self, now: int, told: Told) -> None:
+        heard = -1
+        if told.asker and (asker := self.members.get(told.asker)):
+            if asker.heard_at >= 0:
+                heard = (now - asker.heard_at) // MILLISECOND
+            self._send(now, asker.claim, Kind.NEWS, 0)  # shows it whether the way from here is up
+        self._send(now, told.me, Kind.ACK, told.seq, target=self.me.name, asker=told.asker, heard=heard)
+
+    def _asked(self, now: int, told: Told) -> None:
+        if len(self._relays) >= self.rules.relays_most or not told.host or not 0 < told.port < 65536:
+            return
+        target = self.members.get(told.target)
+        seq = self._chance.getrandbits(48)
+        # Before the asker's probe ends, so that it learns that its helpers are well.
+        self._relays[seq] = told.me, told.seq, told.target, now + self.rules.timeout * 4 // 5
+        if target:
+            self._send(now, target.claim, Kind.PING, seq, target=told.target, asker=told.me.name)
+        else:
+            self._port.send((told.host, told.port), self.me.low, Datagram(
+                Kind.PING, seq, self.me, told.target, asker=told.me.name))
+
+    def _acked(self, now: int, told: Told, sender: Member | None) -> None:
+        relay = self._relays.pop(told.seq, None)
+        if relay:
+            self._send(now, relay[0], Kind.ACK, relay[1], target=relay[2], heard=told.heard)
+            return
+        if self.standing is Standing.OUT and (told.digest or now - self._began >= self.rules.interval):
+            self._want_whole(now, told.me)
+        probe = self._probe
+        if not probe or told.seq != probe.seq:
+            past = self._past.pop(told.seq, None)
+            if past and sender is past[0]:  # it answered, but late
+                self._late_is(now, sender, (now - past[1]) // MILLISECOND, self.me.name)
+            return
+        member = probe.target
+        direct = told.me.name == member.claim.name
+        if not direct and told.target != member.claim.name:
+            return
+        if not probe.answered:
+            probe.answered = True
+            self._vain = 0
+            self._slow = max(self._slow - 1, 0)
+        if direct:
+            if not probe.direct:
+                probe.direct = True
+                self._past.pop(told.seq, None)
+                self._path(now, member, out=False, into=False)
+                member.ask_in_vain = 0
+        elif not probe.direct and probe.wanted:
+            probe.wanted = 0  # once a probe
+            self._in_vain(now, member, probe, 0 <= told.heard <= (now - probe.began) // MILLISECOND + 1)
+
+    # Paths that are down one way.
+
+    def _in_vain(self, now: int, member: Member, probe: Probe, hears_us: bool) -> None:
+        """It lives, but this probe had no answer on the direct way; lost datagrams do that too."""
+        if not member.ask_in_vain:
+            member.vain_since = probe.began
+        member.ask_in_vain += 1
+        if member.ask_in_vain >= 3:
+            self._path(now, member, out=not hears_us, into=member.heard_at < member.vain_since)
+
+    def _path(self, now: int, member: Member, out: bool, into: bool) -> None:
+        """The paths to and from a member, as found by our own probes."""
+        before = self.degree(now, member)
+        for field, down, start, end in (("cut_out", out, self.me.name, member.claim.name),
+                                        ("cut_in", into, member.claim.name, self.me.name)):
+            if bool(getattr(member, field)) != down:
+                setattr(member, field, now if down else 0)
+                self._cut_number = max(self._cut_number + 1, now // MILLISECOND)
+                cut = Cut(start, end, self.me.name, self._cut_number, down)
+                self._hold_cut(cut)
+        self._shown(now, member, before, self.me.name)
+
+    def _cut_told(self, now: int, cut: Cut) -> None:
+        teller = self.members.get(cut.by)
+        held = self.cuts.get((cut.start, cut.end, cut.by))
+        if (teller and teller.active and cut.by in (cut.start, cut.end) and cut.by != self.me.name
+                and cut.number > (held.number if held else -1) and (held or cut.down)):
+            self._hold_cut(cut)
+
+    def _hold_cut(self, cut: Cut) -> None:
+        key = cut.start, cut.end, cut.by
+        self.cuts.pop(key, None)
+        self.cuts[key] = cut
+        if len(self.cuts) > self.rules.cuts_most:  # paths that are up again first, then the oldest
+            mended = (old for old, one in self.cuts.items() if not one.down)
+            self.cuts.pop(next(mended, next(iter(self.cuts))))
+        self._tell(key, cut)
+
+    # Claims.
+
+    def _claimed(self, now: int, claim: Claim) -> None:
+        """Somebody says how a member stands; old news change nothing."""
+        if not claim.incarnation or claim.rank is Rank.LEFT and claim.by != claim.name:
+            return  # not yet in; or only a member itself can say that it leaves
+        if claim.name == self.me.name:
+            self._about_me(now, claim)
+            return
+        member = self.members.get(claim.name)
+        if member is None:
+            self._met(now, claim)
+            return
+        if claim.key < member.claim.key:
+            return
+        if claim.key == member.claim.key:
+            if member.accusers is not None and claim.rank in (Rank.SUSPECTED, Rank.GONE):
+                self._found_too(now, member, claim)
+            return
+        newer, was = claim.incarnation > member.claim.incarnation, member.claim
+        if claim.rank >= Rank.GONE and newer and not member.active:
+            self._hold(now, member, claim, Degree.LEFT if claim.rank is Rank.LEFT else Degree.GONE)
+        elif claim.rank is Rank.LEFT:
+            self._hold(now, member, claim, Degree.LEFT)
+        elif claim.rank is Rank.ALIVE:
+            if was.birth != claim.birth:
+                member.heard_at, member.late, member.ask_in_vain = -NEVER, 0, 0
+            self._hold(now, member, claim, Degree.ALIVE)
+        elif claim.rank is Rank.GONE and self._may_bury(member):
+            self._hold(now, member, claim, Degree.GONE)
+        else:
+            self._suspect(now, member, claim, newer)
+        self._tell(claim.name, claim)
+
+    def _may_bury(self, member: Member) -> bool:
+        """Guards the living of one side of a cut against what the other side made of them meanwhile."""
+        return member.degree is Degree.SUSPECTED and member.heard_at < member.suspected_at
+
+    def _met(self, now: int, claim: Claim) -> None:
+        """A name not known before."""
+        if len(self.members) >= self.rules.members_most and not self._forget_one():
+            if not self.full:
+                self.full = True
+                self._port.say("members.table-full", most=self.rules.members_most)
+            return
+        member = self.members[claim.name] = Member(claim, now)
+        if claim.rank >= Rank.GONE:
+            member.degree = Degree.LEFT if claim.rank is Rank.LEFT else Degree.GONE
+        else:
+            self._enlist(member)
+            if claim.rank is Rank.SUSPECTED:
+                self._begin_suspicion(now, member, claim.by)
+            self._tell(claim.name, claim)
+        self._count(now, claim, member.active)
+        self._shown(now, member, None, claim.by)
+
+    def _enlist(self, member: Member) -> None:
+        self._ring.insert(self._chance.randint(0, len(self._ring)), member)
+
+    def _hold(self, now: int, member: Member, claim: Claim, degree: Degree) -> None:
+        """The claim that holds from now on."""
+        before, was_active = self.degree(now, member), member.active
+        if was_active:
+            self._count(now, member.claim, True)  # out of the digest
+        member.claim, member.degree = claim, degree
+        if degree is not Degree.SUSPECTED:
+            member.accusers, member.verdict_at = None, NEVER
+            self._suspects.pop(claim.name, None)
+        if member.active and not was_active:
+            self._enlist(member)
+        elif was_active and not member.active:
+            at = self._ring.index(member)
+            del self._ring[at]
+            self._at -= at < self._at
+            member.cut_in = member.cut_out = 0
+            for key in [key for key, cut in self.cuts.items() if cut.by == claim.name]:
+                del self.cuts[key]
+        self._count(now, claim, member.active)
+        self._shown(now, member, before, claim.by)
+
+    def _count(self, now: int, claim: Claim, active: bool) -> None:
+        """The digest covers who is held for there: two members that agree on that have the same one."""
+        if active:
+            self._digest ^= mark(claim.name, claim.incarnation, claim.birth)
+            self._changed_at = now
+
+    def _forget_one(self) -> bool:
+        """Room for a new name: the one gone longest goes."""
+        out = [(member.since, name) for name, member in self.members.items() if not member.active]
+        if not out:
+            return False
+        del self.members[min(out)[1]]
+        return True
+
+    # Suspicions.
+
+    def _suspect(self, now: int, member: Member, claim: Claim, newer: bool) -> None:
+        running = member.accusers is not None and not newer
+        self._hold(now, member, claim, Degree.SUSPECTED)
+        if running:
+            self._found_too(now, member, claim)
+        else:
+            self._begin_suspicion(now, member, claim.by)
+
+    def _begin_suspicion(self, now: int, member: Member, by: str) -> None:
+        member.degree = Degree.SUSPECTED
+        member.accusers, member.suspected_at = {by}, now
+        self._suspects[member.claim.name] = member
+        self._set_verdict(member)
+
+    def _found_too(self, now: int, member: Member, claim: Claim) -> None:
+        """One more member finds the same: sooner gone, and told on as often as the first time."""
+        if claim.by in member.accusers or len(member.accusers) > self.rules.helpers:
+            return
+        member.accusers.add(claim.by)
+        self._set_verdict(member)
+        self._tell(claim.name, claim)
+
+    def _set_verdict(self, member: Member) -> None:
+        members = len(self._ring) + 1
+        least = self.rules.least(members)
+        if member.claim.rank is Rank.GONE:
+            span = least  # somebody has waited already
+        else:
+            most = least * self.rules.patience
+            wanted = max(min(self.rules.helpers, members - 2), 0)
+            found = len(member.accusers) - 1
+            share = math.log(found + 1) / math.log(wanted + 1) if wanted else 1.0
+            span = round(max(least, most - (most - least) * share))
+        member.verdict_at = max(member.suspected_at, member.heard_at) + span
+
+    def _judge(self, now: int) -> None:
+        """Suspicions that have run out."""
+        for member in [member for member in self._suspects.values() if member.verdict_at <= now]:
+            if self.in_doubt(now):
+                member.verdict_at = now + self.rules.interval
+                continue
+            if member.heard_at > member.suspected_at:  # what I hear with my own ears is not gone
+                member.suspected_at = member.heard_at
+                self._set_verdict(member)
+                if member.verdict_at > now:
+                    continue
+            claim = member.claim.ranked(Rank.GONE, self.me.name)
+            self._hold(now, member, claim, Degree.GONE)
+            self._tell(claim.name, claim)
+
+    def _word_of(self, now: int, member: Member, told: Told) -> None:
+        """The member itself was heard."""
+        member.heard_at = now
+        self._late_is(now, member, told.late, member.claim.name)
+
+    def _late_is(self, now: int, member: Member, late: int, by: str) -> None:
+        """By so many milliseconds, as it says or as its answer came."""
+        before, member.late = self.degree(now, member), late
+        self._shown(now, member, before, by)
+
+    def _shown(self, now: int, member: Member, before: Degree | None, by: str) -> None:
+        """Tell of a change of degree, if it was one."""
+        after = self.degree(now, member)
+        if after is not before:
+            member.since, member.word = now, by
+            self._port.changed(Change(now, member.claim.name, before, after, by, member.claim.incarnation))
+
+    # This member itself.
+
+    def _about_me(self, now: int, claim: Claim) -> None:
+        if claim.key <= self.me.key and claim.rank is Rank.ALIVE or claim.incarnation < self.me.incarnation:
+            return
+        mine = claim.birth == self.me.birth
+        if self.standing is Standing.LEAVING:
+            return
+        if self._is_anothers(claim):
+            self._yield(now, claim)
+        elif claim.rank is not Rank.ALIVE and (mine or claim.rank >= Rank.GONE) or (
+                not mine and claim.address == self.me.address):  # its port is ours: that life is over
+            self._rise(now, claim.incarnation + 1, claim)
+
+    def _is_anothers(self, claim: Claim) -> bool:
+        """Our name, held by a living process elsewhere with the better claim."""
+        me = self.me
+        return (claim.name == me.name and claim.birth != me.birth and claim.rank < Rank.GONE
+                and claim.address != me.address and claim.key > me.key)
+
+    def _rise(self, now: int, incarnation: int, because: Claim | None = None) -> None:
+        """Refute what is claimed, or begin a new life, with a number that nobody has used."""
+        me = self.me
+        self.me = msgspec.structs.replace(me, incarnation=incarnation, rank=Rank.ALIVE)
+        self._port.keep(incarnation)
+        if because and because.birth == me.birth:
+            self._slow = min(self._slow + 1, self.rules.late_most)
+            self._port.say("members.refuted", claimed=because.rank.name.lower(), by=because.by,
+                           incarnation=incarnation)
+        self._changed_at = now
+        if self.standing is Standing.IN:
+            self._tell(me.name, self.me)
+
+    def _yield(self, now: int, other: Claim) -> None:
+        """Guards a name used by two processes: the one with the lower claim stays out until it is free."""
+        if self.standing is Standing.IN:
+            self._port.say("members.name-lost", other=f"{other.host}:{other.port}",
+                           incarnation=other.incarnation)
+        self.standing = Standing.OUT
+        self._probe = None
+        self._news.pop(self.me.name, None)
+        self._contact_at = min(self._contact_at, now + self.rules.contact_every)
+
+    def _enter(self, now: int) -> None:
+        self.standing = Standing.IN
+        if self.me.incarnation == 0:
+            self._rise(now, 1)
+        else:
+            self._tell(self.me.name, self.me)
+        self._probe_at = min(self._probe_at, now + self.rules.interval)
+        self._port.say("members.entered", incarnation=self.me.incarnation, members=len(self._ring) + 1)
+
+    # Seeds, and those held gone.
+
+    def _contact(self, now: int) -> None:
+        """One word to one who is not among the active: how members join and cuts heal."""
+        jitter = self._chance.uniform(0.75, 1.25)
+        outside = self.standing is Standing.OUT
+        every = self.rules.interval if outside and now - self._began < 10 * self.rules.interval else \
+            self.rules.contact_every
+        self._contact_at = now + round(every * jitter)
+        if self.standing is Standing.LEAVING:
+            return
+        there = set() if outside else {member.claim.address for member in self._ring}
+        gone = [member for member in self.members.values() if member.degree is Degree.GONE]
+        for member in gone:
+            if now - member.since > self.rules.forget:
+                del self.members[member.claim.name]
+        ways: list[Address] = [address for address in self._contacts
+                               if address not in there and address != self.me.address]
+        if gone and (not ways or self._chance.random() < 0.5):
+            member = self._chance.choice(gone)
+            self._send(now, member.claim, Kind.PING, 0, target=member.claim.name)
+        elif ways:
+            for address in self._chance.sample(ways, len(ways) if outside and len(ways) <= 3 else 1):
+                self._port.send(address, self.me.low, Datagram(Kind.PING, 0, self.me, digest=self._digest))
+        if outside and now - self._began >= 3 * self.rules.interval and self._alone_at_start(now):
+            self._enter(now)
+
+    def _alone_at_start(self, now: int) -> bool:
+        """Nobody answers: the first of a cluster goes in by itself; who lost its name does not."""
+        quiet = now - self._heard_at
+        return quiet >= (self.rules.alone_patience if self._ring else 3 * self.rules.interval)
+
+    def _compare(self, now: int, told: Told) -> None:
+        """Views that have stood still and differ: one whole state mends what gossip lost."""
+        if not told.digest or self.standing is not Standing.IN or told.kind is Kind.NEWS:
+            return
+        mine = self._digest ^ mark(self.me.name, self.me.incarnation, self.me.birth)
+        settled = min(now - self._changed_at, told.settled * MILLISECOND) >= self.rules.settle
+        if told.digest != mine and (settled or not self._ring):
+            self._want_whole(now, told.me)
+
+    def _want_whole(self, now: int, other: Claim) -> None:
+        rest = self.rules.whole_rest if self.standing is Standing.IN else self.rules.interval
+        if now - self._whole_at >= rest:
+            self._whole_at = now
+            self._port.ask_whole(other.address)
+
+    # Words to others.
+
+    def _some(self, count: int, but: Member | None = None) -> Iterator[Member]:
+        """So many active members by chance, each once."""
+        ring, seen = self._ring, set()
+        for _ in range(4 * count):
+            if len(seen) >= min(count, len(ring)):
+                return
+            member = ring[self._chance.randrange(len(ring))]
+            if member is not but and member.claim.name not in seen:
+                seen.add(member.claim.name)
+                yield member
+
+    def _tell(self, key: object, item: Claim | Cut) -> None:
+        """Put into the news, first to be told."""
+        self._news[key] = [item, encode(item), 0]
+        self._news.move_to_end(key, last=False)
+
+    def _tell_news(self, now: int) -> None:
+        self._news_at = now + self.rules.news_every
+        if self.standing is Standing.OUT:
+            self._news.clear()
+            return
+        for member in list(self._some(self.rules.news_to)):
+            if self._news:
+                self._send(now, member.claim, Kind.NEWS, 0)
+
+    def _send(self, now: int, to: Claim, kind: Kind, seq: int, **fields: object) -> None:
+        """A datagram with as much of the news as it holds."""
+        claims: list[msgspec.Raw] = []
+        cuts: list[Cut] = []
+        room = self.rules.datagram_most - 360  # what the rest takes at most
+        held = self.members.get(to.name)
+        if held and (held.claim.key > to.key or held.claim.rank is not Rank.ALIVE):
+            # Who is thought gone hears it first, and can refute it.
+            claims.append(msgspec.Raw(encode(held.claim)))
+            room -= len(claims[0])
+        if self._news and self.standing is not Standing.OUT:
+            room = self._pack(room, to, claims, cuts)
+        digest = self._digest ^ mark(self.me.name, self.me.incarnation, self.me.birth)
+        settled = min((now - self._changed_at) // MILLISECOND, 1 << 30)
+        version = min(to.high, self.me.high)
+        self._port.send(to.address, version, Datagram(
+            kind, seq, self.me, late=self._lateness, digest=digest if self.standing is Standing.IN else 0,
+            settled=settled, claims=tuple(claims), cuts=tuple(cuts), **fields))
+
+    def _pack(self, room: int, to: Claim, claims: list, cuts: list) -> int:
+        """The news told least often first; what has been told often enough is dropped."""
+        most = self.rules.told(len(self._ring) + 1)
+        again = []
+        while self._news and len(claims) + len(cuts) < 64:
+            key, entry = next(iter(self._news.items()))
+            item, raw, _ = entry
+            if len(raw) > room:
+                break
+            del self._news[key]
+            if isinstance(item, Cut):
+                if to.high >= CUTS_SINCE:
+                    cuts.append(item)
+                    room -= len(raw)
+            elif item.name != to.name or item.rank is not Rank.ALIVE:
+                claims.append(msgspec.Raw(raw))
+                room -= len(raw)
+            entry[2] += 1
+            if entry[2] < most:
+                again.append((key, entry))
+        for key, entry in again:
+            self._news[key] = entry
+        return room
