--- a/millweir/cli/lab.py
+++ b/millweir/cli/lab.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 from pathlib import Path
 
 import click
@@ -29,6 +30,7 @@
         raise click.UsageError(f"{day}: {fault}") from None
 
     async def run() -> object:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         async with Rig(given, seed, keep) as rig:
             return await rig.play(lambda line: click.echo(line, err=True))
 
--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -106,7 +106,7 @@
             "place": f'"b{names.index(name) % 2}/m{names.index(name)}"',
             "interval": f'"{day.interval // 1000}us"',
             "timeout": f'"{day.interval // 2000}us"', "suspicion": str(day.suspicion),
-            "alone-patience": f'"{day.alone_patience // 1000}us"',
+            "doubt-most": f'"{day.doubt_most // 1000}us"',
             "contact-every": f'"{max(day.interval * 5, 10 ** 8) // 1000}us"',
             "protocol": str(day.protocols.get(name, 2)),
         } | more
--- a/millweir/lab/fleet.py
+++ b/millweir/lab/fleet.py
@@ -20,13 +20,14 @@
 class Node:
     """One simulated member: the core's port, and what a process of it would do."""
 
-    __slots__ = ("core", "counts", "dead", "due", "fleet", "inbox", "kept", "name", "paused", "views")
+    __slots__ = ("core", "counts", "dead", "due", "early", "fleet", "inbox", "kept", "name", "paused")
 
     def __init__(self, fleet: Fleet, name: str) -> None:
         self.fleet, self.name = fleet, name
         self.core: Core | None = None
         self.dead = self.paused = False
         self.due = 0
+        self.early = 0  # nanoseconds by which its timers fire early
         self.kept = 0
         self.inbox: list[object] = []
         self.counts = {"datagrams": 0, "bytes": 0, "wholes": 0, "said": {}}
@@ -49,7 +50,8 @@
 
     def wake(self, at: int) -> None:
         self.due = at
-        self.fleet.later(at - self.fleet.now, self.woken, at)
+        after = at - self.fleet.now
+        self.fleet.later(after - self.early if after > self.early else after, self.woken, at)
 
     def changed(self, change: Change) -> None:
         self.fleet.saw(self, change)
--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -8,12 +8,11 @@
 raises.  What is told is a *claim*; claims on one name are ordered by (incarnation, rank, birth) and the
 greatest holds, whatever order they come in (`Claim.key`).
 
-Four guards keep this right under pauses and cuts:
+Three guards keep this right under pauses and cuts:
 
 - who wakes late has been paused: no probe of that time counts and all suspicions move on by as much;
-- who hears nobody, or whose last probes of several members all failed, is in doubt of itself: it accuses
-  nobody and holds its verdicts back, up to a bound;
-- whom I hear with my own ears is not gone: a suspicion's time starts anew with each word from the suspect;
+- whose last probes of several members all failed is in doubt of itself, not of them: it accuses nobody and
+  holds its verdicts back, up to a bound;
 - that somebody is gone, told of one who was well a moment ago, is a suspicion first: sides of a healed cut
   don't bury each other.
 
@@ -87,7 +86,7 @@
     contact_every: int = 5 * SECOND  # a word to a seed, or to one held gone: heals cuts
     settle: int = 3 * SECOND  # an unchanged view that differs from another's for so long asks for it whole
     whole_rest: int = 10 * SECOND  # between whole states asked for
-    alone_patience: int = 120 * SECOND  # how long a member that hears nobody holds its verdicts back
+    doubt_most: int = 120 * SECOND  # how long a member whom nobody answers holds its verdicts back
     forget: int = 24 * 3600 * SECOND  # records of gone members
     members_most: int = 4096
     cuts_most: int = 256
@@ -190,7 +189,8 @@
         self._digest = 0
         self._changed_at = now
         self._slow = 0  # Lifeguard's awareness: how much slower than planned this member probes
-        self._vain = 0  # probes in a row, of different members, that failed altogether
+        self._vain = 0  # probes in a row that failed altogether
+        self._vain_since = now
         self._heard_at = now
         self._woke_late_at = -NEVER
         self._lateness = 0
@@ -252,6 +252,7 @@
     def time_passed(self, now: int) -> None:
         """The time that was asked for by `wake` has come."""
         self._wake(now)
+        self._due = 0  # ask again in any case: a loop's timers go by the time its turn began, so fire early
         if now >= self._contact_at:
             self._contact(now)
         if now >= self._probe_at:
@@ -299,10 +300,7 @@
         """Why this member trusts its own verdicts not at all at present; empty where it does."""
         if now - self._woke_late_at < self._span(self.rules.interval):
             return "late"
-        quiet = now - self._heard_at
-        if self._ring and 3 * self.rules.interval < quiet < self.rules.alone_patience:
-            return "alone"
-        if self._vain >= max(2, min(3, len(self._ring))) and self._vain < 3 * len(self._ring) + 3:
+        if self._vain >= max(2, min(3, len(self._ring))) and now - self._vain_since < self.rules.doubt_most:
             return "unanswered"
         return ""
 
@@ -428,11 +426,12 @@
         member = probe.target
         missed = probe.wanted - probe.nacks if probe.wanted else 1
         self._slow = min(self._slow + max(missed, 0), self.rules.late_most)
+        if not self._vain:
+            self._vain_since = probe.began
         self._vain += 1
         if not member.active or self.in_doubt(now):
             return
-        if member.heard_at < probe.began:  # else it lives: our words to it, or its answers, get lost
-            self._claimed(now, member.claim.ranked(max(Rank.SUSPECTED, member.claim.rank), self.me.name))
+        self._claimed(now, member.claim.ranked(max(Rank.SUSPECTED, member.claim.rank), self.me.name))
 
     def _pinged(self, now: int, told: Told) -> None:
         heard = -1
@@ -544,7 +543,7 @@
                 self._found_too(now, member, claim)
             return
         newer, was = claim.incarnation > member.claim.incarnation, member.claim
-        if claim.rank >= Rank.GONE and newer and not member.active:
+        if claim.rank >= Rank.GONE and not member.active:
             self._hold(now, member, claim, Degree.LEFT if claim.rank is Rank.LEFT else Degree.GONE)
         elif claim.rank is Rank.LEFT:
             self._hold(now, member, claim, Degree.LEFT)
@@ -552,16 +551,12 @@
             if was.birth != claim.birth:
                 member.heard_at, member.late, member.ask_in_vain = -NEVER, 0, 0
             self._hold(now, member, claim, Degree.ALIVE)
-        elif claim.rank is Rank.GONE and self._may_bury(member):
+        elif claim.rank is Rank.GONE and member.degree is Degree.SUSPECTED:
             self._hold(now, member, claim, Degree.GONE)
-        else:
+        else:  # gone too: guards the living of one side of a cut against what the other made of them
             self._suspect(now, member, claim, newer)
         self._tell(claim.name, claim)
 
-    def _may_bury(self, member: Member) -> bool:
-        """Guards the living of one side of a cut against what the other side made of them meanwhile."""
-        return member.degree is Degree.SUSPECTED and member.heard_at < member.suspected_at
-
     def _met(self, now: int, claim: Claim) -> None:
         """A name not known before."""
         if len(self.members) >= self.rules.members_most and not self._forget_one():
@@ -653,7 +648,7 @@
             found = len(member.accusers) - 1
             share = math.log(found + 1) / math.log(wanted + 1) if wanted else 1.0
             span = round(max(least, most - (most - least) * share))
-        member.verdict_at = max(member.suspected_at, member.heard_at) + span
+        member.verdict_at = member.suspected_at + span
 
     def _judge(self, now: int) -> None:
         """Suspicions that have run out."""
@@ -661,11 +656,6 @@
             if self.in_doubt(now):
                 member.verdict_at = now + self.rules.interval
                 continue
-            if member.heard_at > member.suspected_at:  # what I hear with my own ears is not gone
-                member.suspected_at = member.heard_at
-                self._set_verdict(member)
-                if member.verdict_at > now:
-                    continue
             claim = member.claim.ranked(Rank.GONE, self.me.name)
             self._hold(now, member, claim, Degree.GONE)
             self._tell(claim.name, claim)
@@ -769,7 +759,7 @@
     def _alone_at_start(self, now: int) -> bool:
         """Nobody answers: the first of a cluster goes in by itself; who lost its name does not."""
         quiet = now - self._heard_at
-        return quiet >= (self.rules.alone_patience if self._ring else 3 * self.rules.interval)
+        return quiet >= (self.rules.doubt_most if self._ring else 3 * self.rules.interval)
 
     def _compare(self, now: int, told: Told) -> None:
         """Views that have stood still and differ: one whole state mends what gossip lost."""
--- a/millweir/members/section.py
+++ b/millweir/members/section.py
@@ -20,7 +20,7 @@
     RANGES: ClassVar[dict[str, tuple[int, int]]] = {
         "interval": (SECOND // 20, 60 * SECOND), "timeout": (SECOND // 100, 30 * SECOND),
         "suspicion": (2, 100), "helpers": (0, 8), "members_most": (2, 65536),
-        "contact_every": (SECOND // 10, 600 * SECOND), "alone_patience": (SECOND, 3600 * SECOND),
+        "contact_every": (SECOND // 10, 600 * SECOND), "doubt_most": (SECOND, 3600 * SECOND),
         "datagram_most": (576, 8192), "bytes_most": (4096, 1 << 30), "protocol": VERSIONS,
     }
 
@@ -37,7 +37,7 @@
     helpers: int = 3
     members_most: int = 4096
     contact_every: Span = Span(5 * SECOND)
-    alone_patience: Span = Span(120 * SECOND)
+    doubt_most: Span = Span(120 * SECOND)
     datagram_most: Size = Size(1200)
     bytes_most: Size = Size(256 << 10)  # a second, sent; and read of datagrams
     protocol: int = VERSIONS[1]  # the highest version spoken
@@ -76,7 +76,7 @@
     def rules(self) -> Rules:
         return Rules(interval=self.interval, timeout=self.timeout, helpers=self.helpers,
                      suspicion=float(self.suspicion), contact_every=self.contact_every,
-                     alone_patience=self.alone_patience, members_most=self.members_most,
+                     doubt_most=self.doubt_most, members_most=self.members_most,
                      datagram_most=self.datagram_most, news_every=min(SECOND // 5, self.interval // 5),
                      settle=3 * self.interval, whole_rest=10 * self.interval)
 
