--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -627,7 +627,8 @@
         member.degree = Degree.SUSPECTED
         member.accusers, member.suspected_at = {by}, now
         self._suspects[member.claim.name] = member
-        self._set_verdict(member)
+        for suspect in self._suspects.values():
+            self._set_verdict(suspect)
 
     def _found_too(self, now: int, member: Member, claim: Claim) -> None:
         """One more member finds the same: sooner gone, and told on as often as the first time."""
@@ -638,14 +639,14 @@
         self._tell(claim.name, claim)
 
     def _set_verdict(self, member: Member) -> None:
-        members = len(self._ring) + 1
-        least = self.rules.least(members)
+        least = self.rules.least(len(self._ring) + 1)
         if member.claim.rank is Rank.GONE:
             span = least  # somebody has waited already
         else:
             most = least * self.rules.patience
-            wanted = max(min(self.rules.helpers, members - 2), 0)
-            found = len(member.accusers) - 1
+            # As many more as can find it: where several died at once, those say nothing of each other.
+            wanted = min(self.rules.helpers, len(self._ring) - len(self._suspects))
+            found = min(len(member.accusers) - 1, wanted)
             share = math.log(found + 1) / math.log(wanted + 1) if wanted else 1.0
             span = round(max(least, most - (most - least) * share))
         member.verdict_at = member.suspected_at + span
--- /dev/null
+++ b/tests/lab/test_day.py
@@ -0,0 +1,28 @@
+"""Days: the same seed gives the same faults, and what can't be played is refused."""
+
+import pytest
+
+from millweir.lab.day import LINK, PROCESS, Day, read_day, timeline
+from millweir.operator.units import Span
+
+S = 1_000_000_000
+
+
+def test_the_same_seed_gives_the_same_timeline():
+    day = Day(span=Span(600 * S), calm=Span(60 * S), compose=PROCESS + LINK)
+    assert timeline(day, 7) == timeline(day, 7) != timeline(day, 8)
+    kinds = set()
+    for seed in range(30):
+        for fault in timeline(day, seed):
+            assert fault.at + fault.span <= day.span - day.calm + 30 * S
+            assert len(fault.who) <= day.relays // 2 and (fault.who or fault.start)
+            kinds.add(fault.kind)
+    assert kinds == set(PROCESS + LINK)
+
+
+def test_a_bad_day_is_refused(tmp_path):
+    path = tmp_path / "day.toml"
+    for text in ("relay = 5", "span = 9", '[[fault]]\nat = "1s"\nkind = "flood"', "span = '1s"):
+        path.write_text(text)
+        with pytest.raises(ValueError):
+            read_day(path)
