--- a/millweir/cli/lab.py
+++ b/millweir/cli/lab.py
@@ -49,3 +49,30 @@
             click.echo(f"{key:<13} {value}")
         click.echo(f"replay        millweir lab cluster {day} --seed {seed}")
     raise SystemExit(0 if played.fine else 1)
+
+
+@lab.command()
+@click.option("--ways", default="millweir,plain-swim", show_default=True)
+@click.option("--sizes", default="5,50,500", show_default=True)
+@click.option("--troubles", default="calm,pauses,loss", show_default=True)
+@click.option("--suspicions", default="5", show_default=True, help="intervals from suspicion to gone")
+@click.option("--seeds", type=int, default=3, show_default=True)
+@click.option("--seconds", type=int, default=120, show_default=True, help="simulated, of each run")
+@click.option("--workers", type=int, default=4, show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="JSON lines; goes on there")
+def fleet(ways: str, sizes: str, troubles: str, suspicions: str, seeds: int, seconds: int,
+          workers: int, out: Path) -> None:
+    """Simulated fleets: time to detect, false deaths, messages and bytes, by size, trouble and way."""
+    from millweir.lab.detect import sweep
+    for line in sweep(ways.split(","), [int(size) for size in sizes.split(",")], troubles.split(","),
+                      [float(one) for one in suspicions.split(",")], seeds, seconds, workers, out):
+        click.echo(line)
+
+
+@lab.command()
+@click.argument("rows", type=click.Path(exists=True, path_type=Path))
+@click.argument("picture", type=click.Path(path_type=Path))
+def plot(rows: Path, picture: Path) -> None:
+    """Draw what `fleet` wrote: PNG or SVG by the file's ending (needs matplotlib)."""
+    from millweir.lab.plots import detection
+    detection(rows, picture)
--- /dev/null
+++ b/millweir/lab/detect.py
@@ -0,0 +1,160 @@
+"""How well a way to know who is there does: time to detect, false deaths, bytes, by size and trouble."""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+from collections import defaultdict
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from pathlib import Path
+
+import msgspec
+
+from millweir.lab.baselines import WAYS
+from millweir.lab.fleet import Fleet, Node
+from millweir.members.core import SECOND, Change, Degree, Rules
+
+TROUBLES = ("calm", "pauses", "loss")
+SETTLED = 5  # seconds before anything counts
+
+
+class Row(msgspec.Struct, frozen=True):
+    """Figures of one run; times in seconds, rates a member."""
+
+    way: str
+    size: int
+    trouble: str
+    seed: int
+    suspicion: float
+    seconds: float
+    messages: float  # a second, sent
+    bytes: float  # a second, sent
+    kills: int
+    first: tuple[float, ...]  # from each kill until some living member held it gone
+    half: tuple[float, ...]  # until half of those that live did
+    all: tuple[float, ...]  # until all of those that live did; -1 for never within the run
+    accusations: float  # false, an hour: suspicions of one that lives
+    verdicts: float  # false, an hour: members that said themselves that one that lives is gone
+    deaths: float  # false, an hour: views that held one that lives gone
+    wall: float
+
+
+class Pauses:
+    """Each member by turns runs and is paused: so large a share of the fleet is paused at any time."""
+
+    def __init__(self, fleet: Fleet, share: float, span: float, until: int) -> None:
+        self._fleet, self._span, self._until = fleet, span, until
+        self._runs = span * (1 - share) / share
+        self._chance = random.Random(fleet.chance.getrandbits(60))
+        for node in fleet.nodes:
+            fleet.later(self._run_span(), self._begin, node)
+
+    def _run_span(self) -> int:
+        return round(self._chance.expovariate(1 / self._runs) * SECOND)
+
+    def _begin(self, node: Node) -> None:
+        if self._fleet.now < self._until and not node.dead:
+            node.pause()
+            self._fleet.later(round(self._span * SECOND), self._end, node)
+
+    def _end(self, node: Node) -> None:
+        node.resume()
+        self._fleet.later(self._run_span(), self._begin, node)
+
+
+def measure(way: str, size: int, trouble: str, seed: int, seconds: int = 120, kills: int = 3,
+            rules: Rules | None = None) -> Row:
+    """One run: trouble throughout, kills spread over its middle."""
+    began = time.monotonic()
+    fleet = Fleet(size, seed, rules, make=WAYS[way])
+    fleet.run(SETTLED * SECOND)
+    before = [dict(node.counts) for node in fleet.nodes]
+    died: dict[str, int] = {}
+    seen: dict[str, dict[str, int]] = defaultdict(dict)
+    counts = {"accusations": 0, "verdicts": 0, "deaths": 0}
+
+    def watch(node: Node, change: Change) -> None:
+        if change.name in died:
+            if change.after is Degree.GONE:
+                seen[change.name].setdefault(node.name, fleet.now)
+        elif change.after is Degree.SUSPECTED and change.by == node.name:
+            counts["accusations"] += 1
+        elif change.after is Degree.GONE:
+            counts["deaths"] += 1
+            counts["verdicts"] += change.by == node.name
+
+    fleet.watch = watch
+    end = fleet.now + seconds * SECOND
+    if trouble == "pauses":
+        Pauses(fleet, 0.25, 5.0, end)
+    elif trouble == "loss":
+        fleet.loss = 0.3
+    victims = random.Random(seed).sample(fleet.nodes, min(kills, size - 2))
+    for number, victim in enumerate(victims):
+        def kill(victim: Node = victim) -> None:
+            died[victim.name] = fleet.now
+            victim.kill()
+        fleet.later(round((0.2 + 0.4 * number / max(len(victims), 1)) * seconds * SECOND), kill)
+    fleet.run(end)
+    living = [node for node in fleet.nodes if not node.dead]
+    hours = size * seconds / 3600
+    spread: dict[str, list[float]] = {"first": [], "half": [], "all": []}
+    for name, at in died.items():
+        times = sorted((seen[name][node.name] - at) / 1e9 for node in living if node.name in seen[name])
+        for which, need in (("first", 1), ("half", (len(living) + 1) // 2), ("all", len(living))):
+            spread[which].append(round(times[need - 1], 3) if len(times) >= need else -1.0)
+    sent = [sum(node.counts[what] - old[what] for node, old in zip(fleet.nodes, before, strict=True))
+            / size / seconds for what in ("datagrams", "bytes")]
+    return Row(way, size, trouble, seed, fleet.rules.suspicion, seconds, round(sent[0], 3),
+               round(sent[1], 1), len(died), *(tuple(spread[which]) for which in ("first", "half", "all")),
+               *(round(counts[what] / hours, 3) for what in ("accusations", "verdicts", "deaths")),
+               round(time.monotonic() - began, 1))
+
+
+def summary(rows: list[Row]) -> dict[str, float]:
+    """Over several seeds: medians of rates, quantiles of times."""
+    out: dict[str, float] = {}
+    for which in ("first", "half", "all"):
+        times = sorted(one for row in rows for one in getattr(row, which) if one >= 0)
+        missed = sum(one < 0 for row in rows for one in getattr(row, which))
+        if times:
+            out |= {f"{which}_p50": statistics.median(times), f"{which}_max": times[-1],
+                    f"{which}_p99": times[min(len(times) - 1, round(0.99 * len(times)))]}
+        out[f"{which}_missed"] = missed
+    for what in ("messages", "bytes", "accusations", "verdicts", "deaths"):
+        out[what] = round(statistics.mean(getattr(row, what) for row in rows), 3)
+    return out
+
+
+def read_rows(path: Path) -> list[Row]:
+    """What `sweep` wrote so far."""
+    if not path.exists():
+        return []
+    return [msgspec.json.decode(line, type=Row) for line in path.read_bytes().splitlines()]
+
+
+def sweep(ways: list[str], sizes: list[int], troubles: list[str], suspicions: list[float], seeds: int,
+          seconds: int, workers: int, out: Path) -> Iterator[str]:
+    """Every combination that does not stand in the file yet; a line for each group at the end."""
+    done = {(row.way, row.size, row.trouble, row.seed, row.suspicion) for row in read_rows(out)}
+    wanted = [(way, size, trouble, seed, suspicion) for size in sizes for way in ways for trouble in troubles
+              for suspicion in suspicions for seed in range(1, seeds + 1)]
+    with ProcessPoolExecutor(workers) as pool, open(out, "ab") as target:
+        jobs = [pool.submit(measure, way, size, trouble, seed, seconds, 3, Rules(suspicion=suspicion))
+                for way, size, trouble, seed, suspicion in wanted
+                if (way, size, trouble, seed, suspicion) not in done]
+        for job in as_completed(jobs):
+            target.write(msgspec.json.encode(job.result()) + b"\n")
+            target.flush()
+    groups: dict[tuple, list[Row]] = defaultdict(list)
+    for row in read_rows(out):
+        groups[row.size, row.trouble, row.way, row.suspicion].append(row)
+    for (size, trouble, way, suspicion), rows in sorted(groups.items()):
+        found = summary(rows)
+        times = " ".join(f"{which} {found.get(f'{which}_p50', -1):.1f}/{found.get(f'{which}_max', -1):.1f}"
+                         f" missed {found[f'{which}_missed']}" for which in ("first", "all"))
+        yield (f"{size:>5} {trouble:<7} {way:<12} {suspicion:>4} {times}  messages {found['messages']:.1f} "
+               f"bytes {found['bytes']:.0f}  an hour: accused {found['accusations']:.2f} verdicts "
+               f"{found['verdicts']:.3f} deaths {found['deaths']:.3f}  ({len(rows)} runs)")
--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -10,7 +10,8 @@
 
 Three guards keep this right under pauses and cuts:
 
-- who wakes late has been paused: no probe of that time counts and all suspicions move on by as much;
+- who wakes late has been paused: no probe of that time counts, and no suspicion runs out before what came
+  meanwhile is read and others have had time to say more;
 - whose last probes of several members all failed is in doubt of itself, not of them: it accuses nobody and
   holds its verdicts back, up to a bound;
 - that somebody is gone, told of one who was well a moment ago, is a suspicion first: sides of a healed cut
@@ -77,7 +78,7 @@
     interval: int = SECOND  # between probes
     timeout: int = SECOND // 2  # until helpers are asked; less than the interval
     helpers: int = 3
-    suspicion: float = 6.0  # intervals from suspicion to gone at ten members or fewer, at the least
+    suspicion: float = 5.0  # intervals from suspicion to gone at ten members or fewer, at the least
     patience: float = 6.0  # times as long when nobody else finds the same
     late_most: int = 8  # how many times slower a member that is late probes
     news_every: int = SECOND // 5
@@ -298,7 +299,7 @@
 
     def in_doubt(self, now: int) -> str:
         """Why this member trusts its own verdicts not at all at present; empty where it does."""
-        if now - self._woke_late_at < self._span(self.rules.interval):
+        if now - self._woke_late_at < self.rules.interval:
             return "late"
         if self._vain >= max(2, min(3, len(self._ring))) and now - self._vain_since < self.rules.doubt_most:
             return "unanswered"
@@ -345,8 +346,7 @@
                 self._probe = None
             self._probe_at = max(self._probe_at, now + self.rules.timeout)
             for member in self._suspects.values():
-                member.verdict_at += late
-                member.suspected_at += late
+                member.verdict_at = max(member.verdict_at, now + min(late, 3 * self.rules.interval))
             self._vain = 0
             self._heard_at = max(self._heard_at, min(now, self._heard_at + late))
             self._port.say("members.woke-late", late_ms=late // MILLISECOND)
@@ -474,7 +474,7 @@
         if not probe.answered:
             probe.answered = True
             self._vain = 0
-            self._slow = max(self._slow - 1, 0)
+            self._slow //= 2  # one step at a time kept fleets under pauses slow for minutes
         if direct:
             if not probe.direct:
                 probe.direct = True
--- a/millweir/members/section.py
+++ b/millweir/members/section.py
@@ -33,7 +33,7 @@
     place: str = ""  # building/machine
     interval: Span = Span(SECOND)
     timeout: Span = Span(SECOND // 2)
-    suspicion: float = 6.0  # intervals from suspicion to gone, at the least
+    suspicion: float = 5.0  # intervals from suspicion to gone, at the least
     helpers: int = 3
     members_most: int = 4096
     contact_every: Span = Span(5 * SECOND)
