--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -63,14 +63,14 @@
     loop.add_signal_handler(signal.SIGINT, leave)
     loop.add_signal_handler(signal.SIGHUP, reload, config, desk, log)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.must(counters.line()))
+    if operator:
+        await operator.start(config.name, config.state)
     # Shared with a process that replaces this one, or is replaced by it (an upgrade).
     server = await loop.create_server(lambda: ClientLink(desk.clients), *config.listen, backlog=512,
                                       reuse_port=True)
     if config.control:
         door = ControlDoor(loop, desk)
         await loop.create_server(door.link, *config.control, backlog=64)
-    if operator:
-        await operator.start(config.name, config.state)
     log.must(f"ready name={config.name} listen={':'.join(map(str, config.listen))} "
              f"discovery={':'.join(map(str, config.discovery))} owed={len(journal.owed)}")
     # Guards turns against pauses of 0.2 s: what is there now stays, and what comes holds no circles, so that
--- a/millweir/lab/processes.py
+++ b/millweir/lab/processes.py
@@ -176,3 +176,12 @@
             return json.loads(line)
         except (OSError, TimeoutError, ValueError):
             return None
+
+    async def seen(self, seconds: float = 30.0) -> dict:
+        """The same, waiting for an answer."""
+        end = time.monotonic() + seconds
+        while (view := await self.view()) is None:
+            if time.monotonic() > end:
+                raise TookTooLong(f"{self.name} answers no look at its view: {self.tail()}")
+            await asyncio.sleep(0.05)
+        return view
--- a/millweir/members/part.py
+++ b/millweir/members/part.py
@@ -167,10 +167,12 @@
         self.core.time_passed(now())
 
     def _heard(self, told: Told) -> None:
-        self.core.heard(now(), told)
+        if self.core:  # not before it is all there
+            self.core.heard(now(), told)
 
     def _whole_told(self, whole: Whole) -> None:
-        self.core.whole_told(now(), whole)
+        if self.core:
+            self.core.whole_told(now(), whole)
 
     def _whole(self, high: int) -> Whole:
         return self.core.whole(high)
