--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -76,6 +76,7 @@
         "PYTHONPATH": str(root)}
     with open(relay.folder / "log", "ab") as log:
         relay.process = subprocess.Popen([sys.executable, "-m", "millweir"], env=env, stderr=log, cwd=root)
+    relay.killed = False
 
 
 def main() -> None:
--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -262,7 +262,8 @@
             await asyncio.sleep(held)
             relay.go_on()
         await relay.ready()
-        self.ledger.add(Ready(steady(), relay.name))
+        if not relay.killed:
+            self.ledger.add(Ready(steady(), relay.name))
 
     async def _strike_links(self, fault: Fault) -> None:
         seconds, both = fault.span / 1e9, fault.kind in ("cut", "split", "flap")
--- a/millweir/lab/processes.py
+++ b/millweir/lab/processes.py
@@ -42,7 +42,7 @@
         self.name, self.folder, self.listen = name, folder, listen
         self._config = config
         self.process: subprocess.Popen | None = None
-        self.stopped = False
+        self.stopped = self.killed = False
         self._read_to = 0
         self.events: list[dict] = []
         self.starts = 0
@@ -74,14 +74,16 @@
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "millweir", "--operator", str(self.operator)],
                 env=env, stderr=log, stdout=log, stdin=subprocess.DEVNULL, cwd=ROOT)
-        self.stopped = False
+        self.stopped = self.killed = False
         self.starts += 1
         if held:
             self.stop()
 
     async def ready(self, seconds: float = 15.0) -> None:
-        end = time.monotonic() + seconds
+        end, process = time.monotonic() + seconds, self.process
         while not await self._asked_ready():
+            if self.killed or self.process is not process:
+                return  # by the next fault, which brings it back itself
             if self.process.poll() is not None or time.monotonic() > end:
                 raise TookTooLong(f"{self.name} is not ready: {self.tail()}")
             await asyncio.sleep(0.03)
@@ -133,6 +135,7 @@
         (self.folder / "skew").write_text(str(hours * 3600))
 
     def kill(self, lose_folder: bool = False) -> None:
+        self.killed = True
         self.signal(signal.SIGKILL)
         if self.process:
             self.process.wait(5)
@@ -144,6 +147,7 @@
         """SIGTERM, and its exit code; a process that outlasts it is killed and said."""
         self.signal(signal.SIGTERM)
         await until(lambda: self.process.poll() is not None, seconds, f"{self.name} ends after SIGTERM")
+        self.killed = True
         return self.process.returncode
 
     def read_events(self) -> list[dict]:
