--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from millweir.lab.day import Day, Fault, timeline
+from millweir.lab.day import HOST, Day, Fault, timeline
 from millweir.lab.judge import Terms, Verdict, judge
 from millweir.lab.ledger import Ledger, Ready, Struck, steady
 from millweir.lab.processes import Address, Relay, TookTooLong, until
@@ -215,7 +215,9 @@
         """Let a fault begin, and end after its span; the rig's own waits that fail are kept."""
         self._note(fault, over=False)
         try:
-            if fault.who:
+            if fault.kind in HOST:
+                await asyncio.gather(*(self._strike_host(fault, int(name[1:])) for name in fault.who))
+            elif fault.who:
                 await asyncio.gather(*(self._strike_process(fault, self.relays[name]) for name in fault.who))
             else:
                 await self._strike_links(fault)
@@ -265,6 +267,17 @@
         if not relay.killed:
             self.ledger.add(Ready(steady(), relay.name))
 
+    async def _strike_host(self, fault: Fault, number: int) -> None:
+        host = self.hosts[number]
+        if fault.kind == "drain":
+            await self.platform.put(host, "DRAINING")
+            await asyncio.sleep(fault.span / 1e9)
+            await self.platform.put(host)
+        else:
+            host.hang(True)
+            await asyncio.sleep(fault.span / 1e9)
+            host.hang(False)
+
     async def _strike_links(self, fault: Fault) -> None:
         seconds, both = fault.span / 1e9, fault.kind in ("cut", "split", "flap")
         how = {"cut": {"cut": True}, "split": {"cut": True}, "cut-one-way": {"cut": True},
--- a/millweir/lab/day.py
+++ b/millweir/lab/day.py
@@ -12,6 +12,7 @@
 
 SECOND = 1_000_000_000
 PROCESS = ("stop", "kill", "lose", "term", "starve", "full", "slow", "skew")
+HOST = ("drain", "hang")  # listed as draining; accepts calls and answers none, then is back cold
 LINK = ("cut", "cut-one-way", "loss", "delay", "reorder", "duplicate", "bandwidth", "flap", "split")
 
 
@@ -21,7 +22,7 @@
     at: Span
     span: Span = Span(0)  # how long; a kill's is until the relay starts again, 0 for never
     kind: str
-    who: tuple[str, ...] = ()
+    who: tuple[str, ...] = ()  # relays, or hosts (h0, h1, ...)
     start: tuple[str, ...] = ()
     end: tuple[str, ...] = ()
     share: float = 0.3  # of loss and duplicates; of the processor that a starved one keeps
@@ -30,7 +31,7 @@
     hours: float = 1.0  # skew
 
     def __post_init__(self) -> None:
-        if self.kind not in PROCESS + LINK:
+        if self.kind not in PROCESS + HOST + LINK:
             raise ValueError(f"no such fault: {self.kind!r}")
 
     def line(self) -> str:
@@ -89,6 +90,8 @@
             span = Span(round(min(chance.uniform(15, 30), max(most, 1)) * SECOND))
         return Fault(at=Span(at), span=span, kind=kind, who=tuple(names[:count]),
                      share=chance.choice((0.1, 0.3)), wait=Span(2 * SECOND), hours=chance.choice((-1.0, 1.0)))
+    if kind in HOST:
+        return Fault(at=Span(at), span=span, kind=kind, who=(f"h{chance.randrange(day.hosts)}",))
     side = chance.randint(1, len(names) - 1)
     start, end = tuple(names[:side]), tuple(names[side:])
     if kind in ("cut", "cut-one-way", "flap"):
--- a/tests/lab/test_judge.py
+++ b/tests/lab/test_judge.py
@@ -1,5 +1,8 @@
 """The judge of ledgers: each rule is seen broken where it is, and not where it isn't."""
 
+import asyncio
+import random
+
 import pytest
 
 from millweir.lab.cluster import Rig
@@ -16,6 +19,7 @@
     Returned,
     Struck,
 )
+from millweir.lab.standins import Host
 
 S = 1_000_000_000
 TERMS = Rig.terms()
@@ -48,6 +52,8 @@
     "within the grace": (packet(), Listed(S // 2, "h", "DRAINING"), call()),
     "listed again": (packet(), Listed(0, "h", "DRAINING"), Listed(S // 2, "h", "SERVING"), call()),
     "in order": (packet("a", 0, "order", "k"), packet("b", 1, "order", "k"), call("a"), call("b", 2 * S, 2)),
+    "a wait told to another relay": (packet("a"), packet("b", relay="r2"), call("a", status=429, wait=S),
+                                     call("b", S + S // 2, 2), call("a", 3 * S, 3)),
     "after a wait": (packet(), call(status=429, wait=S), call(at=3 * S, number=2)),
     "a restart holds its end up": (packet(), Struck(S, "kill", "r1"), Ready(8 * S, "r1"),
                                    Noticed(9 * S, "p", "dead")),
@@ -88,3 +94,19 @@
     rows = [row for part in FINE["delivered"] for row in part] + [Struck(5, "kill", "r1", True)]
     Ledger(rows).write(tmp_path / "l")
     assert Ledger.read(tmp_path / "l").rows == rows
+
+
+def test_a_cold_host_falls_when_it_is_pushed():
+    """The stand-in's own side of rule 4: few calls warm it, many make it fall."""
+    async def run(calls):
+        ledger = Ledger()
+        host = Host("h0", 0, 20.0, ("127.0.0.1", 1), ledger, random.Random(1), [0])
+        host.hang(True)
+        host.hang(False)
+        for number in range(calls):
+            call = asyncio.create_task(host._asked("", {"x-correlation-id": str(number)}, b""))
+            await asyncio.sleep(0)
+            call.cancel()
+        return list(ledger.of(Fallen))
+
+    assert not asyncio.run(run(15)) and asyncio.run(run(60))
