--- a/millweir/lab/judge.py
+++ b/millweir/lab/judge.py
@@ -176,8 +176,8 @@
 def _waits(ledger: Ledger, terms: Terms, verdict: Verdict) -> None:
     """Rule 6: no call to a host within a wait that it told this relay, but for those under way.
 
-    A restart ends the waits of that relay.  Whose call it was is told by who the packet was handed to; packets
-    taken over by another relay will need the caller in the ledger.
+    A restart ends the waits of that relay.  Whose call it was is told by who the packet was handed to; once
+    relays take work over, the ledger needs the caller itself.
     """
     hosts = {call.call: call.host for call in ledger.of(Called)}
     relays = {row.id: row.relay for row in ledger.of(Offered)}
@@ -187,8 +187,7 @@
             key = hosts[row.call], relays.get(row.id, "")
             until[key] = max(until.get(key, (0, 0)), (row.at + row.wait, row.at + terms.wait_grace))
         elif isinstance(row, Struck) and row.kind in ("kill", "lose", "term"):
-            for key in [key for key in until if key[1] == row.who]:
-                del until[key]
+            until = {key: wait for key, wait in until.items() if key[1] != row.who}
         elif isinstance(row, Called):
             end, free = until.get((row.host, relays.get(row.id, "")), (0, 0))
             if free < row.at < end - MILLISECOND:
