--- a/tests/store/mutants.py
+++ b/tests/store/mutants.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from pathlib import Path
+from broken import broken_core
 
 import millweir.store.core as real
 
-SOURCE = Path(real.__file__).read_text()
 SHARED = ("Role", "Refused", "Rules", "Work", "Peer")
 
 # ruff: noqa: E501
@@ -75,8 +74,4 @@
 def broken(name):
     """The core's class with one line changed."""
     old, new, _ = MUTANTS[name]
-    assert SOURCE.count(old) == 1, f"{name}: stands {SOURCE.count(old)} times in the core"
-    space = {"__name__": real.__name__}
-    exec(compile(SOURCE.replace(old, new), name, "exec", dont_inherit=True), space)
-    space |= {shared: getattr(real, shared) for shared in SHARED}
-    return space["Core"]
+    return broken_core(real, name, old, new, SHARED)
