--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -19,7 +19,7 @@
 from millweir.lab.day import HOST, Day, Fault, timeline
 from millweir.lab.judge import Terms, Verdict, judge
 from millweir.lab.ledger import Ledger, Ready, Struck, steady
-from millweir.lab.processes import Address, Relay, TookTooLong, until
+from millweir.lab.processes import Address, Relay, TookTooLong
 from millweir.lab.standins import SETTINGS, Clients, Host, Platform
 from millweir.lab.views import Finding, Truth, Watched, findings
 from millweir.lab.wire import Faults, Wire
@@ -351,6 +351,3 @@
         known = min(grade["dedup-window-us"] for grade in SETTINGS["grades"] if "dedup-window-us" in grade)
         return Terms(named(semantics="side_effect"), named(semantics="token"),
                      named(**{"one-at-a-time": True}), known * 1000, rules["drain-grace-us"] * 1000)
-
-
-__all__ = ["Played", "Rig", "until"]
--- a/millweir/lab/fleet.py
+++ b/millweir/lab/fleet.py
@@ -42,7 +42,7 @@
 
     def ask_whole(self, to: Address) -> None:
         other = self.fleet.at.get(to)
-        if other and self.fleet.reach(self.name, other.name) and self.fleet.reach(other.name, self.name):
+        if other and not (self.fleet.cut(self.name, other.name) or self.fleet.cut(other.name, self.name)):
             self.counts["wholes"] += 1
             mine = self.core.whole(1)
             self.counts["bytes"] += len(encode(mine)) + 6 * 40
@@ -54,7 +54,7 @@
         self.fleet.later(after - self.early if after > self.early else after, self.woken, at)
 
     def changed(self, change: Change) -> None:
-        self.fleet.saw(self, change)
+        self.fleet.watch(self, change)
 
     def keep(self, incarnation: int) -> None:
         self.kept = incarnation
@@ -158,9 +158,6 @@
     def delay(self) -> int:
         return self.chance.randint(*self._delay)
 
-    def reach(self, start: str, end: str) -> bool:
-        return not self.cut(start, end)
-
     def carry(self, node: Node, to: Address, datagram: Datagram) -> None:
         other = self.at.get(to)
         if other is None or self.cut(node.name, other.name):
@@ -176,9 +173,6 @@
         self._number += 1
         heapq.heappush(self._heap, (self.now + max(after, 0), self._number, what, args))
 
-    def saw(self, node: Node, change: Change) -> None:
-        self.watch(node, change)
-
     def run(self, until: int) -> None:
         heap = self._heap
         while heap and heap[0][0] <= until:
--- a/millweir/lab/processes.py
+++ b/millweir/lab/processes.py
@@ -45,8 +45,6 @@
         self.stopped = self.killed = False
         self._read_to = 0
         self.events: list[dict] = []
-        self.starts = 0
-        self.ready_at: list[float] = []
         folder.mkdir(parents=True)
         (folder / "state").mkdir()
         self.operator = folder / "operator.toml"
@@ -75,7 +73,6 @@
                 [sys.executable, "-m", "millweir", "--operator", str(self.operator)],
                 env=env, stderr=log, stdout=log, stdin=subprocess.DEVNULL, cwd=ROOT)
         self.stopped = self.killed = False
-        self.starts += 1
         if held:
             self.stop()
 
@@ -87,7 +84,6 @@
             if self.process.poll() is not None or time.monotonic() > end:
                 raise TookTooLong(f"{self.name} is not ready: {self.tail()}")
             await asyncio.sleep(0.03)
-        self.ready_at.append(time.monotonic())
 
     async def _asked_ready(self) -> bool:
         try:
--- a/millweir/members/links.py
+++ b/millweir/members/links.py
@@ -156,9 +156,8 @@
                 self.counts["wholes_answered"] += 1
             finally:
                 self._serving -= 1
-        except (OSError, TimeoutError, EOFError) as fault:
+        except (OSError, TimeoutError, EOFError):
             self.counts["wholes_failed"] += 1
-            del fault
         except Refused as refused:
             self._no(refused.reason, peer)
         finally:
--- a/tests/members/cases.py
+++ b/tests/members/cases.py
@@ -5,8 +5,8 @@
 import random
 
 from millweir.lab.fleet import Fleet
-from millweir.members.core import MILLISECOND, SECOND, Core, Degree, Rules, Standing
-from millweir.members.messages import Claim, Datagram, Kind, Rank, Told, encode, read_datagram
+from millweir.members.core import MILLISECOND, SECOND, Degree, Rules, Standing
+from millweir.members.messages import Claim, Kind, Rank, Told, encode, read_datagram
 
 
 def fleet(make, size=5, seed=1, **given):
@@ -520,5 +520,3 @@
     "two-versions": two_versions, "gone-told-of-the-well": gone_told_of_one_who_is_well, "bounded": bounded,
     "helpers-well": helpers_say_that_they_are_well, "path-not-by-one-loss": one_loss_is_no_cut,
 }
-
-__all__ = ["CASES", "MILLISECOND", "Core", "Datagram"]
--- a/tests/members/test_seal.py
+++ b/tests/members/test_seal.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from millweir.members.core import SECOND, Core, Rules
+from millweir.members.core import Core, Rules
 from millweir.members.links import Bucket, Links
 from millweir.members.messages import Claim, Datagram, Kind, Rank, Whole, encode
 from millweir.members.seal import WINDOW, Refused, Seal
@@ -163,6 +163,3 @@
         assert wired.links.counts["wholes_answered"] == 1
 
     asyncio.run(run())
-
-
-__all__ = ["SECOND"]
--- a/tests/store/checks.py
+++ b/tests/store/checks.py
@@ -9,7 +9,7 @@
 import pytest
 
 from millweir.lab.register import Histories, Promises
-from millweir.store.core import SECOND, Core, Refused, Role, Rules
+from millweir.store.core import SECOND, Refused, Role, Rules
 from millweir.store.entries import Ask, Entry, Id, Kept, Kind, Snapshot, Voters, Word
 
 
@@ -277,5 +277,3 @@
     only_what_it_has, reads_need_a_round, reads_need_an_entry_of_the_term, voters_one_at_a_time,
     a_lost_folder_has_no_vote, a_leader_nobody_answers_steps_down, who_hears_a_leader_heeds_no_election,
     a_leader_hands_over, histories)}
-
-__all__ = ["CHECKS", "Core"]
