Lists: a silent watch is found out before what it misses counts as told

Cause, by reading and by real sockets: a watch asked for 20 s and was given up after 30 s (bounds: watch, silence), while its news counts as told 2 s after the wait; the first ask after a move waited as long, so a silent new address could not be told from one without news; a peer's close that crossed an ask was a failure with a random rest of seconds; a list that had begun when patience ran out was thrown away.

Change: the wait follows the number of relays (2 s to 20 s), patience is half a second more; an address that has not answered is asked for an answer at once, with one second twice, then four; only an answer that turns the relay away rests as the module says; an ask that a close crossed goes again at once; an answer that has begun gets a second more.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -27,20 +27,22 @@
 LATE, WEIGHED = 16, 32  # parts of the quoted time: turns may come so late; a load is weighed again so soon
 GATHER, SCARCE = 8, 10 * SECOND  # part of the quoted time for which short calls wait, so long after a cut
 SPREADS, YOUNG = 6, 5 * SECOND  # overdue past mean latency and so many deviations; first seconds tell little
-APIECE, APIECE_MOST, RESTS = SECOND // 10, 4 * SECOND, 2  # of discovery for each relay, for all; doublings
+APIECE, APIECE_MOST, RESTS, ASKS = SECOND // 10, 4 * SECOND, 2, 5  # of discovery for each; most; doublings
 
 
 def bounds(settings: Settings, limits: Limits) -> Bounds:
     """What the network code keeps to: links, journal, waits for discovery, the stop and the log."""
     half, memory, head, body = SECOND // 2, limits.memory // 8, 16 << 10, 64 << 10
-    return Bounds(link_life=settings.idle_close * 9 // 10,  # idle for longer, the other end may be closing it
+    watch = min(20 * SECOND, max(2 * SECOND, settings.relays * APIECE * ASKS))  # a fifth of discovery's time
+    return Bounds(link_life=settings.idle_close * 9 // 10, linger=half,  # idle longer, it may be closed there
                   host_links=limits.descriptors // 4, ids_known=memory >> 10, head_most=head, body_most=body,
                   client_links=min(limits.descriptors // 3, memory // (head + body)), request=4 * half,
                   doubtful=half, journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # two fit
-                  resend=SECOND, redial=SECOND // 20, watch=20 * SECOND, silence=30 * SECOND, linger=half,
-                  leave=33 * SECOND // 10, log_lines=200, orphans_again=False, answer_most=body,
-                  answer_time=half, hold=2 * MILLISECOND, list_most=min(16 << 20, memory), notices=500,
-                  lag_kept=half // 2, turn_reads=64, turn_calls=16)
+                  resend=SECOND, redial=SECOND // 20, watch=watch, silence=watch + half, lag_kept=half // 2,
+                  proofs=(SECOND, SECOND, 4 * SECOND), opening=5 * SECOND // 4, leave=33 * SECOND // 10,
+                  parting=SECOND // 5, log_lines=200, notices=500, answer_most=body, answer_time=half,
+                  hold=SECOND // 500, list_most=min(16 << 20, memory), turn_reads=64, turn_calls=16,
+                  orphans_again=False)
 
 
 class Relay(Books):
@@ -81,16 +83,14 @@
         """News of the list: changes, or the whole of it, in which case what is not in it is gone."""
         self._now = now
         if change is Change.FAILED:
-            # Guards against being deemed told of drains never heard of: a failed watch is renewed.
-            self._failed_asks += 1
+            self._failed_asks += 1  # guards against drains deemed told, never heard of: the watch is renewed
             self._enter(now + min(self._ask_every, SECOND << min(self._failed_asks, 8) >> 2), None)
             return
         self._failed_asks *= change is Change.CACHED
         gone = ({entry.host for entry in entries if entry.phase is Phase.GONE} if change is Change.DELTA
                 else self._hosts.keys() - {entry.host for entry in entries})
         for ident, host in list(self._hosts.items()):
-            # Kept for a while, lest a list that flaps lose its told wait or its doubt.
-            listed = host in host.destination.hosts
+            listed = host in host.destination.hosts  # kept, lest a list that flaps lose its wait or its doubt
             if ident in gone and listed:
                 host.left_at, self._stirred[host.destination] = host.left_at or now, None
                 del host.destination.hosts[host]
@@ -517,8 +517,7 @@
             what = heappop(self._agenda)[2]
             if what is None:
                 self._port.watch()
-            elif isinstance(what, Packet):
-                # Its time is up, or it is held and its repeat is no longer known.
+            elif isinstance(what, Packet):  # its time is up, or held, and its repeat is no longer known
                 if not what.ended and (what.held or self._now >= what.hard_stop - self._margin):
                     self._finish(what)
             elif isinstance(what, Destination):
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -199,8 +199,11 @@
     redial: int
     watch: int
     silence: int
+    proofs: tuple[int, ...]
+    opening: int
     linger: int
     leave: int
+    parting: int
     log_lines: int
     head_most: int
     body_most: int
--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -58,32 +58,42 @@
 
 
 class Feed:
-    """One address of discovery, asked again as soon as it has answered."""
+    """One address of discovery, asked again as soon as it has answered.
+
+    It is proven from an answer on until it fails.  A proven one is asked to wait for news; one that is not is
+    asked for an answer at once, with little patience: a silent connection can't be told from a list without
+    news, and what it misses counts as told two seconds after the wait (docs/design/crossings.md).
+    """
 
     __slots__ = ("_exchange", "_failures", "_loop", "_watch", "closed", "proven")
 
     def __init__(self, watch: Watch, loop: asyncio.AbstractEventLoop, address: tuple[str, int], most: int,
                  log: Log, counters: Counters) -> None:
         self._watch, self._loop = watch, loop
-        self._exchange = Exchange(loop, address, "discovery", most, self._took, log, counters)
+        more = watch.bounds.resend
+        self._exchange = Exchange(loop, address, "discovery", most, more, self._took, log, counters)
         self.proven = self.closed = False
         self._failures = 0
 
     def ask(self) -> None:
         if not self.closed:
-            query = self._watch.query(self.proven)
+            query, bounds = self._watch.query(self.proven), self._watch.bounds
             head = b"GET /v1/endpoints%b HTTP/1.1\r\nHost: %b\r\n\r\n" % (query, self._exchange.host)
-            self._exchange.ask([head], self._watch.bounds.silence)
+            proof = bounds.proofs[min(self._failures, len(bounds.proofs) - 1)]
+            self._exchange.ask([head], bounds.silence if self.proven else proof)
 
     def _took(self, reader: AnswerReader | None) -> None:
-        if self.closed:
-            return
         if self._watch.heard(self, reader):
             self._failures = 0
             self.ask()
         else:
-            self._failures += 1
-            self._loop.call_later(self._watch.rest(self._failures) / 1e9, self.ask)
+            self.proven, self._failures = False, self._failures + 1
+            # Turned away, it rests as the module says, for discovery's sake; else it goes on soon: what the
+            # agent learns meanwhile binds at once.
+            bounds, turned_away = self._watch.bounds, reader is not None and reader.status != 200
+            soon = min(bounds.redial << min(self._failures - 1, 8), bounds.resend)
+            rest = self._watch.rest(self._failures) if turned_away else soon
+            self._loop.call_later(rest / 1e9, self.ask)
 
     def close(self) -> None:
         self.closed = True
@@ -100,11 +110,10 @@
         self._loop, self._settings, self.bounds, self.rest = loop, settings, bounds, rest
         self._index, self._told, self._log, self._counters = index, told, log, counters
         self._feeds: list[Feed] = []  # the one in use first, then the one that is to take its place
-        # Guards discovery against a whole fleet that starts at once: the list at hand bears a moment.
-        self.move(address, rest(0) if index >= 0 else 0)
+        self.move(address)
 
-    def move(self, address: tuple[str, int], after: int = 0) -> None:
-        """Ask there from now on, for the first time `after` so many nanoseconds.
+    def move(self, address: tuple[str, int]) -> None:
+        """Ask there from now on.
 
         Guards against a gap in what is told: the address in use is asked on until the new one answers.
         """
@@ -113,11 +122,11 @@
         del self._feeds[1:]
         self._feeds.append(
             Feed(self, self._loop, address, self.bounds.list_most, self._log, self._counters))
-        self._loop.call_later(after / 1e9, self._feeds[-1].ask)
+        self._loop.call_soon(self._feeds[-1].ask)
 
     def query(self, proven: bool) -> bytes:
         """What to ask for; a version of none asks for the whole list, a first answer is wanted at once."""
-        wait = self.bounds.watch // MILLISECOND if proven or len(self._feeds) < 2 else 1
+        wait = self.bounds.watch // MILLISECOND if proven else 1
         return b"?since=%d&timeout_ms=%d" % (self._index, wait) if self._index >= 0 else b""
 
     def heard(self, feed: Feed, reader: AnswerReader | None) -> bool:
@@ -135,8 +144,7 @@
             self._feeds.pop(0).close()
         self._index = news.index
         self._counters.add("lists_told")
-        if news.whole or news.entries:
-            self._told(Change.FULL if news.whole else Change.DELTA, news)
+        self._told(Change.FULL if news.whole else Change.DELTA, news)  # also that there is no news
         return True
 
     def close(self) -> None:
--- a/millweir/net/exchange.py
+++ b/millweir/net/exchange.py
@@ -12,26 +12,38 @@
 
 
 class Exchange:
-    """Asks, and tells what came: the reader of a whole answer, or None where there was none in time."""
+    """Asks, and tells what came: the reader of a whole answer, or None where there was none in time.
+
+    At most one request is out.  It ends once: by its answer, by its patience, by a link that can't be had, or
+    by `close`; after that whatever still happens on its link or its timer is nobody's.
+    """
+
+    __slots__ = ("_address", "_begun", "_counters", "_link", "_log", "_loop", "_more",
+                 "_most", "_name", "_pieces", "_task", "_timer", "_took", "host")
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], name: str, most: int,
-                 took: Callable[[AnswerReader | None], None], log: Log, counters: Counters) -> None:
+                 more: int, took: Callable[[AnswerReader | None], None], log: Log,
+                 counters: Counters) -> None:
+        """`more`: nanoseconds that an answer has to end in which had begun when its patience was over."""
         self._loop, self._address, self._name, self._most = loop, address, name, most
-        self._took, self._log, self._counters = took, log, counters
+        self._more, self._took, self._log, self._counters = more, took, log, counters
         self.host = f"{address[0]}:{address[1]}".encode()  # for the heads of requests
         self._link: Link | None = None
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._begun = False  # its patience is over, its answer had begun
+        self._pieces: list[bytes] = []
 
     def ask(self, pieces: list[bytes], patience: int) -> None:
         """Write one request; the patience, in nanoseconds, covers the way there as well."""
-        self._timer = self._loop.call_later(patience / 1e9, self._give_up)
+        self._begun, self._pieces = False, pieces
+        self._wait(patience)
         if self._link and self._link.open:
             self._link.ask(self, pieces)
         else:
-            self._task = self._loop.create_task(self._dial(pieces))
+            self._task = self._loop.create_task(self._dial())
 
-    async def _dial(self, pieces: list[bytes]) -> None:
+    async def _dial(self) -> None:
         link = Link(self._loop, self._name, self._most, 0, self._log, self._counters)
         try:
             await self._loop.create_connection(lambda: link, *self._address)
@@ -41,19 +53,31 @@
             return
         self._link = link
         if link.open:
-            link.ask(self, pieces)
+            link.ask(self, self._pieces)
         else:
             self._tell(None)
 
+    def _wait(self, patience: int) -> None:
+        self._timer = self._loop.call_later(patience / 1e9, self._give_up)
+
+    def _give_up(self) -> None:
+        if self._link and self._link.reader.begun and not self._begun:
+            self._begun = True  # guards long lists that come at the end of a wait
+            self._wait(self._more)
+            return
+        self._drop("silent")
+        self._tell(None)
+
     def answered(self, link: Link) -> None:
         self._tell(link.reader)
 
     def lost(self, link: Link) -> None:
-        self._tell(None)
-
-    def _give_up(self) -> None:
-        self.close("silent")
-        self._tell(None)
+        if link.asked > 1 and not link.reader.begun:
+            # Guards against gaps: the peer's close of a link at rest crossed this request, which goes anew.
+            self._link = None
+            self._task = self._loop.create_task(self._dial())
+        else:
+            self._tell(None)
 
     def _tell(self, reader: AnswerReader | None) -> None:
         self._stop_timer()
@@ -64,11 +88,14 @@
             self._timer.cancel()
             self._timer = None
 
-    def close(self, reason: str = "exit") -> None:
-        """Forget what was asked."""
-        self._stop_timer()
+    def _drop(self, reason: str) -> None:
         if self._task and not self._task.done():
             self._task.cancel()
         if self._link:
             self._link.close(reason)
             self._link = None
+
+    def close(self, reason: str = "exit") -> None:
+        """Forget what was asked."""
+        self._stop_timer()
+        self._drop(reason)
--- a/millweir/net/notices.py
+++ b/millweir/net/notices.py
@@ -35,8 +35,8 @@
             self._change_over()
 
     def _to(self, address: tuple[str, int]) -> Exchange:
-        most = self._bounds.answer_most
-        return Exchange(self._loop, address, "notices", most, self._took, self._log, self._counters)
+        most, more = self._bounds.answer_most, self._bounds.resend
+        return Exchange(self._loop, address, "notices", most, more, self._took, self._log, self._counters)
 
     def _change_over(self) -> None:
         if self._next:
