A start: hosts of an earlier life's list wait for discovery's first word; the folder is read with care

Operators: "requests went to servers that had been announced as leaving". Cause besides the silent watch, by reading: the first ask was put off by rest(0), up to 4 s from 40 relays on, and calls went out by the list in the configuration meanwhile, restored packets first; a drain told by the first answer had a grace from then on, though it counts from the process's first moment.

The hosts of the list at hand are told as leaving until it has answered, 1.25 s at most: packets are taken on and wait. What the first answer says began in an earlier life. Turned away (an overbooked discovery), a relay asks with the patience of a watch. Restored packets of a profile listed no more are tried, as single-use (they were given up with no call). A hand-over cut by a kill, a full disk or a lack of descriptors neither doubles nor drops a packet; unreadable cordons and waits, and waits no host can have told, are a line in the log; cordons hold for hosts listed later.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -41,8 +41,7 @@
                   resend=SECOND, redial=SECOND // 20, watch=watch, silence=watch + half, lag_kept=half // 2,
                   proofs=(SECOND, SECOND, 4 * SECOND), opening=5 * SECOND // 4, leave=33 * SECOND // 10,
                   parting=SECOND // 5, log_lines=200, notices=500, answer_most=body, answer_time=half,
-                  hold=SECOND // 500, list_most=min(16 << 20, memory), turn_reads=64, turn_calls=16,
-                  orphans_again=False)
+                  hold=SECOND // 500, list_most=min(16 << 20, memory), turn_reads=64, turn_calls=16)
 
 
 class Relay(Books):
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -215,7 +215,6 @@
     lag_kept: int
     turn_reads: int
     turn_calls: int
-    orphans_again: bool
 
 
 class Port(Protocol):
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -12,18 +12,20 @@
 from typing import Any
 
 from millweir.facade import Facade, Part
-from millweir.interface import Change, Outcome
+from millweir.interface import Change, Outcome, Phase
 from millweir.net import clock
 from millweir.net.clients import ClientDoor, ClientLink
 from millweir.net.config import Config
 from millweir.net.counters import Counters
 from millweir.net.discovery import Garbled, News, Watch, read_list
-from millweir.net.heads import Request, read_number
+from millweir.net.heads import WAIT_MOST, Request, read_number
 from millweir.net.hosts import Hosts
 from millweir.net.journal import SLOTS, Journal, Parcel, named
 from millweir.net.lag import Lag
 from millweir.net.log import Log
 from millweir.net.notices import Notices
+from millweir.net.times import Unreadable, read_times
+from millweir.settings import unlisted_profile
 
 REPLIES_MOST = 256  # profiles counted, lest names that clients make up grow the table without end
 WAITS_READ = 0.05  # seconds between looks at the waits of a process beside this one
@@ -40,7 +42,8 @@
         self._profiles = {profile.name.encode(): at for at, profile in enumerate(settings.profiles)}
         self._known = list(settings.profiles)  # each profile the module knows, by its number
         self._tenants = {tenant.name.encode(): at for at, tenant in enumerate(settings.tenants)}
-        self._reports = settings.reports
+        self._settings, self._reports = settings, settings.reports
+        self._unlisted: int | None = None  # number of the profile that stands in for those listed no more
         self._discovery = config.discovery
         self._owed: dict[bytes, Parcel] = {}
         self._ended: dict[bytes, int] = {}  # ids no longer owed, the one that ended first at the front
@@ -60,25 +63,38 @@
         self._hosts = Hosts(loop, bounds, settings.connect_timeout, journal, facade.still,
                             self._report, log, counters)
         self._notices = Notices(loop, config.discovery, bounds, self._over, log, counters)
-        index = self._read_known(config)
+        self._known_list = self._read_known(config)  # None once calls may go out
+        if self._known_list:
+            leaving = [replace(entry, phase=Phase.DRAINING) for entry in self._known_list.entries]
+            self._list(Change.CACHED, replace(self._known_list, entries=tuple(leaving)))
+            loop.call_later(bounds.opening / 1e9, clock.once_read, loop, self._open)
         self._read_cordons()
         for parcel in list(journal.owed.values()):
             self._restore(parcel)
         self._adopt_later()
         self._read_waits(first=True)
+        index = self._known_list.index if self._known_list else -1
         self._watch = Watch(loop, config.discovery, settings, bounds, index, self._told,
                             facade.rest, log, counters)
         self.wake()
 
-    def _read_known(self, config: Config) -> int:
-        """Start from the list of an earlier life; returns its version, -1 where the whole list is needed."""
+    def _read_known(self, config: Config) -> News | None:
+        """The list of an earlier life, None where it can't be used and the whole list is needed."""
         try:
-            known = read_list(config.known, config.settings)
+            return read_list(config.known, config.settings)
         except Garbled as fault:
             self._log.say(f"known-list-unusable {str(fault)[:200]}")
-            return -1
-        self._told(Change.CACHED, known)
-        return known.index
+            return None
+
+    def _open(self) -> None:
+        """Discovery was silent for so long: calls go out by the list of an earlier life.
+
+        Guards rule 3 at a start: what the agent has counts as told from the first moment of the process.
+        Till now the hosts of that list were told as leaving: packets, restored ones too, are taken and wait.
+        """
+        known, self._known_list = self._known_list, None
+        if known:
+            self._list(Change.CACHED, known)
 
     def _read_waits(self, first: bool = False) -> None:
         """Waits told to a process beside this one, or before it in this slot, bind here too (rule 6).
@@ -93,14 +109,15 @@
                 if slot == self._journal.slot and not first or seen == self._waits_seen.get(slot):
                     continue
                 self._waits_seen[slot] = seen
-                for host, until in json.loads(path.read_bytes()).items():
-                    if int(until) > max(wall, self._waits.get(str(host), 0)):
-                        self._waits[str(host)], grown = int(until), True
-                        self._facade.wait_told(now, str(host).encode(), clock.from_wall(int(until)))
+                for host, until in read_times(path).items():
+                    # One that ends beyond any wait that can be told is no wait of this deployment's.
+                    if max(wall, self._waits.get(host, 0)) < until <= wall + WAIT_MOST:
+                        self._waits[host], grown = until, True
+                        self._facade.wait_told(now, host.encode(), clock.from_wall(until))
             except FileNotFoundError:
                 continue
-            except (OSError, ValueError, AttributeError, TypeError) as fault:
-                self._log.say(f"waits-unreadable slot={slot} {fault}")
+            except (OSError, Unreadable) as fault:
+                self._log.say(f"waits-unreadable slot={slot} {str(fault)[:200]}")
         if grown:
             self._write_waits(wall)
             clock.once_read(self._loop, self.wake)  # after a stall, what came meanwhile is read first
@@ -159,17 +176,22 @@
             if again and seen == self._cordons_seen:
                 return
             self._cordons_seen = seen
-            told = {str(k): int(v) for k, v in json.loads(self._cordons_file.read_bytes()).items()}
+            told = read_times(self._cordons_file)
         except FileNotFoundError:
             return
-        except (OSError, ValueError, AttributeError) as fault:
-            self._log.must(f"cordons-unreadable {fault}")
+        except (OSError, Unreadable) as fault:
+            self._log.must(f"cordons-unreadable {str(fault)[:200]}")
             return
         for host in self._cordons.keys() - told.keys():  # let back by the process beside this one
             self._facade.cordon(clock.steady(), host.encode(), False)
-        for host, since in told.items():
-            self._facade.cordon(clock.steady(), host.encode(), True, clock.from_wall(since))
         self._cordons = told
+        self._bind_cordons()
+        self.wake()
+
+    def _bind_cordons(self) -> None:
+        """Also at news of the list: hosts not listed yet when their cordon was read are out from now on."""
+        for host, since in self._cordons.items():
+            self._facade.cordon(clock.steady(), host.encode(), True, clock.from_wall(since))
 
     def _count(self, profile: bytes, which: int) -> None:
         counts = self._replies.get(profile)
@@ -227,10 +249,25 @@
         self.clients.closing = self._leaving
 
     def _told(self, change: Change, news: News) -> None:
+        """News from discovery; a drain that the first of it tells of began in an earlier life."""
+        known, self._known_list = self._known_list, None
+        if known and change is Change.DELTA:
+            entries = {entry.host: entry for entry in (*known.entries, *news.entries)}
+            addresses = known.addresses | news.addresses
+            for name in news.gone:
+                del entries[name.encode()]
+                addresses.pop(name, None)
+            news = replace(news, entries=tuple(entries.values()), addresses=addresses)
+        if known or not self._listed:
+            change = Change.CACHED
+        self._list(change, news)
+
+    def _list(self, change: Change, news: News) -> None:
         self._listed = True
         gone = news.gone if change is Change.DELTA else self._hosts.all_but(news.addresses)
         self._hosts.listed(news.addresses, gone)
         self._facade.told(clock.steady(), change, news.entries)
+        self._bind_cordons()
         self._bind_waits()
         self.wake()
 
@@ -240,15 +277,18 @@
         self._counters.add("packets_restored")
         if parcel.given_up:
             self._notices.add(parcel)
-        elif parcel.profile not in self._profiles:
-            self._give_up(parcel, self._bounds.orphans_again, 0)  # its profile is listed no more
-        else:
-            self._hand_in(parcel)
+            return
+        if parcel.profile not in self._profiles and self._unlisted is None:
+            # Guards what an earlier settings file took on: it is still tried, as what may run only once.
+            self._unlisted = self._facade.settings_told(
+                replace(self._settings, profiles=(unlisted_profile(self._settings),)))
+            self._known.append(unlisted_profile(self._settings))
+        self._hand_in(parcel)
 
     def _hand_in(self, parcel: Parcel) -> None:
         tenant = self._tenants.get(parcel.account, len(self._tenants))
         self._facade.take(
-            clock.steady(), parcel, self._profiles[parcel.profile], tenant,
+            clock.steady(), parcel, self._profiles.get(parcel.profile, self._unlisted), tenant,
             int.from_bytes(parcel.key), clock.from_wall(parcel.hard_stop), parcel.destination,
             tuple((clock.from_wall(at), bool(void)) for at, void in parcel.trips))
 
--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -60,9 +60,10 @@
 class Feed:
     """One address of discovery, asked again as soon as it has answered.
 
-    It is proven from an answer on until it fails.  A proven one is asked to wait for news; one that is not is
-    asked for an answer at once, with little patience: a silent connection can't be told from a list without
-    news, and what it misses counts as told two seconds after the wait (docs/design/crossings.md).
+    It is proven from an answer on, if only one that turns the relay away, until it fails to answer.  A proven
+    one is asked to wait for news; one that is not is asked for an answer at once, with little patience: a
+    silent connection can't be told from a list without news, and what it misses counts as told two seconds
+    after the wait (docs/design/crossings.md).
     """
 
     __slots__ = ("_exchange", "_failures", "_loop", "_watch", "closed", "proven")
@@ -87,12 +88,12 @@
             self._failures = 0
             self.ask()
         else:
-            self.proven, self._failures = False, self._failures + 1
-            # Turned away, it rests as the module says, for discovery's sake; else it goes on soon: what the
-            # agent learns meanwhile binds at once.
-            bounds, turned_away = self._watch.bounds, reader is not None and reader.status != 200
+            # Turned away, it rests as the module says, then asks with patience: discovery has too much to do.
+            # Else it goes on soon: what the agent learns meanwhile binds at once.
+            bounds, self._failures = self._watch.bounds, self._failures + 1
+            self.proven = reader is not None and reader.status != 200
             soon = min(bounds.redial << min(self._failures - 1, 8), bounds.resend)
-            rest = self._watch.rest(self._failures) if turned_away else soon
+            rest = self._watch.rest(self._failures) if self.proven else soon
             self._loop.call_later(rest / 1e9, self.ask)
 
     def close(self) -> None:
--- a/millweir/net/heads.py
+++ b/millweir/net/heads.py
@@ -12,6 +12,7 @@
 ID_MOST = 128
 ONCE = {b"x-correlation-id", b"x-service-class", b"x-time-left", b"x-addressing", b"content-length",
         b"transfer-encoding"}  # what two of could be read in two ways
+WAIT_MOST = 86_400 * 10**9  # nanoseconds for which anybody may be told to wait
 UNITS = {b"m": MILLISECOND, b"u": MILLISECOND // 1000}
 
 
@@ -44,7 +45,7 @@
         seconds = float(text)
     except ValueError:
         return 0
-    return int(seconds * 1e9) if 0 < seconds < 86400 else 0
+    return int(seconds * 1e9) if 0 < seconds < WAIT_MOST / 1e9 else 0
 
 
 def answer(status: int, keep: bool, body: bytes = b"", wait: int = 0) -> list[bytes]:
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import fcntl
 import os
 import struct
@@ -117,17 +116,37 @@
                 continue
             mine, last, torn = self.owed, self._last, self.torn
             self.owed = {}
-            with contextlib.suppress(OSError):  # unreadable: nothing of it can be owed
+            try:
                 self._read(path.read_bytes())
-            theirs, self.owed, self._last, self.torn = self.owed, mine, last, torn
-            for parcel in theirs.values():
-                self.taken(parcel)
-                found.append(parcel)
-            path.unlink(missing_ok=True)
+                theirs, self.owed = self.owed, mine
+                self._last, self.torn, self._live = last, torn, sum(p.size for p in mine.values())
+                self._take_over(path, theirs, found)
+            except OSError as fault:  # out of descriptors or disk: it stays as it is, and is tried again
+                self.owed, self._last, self.torn = mine, last, torn
+                self._live = sum(parcel.size for parcel in mine.values())
+                self._say(f"journal-failed adopt slot={slot} {fault}")
             os.close(self._locks.pop(slot))
-        self._live = sum(parcel.size for parcel in self.owed.values())
         return found
 
+    def _take_over(self, path: Path, theirs: dict[int, Parcel], found: list[Parcel]) -> None:
+        """Each is written here before it goes there; OSError where this disk takes no more.
+
+        Guards rule 2 where a kill falls between the two: what is here already is not taken on once more.
+        """
+        known = {parcel.id for parcel in self.owed.values()}
+        numbers = list(theirs)  # as that file has them; taken on, they get others
+        try:
+            for parcel in theirs.values():
+                if parcel.id not in known:
+                    self.taken(parcel)
+                    found.append(parcel)
+        except OSError:
+            gone = [number for number in numbers if theirs[number] in found or theirs[number].id in known]
+            with open(path, "ab") as file:  # the rest of them stays there
+                file.write(framed([OVER.pack(OVER_KIND, number) for number in gone]))
+            raise
+        path.unlink(missing_ok=True)
+
     def close(self) -> None:
         """As at the end of the process: its file and its slot are let go."""
         if self._file >= 0:
--- a/tests/net/test_watch.py
+++ b/tests/net/test_watch.py
@@ -101,15 +101,20 @@
     played(steps)
 
 
-def test_discovery_that_turns_asks_away_is_asked_after_the_rests_that_the_module_gives():
+def test_discovery_that_turns_asks_away_is_asked_after_the_rests_that_the_module_gives_and_with_patience():
     async def steps(agent):
         watched = Watched(agent, rests=(0, 300))
         (await agent.asked()).tell(b"", status=503)
         (await agent.asked()).tell(b"", status=503)
         turned_away = time.monotonic()
-        (await agent.asked()).tell(listed(7))
+        overbooked = await agent.asked()
         assert time.monotonic() - turned_away >= 0.29 and watched.failures == [1, 2]
+        assert overbooked.waits == 200  # one call for the news at hand and those to come
+        await asyncio.sleep(0.2)  # longer than an address is given that has never answered
+        assert agent.asks.empty()
+        overbooked.tell(listed(8, row("h1")))
         await agent.asked()
+        assert watched.names == [(8, ["h1"])]
         watched.watch.close()
     played(steps)
 
