Client connections end in one way: answered, half closed, drained for a bounded while

Cause, by reading: `transport.close()` after told-close, leaving, quiesced, idle, too-many and slow-request resets over unread bytes and may take an answer with it; only malformed requests lingered. At the stop, eight rounds of the loop answered at most 512 of what was read, and nothing waited for clients to close; idle connections were ended before what lay in their sockets was read; a connection just come up was closed with no answer; a link to a host that came up after the end was begun could be written to.

Change: `ClientLink.end` is the one way, used everywhere: no more is written or taken, what still comes is thrown away until the other end closes, or half a second, 64 KiB or a newer connection's claim on descriptors is over. `ClientDoor.finish`: the process ends when every connection is closed by its client, after 0.2 s at most (3.5 s in all). Idle ones end once the sockets have been read; who has just come is heard first. More than 256 requests unanswered on one connection are a flood and none of it is taken. Dials are cancelled at the exit.

--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -80,8 +80,7 @@
     gc.set_threshold(*gc.get_threshold()[:2], 1000)
     await desk.stopped
     server.close()
-    for _ in range(8):  # rounds of the loop in which what was read up to now gets its answer
-        await asyncio.sleep(0)
+    await desk.clients.finish(bounds.parting)
     desk.close()
     await asyncio.sleep(0)
     if operator:
--- a/millweir/net/clients.py
+++ b/millweir/net/clients.py
@@ -12,9 +12,16 @@
 from millweir.net.heads import Request, RequestReader, answer
 from millweir.net.log import Log
 
+PENDING_TURNS = 4  # turns in which what one connection has sent can be answered, else it is a flood
+
 
 class ClientLink(asyncio.Protocol):
-    """One client's connection."""
+    """One client's connection: open, then ending, then closed.
+
+    However it ends, nothing more is written, what still comes is thrown away until the other end closes too,
+    and only then, or after a bounded while, is it closed: a close over unread bytes would reset it and take
+    an answer with it that is still on its way.
+    """
 
     __slots__ = ("_door", "_reader", "_transport", "_unread", "asked", "begun", "open", "peer", "pending",
                  "reason")
@@ -42,7 +49,7 @@
         if self.reason:
             self._unread += len(data)
             if self._unread > self._door.bounds.body_most:
-                self._transport.abort()
+                self.abort()
             return
         was_busy = self._reader.busy
         if not self._reader.feed(data):
@@ -55,13 +62,17 @@
             self.asked += 1
             self._door.read(self, request)
         self._reader.requests.clear()
+        if self.pending > PENDING_TURNS * self._door.bounds.turn_reads:
+            self.end("flood")  # guards the table of what has arrived: none of it is taken on
+            self.abort()
 
     def eof_received(self) -> bool:
         self.reason = self.reason or "client-closed"
         return False
 
     def pause_writing(self) -> None:
-        self.end("client-stuck", abort=True)
+        self.end("client-stuck")
+        self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.open = False
@@ -72,6 +83,10 @@
     def idle(self) -> bool:
         return not self.pending and not self._reader.busy
 
+    def fresh(self, since: int) -> bool:
+        """It came up after that and has asked nothing yet: its request may be on its way."""
+        return not self.asked and self.begun > since
+
     def stalls(self, since: int) -> bool:
         """Since then nothing was ever asked, or a request is there in part, or its end has begun."""
         awaited = not self.asked or self._reader.busy or bool(self.reason)
@@ -80,7 +95,7 @@
     def time_out(self) -> None:
         """No whole request came in time, or the other end does not close."""
         if self.reason:
-            self._transport.abort()
+            self.abort()
         elif self._reader.busy:
             self._transport.writelines(answer(408, False))
             self.end("slow-request")
@@ -96,22 +111,23 @@
         keep = keep and request.keep and not self._door.closing  # a drain: each link ends after its answer
         self._transport.writelines(answer(status, keep, body, wait))
         if not keep:
-            self.end("bad-request" if request.fault else "told-close", linger=bool(request.fault))
+            self.end("bad-request" if request.fault else "told-close")
         elif self.idle:
             self._door.rested(self)
 
-    def end(self, reason: str, abort: bool = False, linger: bool = False) -> None:
-        """`linger`: what is still coming is thrown away for a moment, lest it take the answer with it."""
+    def end(self, reason: str) -> None:
+        """The one way to end it from here; `time_out` closes it where the other end does not."""
         if not self.open or self.reason:
             return
         self.reason, self.begun = reason, clock.steady()
-        if abort:
+        self._transport.write_eof()
+        self._transport.resume_reading()
+
+    def abort(self) -> None:
+        """End it at once, whatever is still on its way; its loss is told a turn later."""
+        if self.open:
+            self.open = False
             self._transport.abort()
-        elif linger:
-            self._transport.write_eof()
-            self._transport.resume_reading()
-        else:
-            self._transport.close()
 
 
 class ClientDoor:
@@ -125,6 +141,7 @@
         self._fresh: deque[tuple[ClientLink, Request]] = deque()
         self._loop = loop
         self.closing = False  # drained: links are closed once idle
+        self._finished: asyncio.Future[None] | None = None  # done when no link is left at the end
         self.arrived: deque[tuple[ClientLink, Request]] = deque()
         self._sweep()
 
@@ -132,19 +149,25 @@
         """Guards the door against those who connect and never ask, or never finish asking, or never close."""
         now = clock.steady()
         for link in list(self._links):
-            fresh = not link.asked and link.begun > now - 2 * self.bounds.doubtful  # its request may come
-            if self.closing and link.idle and not link.reason and not fresh:
+            if self.closing and link.idle and not link.reason and not link.fresh(self._awaited(now)):
                 link.end("quiesced")
             elif link.stalls(now - (self.bounds.doubtful if link.reason else self.bounds.request)):
                 link.time_out()
         self._loop.call_later(self.bounds.doubtful / 2e9, self._sweep)
 
+    def _awaited(self, now: int) -> int:
+        """Who came up after this may have a request on its way."""
+        return now - 2 * self.bounds.doubtful
+
     def opened(self, link: ClientLink) -> None:
         self._links[link] = None
         self._counters.add("clients_opened")
         if len(self._links) > self._most:
             spare = self._spare(link)
             spare.time_out() if spare.reason else spare.end("too-many")
+        if len(self._links) > self._most + self._most // 4:  # guards descriptors against ends that wait
+            ending = next((other for other in self._links if other.reason and other.open), link)
+            ending.abort()
 
     def _spare(self, newest: ClientLink) -> ClientLink:
         """Whom to close: who keeps the door busy with nothing, else who is idle longest, else who is slow."""
@@ -173,9 +196,25 @@
 
     def closed(self, link: ClientLink, reason: str) -> None:
         self._links.pop(link, None)
+        if self._finished and not self._links and not self._finished.done():
+            self._finished.set_result(None)
         self._log.say(f"client-end peer={link.peer} reason={reason} requests={link.asked}")
 
     def close_idle(self, reason: str) -> None:
+        """Once what is in the sockets by now has been read: who has asked already gets an answer."""
+        clock.once_read(self._loop, self._close_idle, reason)
+
+    def _close_idle(self, reason: str) -> None:
+        """Guards who has just come: a new connection that is closed with no answer counts as refused."""
+        awaited = self._awaited(clock.steady())
         for link in list(self._links):
-            if link.idle:
+            if link.idle and not link.fresh(awaited):
                 link.end(reason)
+
+    async def finish(self, span: int) -> None:
+        """The process ends: what was read is answered, every link ended and closed by its client, or `span`
+        nanoseconds are over."""
+        self.closing, self._finished = True, self._loop.create_future()
+        self.close_idle("exit")
+        if self._links:
+            await asyncio.wait([self._finished], timeout=span / 1e9)
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -479,7 +479,6 @@
 
     def close(self) -> None:
         """The end of this process; calls still out are in the journal."""
-        self.clients.close_idle("exit")
         self._watch.close()
         self._notices.close()
         self._hosts.close()
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -303,6 +303,8 @@
 
     def close(self) -> None:
         """At exit: calls still out end here; the journal knows of them."""
+        for task in self._dialling:
+            task.cancel()  # lest a link that comes up now be written to
         for call in list(self._calls.values()):
             if call.timer:
                 call.timer.cancel()
--- /dev/null
+++ b/tests/net/inside.py
@@ -0,0 +1,208 @@
+"""The relay in the test's own loop, on real sockets: what crosses is put there before the loop turns."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import json
+import os
+import socket
+import time
+from dataclasses import replace
+
+import uvloop
+from rig import CONFIG
+
+from millweir import __main__ as main
+from millweir.net.config import read_config
+from millweir.net.journal import Journal
+
+SOON = 5.0  # seconds: a bound on what must come
+
+
+def request(ident, profile="again", left="16000m", dest=0, body=b"hello", **fields):
+    """What a client writes to hand a packet in."""
+    head = {"X-Correlation-Id": ident, "X-Service-Class": profile, "X-Time-Left": left,
+            "X-Addressing": f"dest={dest}", "Content-Length": len(body)} | fields
+    lines = "".join(f"{name}: {value}\r\n" for name, value in head.items())
+    return f"POST /api HTTP/1.1\r\n{lines}\r\n".encode() + body
+
+
+class Client:
+    """A raw connection to the relay."""
+
+    def __init__(self, port):
+        self.loop = asyncio.get_running_loop()
+        self.link = socket.create_connection(("127.0.0.1", port))
+        self.link.setblocking(False)
+        self.read, self.ended, self.reset = b"", False, False
+
+    def send(self, raw):
+        """All of it into the socket, while the relay's loop stands still; a reset is noted."""
+        try:
+            while raw:
+                raw = raw[self.link.send(raw):]
+        except BlockingIOError:
+            raise AssertionError("more than the sockets hold") from None
+        except OSError:
+            self.reset = True
+
+    async def hear(self, within=SOON):
+        """Read on; False where nothing came in that time."""
+        try:
+            more = await asyncio.wait_for(self.loop.sock_recv(self.link, 1 << 16), within)
+        except TimeoutError:
+            return False
+        except OSError:
+            self.reset, more = True, b""
+        self.read, self.ended = self.read + more, self.ended or not more
+        return True
+
+    async def end(self, within=SOON):
+        """Read to the end of the connection, as the relay gives it."""
+        until = time.monotonic() + within
+        while not self.ended:
+            assert await self.hear(max(0.01, until - time.monotonic())), f"still open, read {self.read!r}"
+        return self
+
+    async def statuses(self, count):
+        """The status of each whole answer; reads until there are so many, or the end."""
+        while len(self.answers) < count and not self.ended:
+            assert await self.hear(), f"{self.answers} after {SOON} s"
+        return self.answers
+
+    @property
+    def answers(self):
+        found, rest = [], self.read
+        while b"\r\n\r\n" in rest:
+            head, _, rest = rest.partition(b"\r\n\r\n")
+            length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+            if len(rest) < length:
+                break
+            found, rest = [*found, int(head.split()[1])], rest[length:]
+        return found
+
+    @property
+    def whole(self):
+        """Nothing was cut off."""
+        return not self.reset and self.read.count(b"HTTP/1.1 ") == len(self.answers)
+
+    def close(self):
+        self.link.close()
+
+
+class Gate:
+    """The loop, but that connections come up only once `open` is set."""
+
+    def __init__(self, loop):
+        self._loop, self.open, self.waiting = loop, asyncio.Event(), 0
+
+    def __getattr__(self, name):
+        return getattr(self._loop, name)
+
+    async def create_connection(self, *given):
+        self.waiting += 1
+        await self.open.wait()
+        return await self._loop.create_connection(*given)
+
+
+class Inside:
+    """One relay, with its parts at hand: `desk`, and `over`, done when its process would have ended."""
+
+    def __init__(self, platform, folder, monkeypatch, config, **bounds):
+        self.platform, self.folder, self.patch = platform, folder / "state", monkeypatch
+        self.folder.mkdir(exist_ok=True)
+        self.config, self.bounds, self.desk, self.clients = config, bounds, None, []
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = free.getsockname()[1]
+
+    async def open(self):
+        path = self.folder.parent / "config.json"
+        path.write_text(json.dumps({
+            "seed": "2a", "limits": {"memory_mb": 192, "sockets": 256, "disk_mb": 1}, "settings": CONFIG,
+            "known": self.platform.list() | {"index": 0}} | self.config))
+        config = read_config({
+            "RELAY_CONFIG": str(path), "RELAY_STATE": str(self.folder), "RELAY_NAME": "n0",
+            "RELAY_LISTEN": f"127.0.0.1:{self.port}", "RELAY_DISCOVERY": self.platform.discovery})
+        given = self.bounds
+
+        class Facade(main.Facade):
+            def __init__(self, *args):
+                super().__init__(*args)
+                self.bounds = replace(self.bounds, **given)
+
+        class Desk(main.Desk):
+            def __init__(desk, *args):
+                self.desk = desk
+                super().__init__(*args)
+
+        self.patch.setattr(main, "Facade", Facade)
+        self.patch.setattr(main, "Desk", Desk)
+        self.over = asyncio.get_running_loop().create_task(self._live(config))
+        await self.until(lambda: self.desk and self.desk.healthy() and self.listens())
+        await self.until(lambda: not self.desk._known_list)  # discovery has answered
+        return self
+
+    async def _live(self, config):
+        await main.serve(config)
+        for link in list(self.desk.clients._links):
+            link.abort()  # as the system does with the connections of a process that has ended
+
+    def listens(self):
+        with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", self.port)):
+            return True
+        return False
+
+    async def until(self, what, within=SOON):
+        end = time.monotonic() + within
+        while not (found := what()):
+            assert not (self.over.done() and self.over.exception()), self.over.exception()
+            assert time.monotonic() < end, "it did not come to pass in time"
+            await asyncio.sleep(0.005)
+        return found
+
+    def client(self):
+        self.clients.append(Client(self.port))
+        return self.clients[-1]
+
+    async def rested(self, count=1):
+        """Connections on which one request each has been answered."""
+        found = [self.client() for _ in range(count)]
+        for client in found:
+            client.send(b"GET /ready HTTP/1.1\r\n\r\n")
+        for client in found:
+            assert await client.statuses(1) == [200]
+            client.read = b""
+        return found
+
+    def owed(self):
+        """What the folder holds, as the next start reads it: id and trips; after the end of this one."""
+        self.desk._journal.close()
+        journal = Journal(self.folder, 500_000, 400_000, print)
+        found = {parcel.id.decode(): len(parcel.trips) for parcel in journal.owed.values()}
+        journal.close()
+        return found
+
+
+def play(platform, folder, monkeypatch, steps, config=None, **bounds):
+    """Run one scene with a relay in it, on the loop that the program runs on."""
+    async def scene():
+        relay = Inside(platform, folder, monkeypatch, config or {}, **bounds)
+        await relay.open()
+        try:
+            await asyncio.wait_for(steps(relay), 20)
+        finally:
+            for client in relay.clients:
+                client.close()
+            relay.desk.stop()
+            relay.desk._journal.close()
+            await asyncio.wait_for(relay.over, SOON)
+
+    thresholds, descriptors = gc.get_threshold(), len(os.listdir("/proc/self/fd"))
+    try:
+        uvloop.run(scene())
+    finally:
+        gc.unfreeze()
+        gc.set_threshold(*thresholds)
+    return descriptors
--- a/tests/net/test_restored.py
+++ b/tests/net/test_restored.py
@@ -68,7 +68,7 @@
 @pytest.mark.parametrize("change", ["drained", "deleted", "whole"])
 def test_no_call_goes_out_by_an_earlier_list_before_discovery_has_answered(tmp_path, start, change):
     platform = Gated(hosts=2)
-    known = platform.list() | {"index": 0}
+    known = platform.list()
     platform.add("h0", status="DELETED" if change == "deleted" else "DRAINING")  # while no process ran
     if change == "whole":
         platform.raw_list = json.dumps(platform.list() | {"snapshot": True}).encode()
@@ -90,17 +90,19 @@
     platform.when_asked = when_asked
     try:
         Program.start = starting
-        start(platform, known=known)
+        program = start(platform, known=known)
     finally:
         Program.start = init
     until(lambda: len(platform.calls) == 3)
     assert seen == [202, 0]  # taken on meanwhile, nothing sent
     assert {call.head["host"] for call in platform.calls} == {"h1"}
+    targets = json.loads(program.ask("GET", "/counters")[1])["targets"]
+    assert targets == len(platform.rows) - (change == "deleted")
 
 
 def test_a_drain_told_by_the_first_answer_began_in_an_earlier_life(tmp_path, start):
     platform = Gated(hosts=1)
-    known = platform.list() | {"index": 0}
+    known = platform.list()
     platform.add("h0", status="DRAINING")
     owed(tmp_path / STATE, (b"a", b"again", 0))
     program = start(platform, known=known)
