--- a/tests/net/test_restored.py
+++ b/tests/net/test_restored.py
@@ -136,6 +136,15 @@
     assert asked_at - float(ready.split()[0]) < 1
 
 
+def test_a_full_table_of_packets_that_were_never_tried_is_tried(tmp_path, start):
+    most = CONFIG["ceilings"]["max-open"] - 1  # as many as a life can leave behind
+    owed(tmp_path / STATE, *((b"p%d" % n, b"once" if n % 2 else b"again", 0) for n in range(most)))
+    platform = Gated(hosts=2)
+    start(platform)
+    until(lambda: len({call.id for call in platform.calls}) == most)
+    assert not platform.notices
+
+
 @pytest.mark.parametrize("trips, calls, ends", [(0, 1, []), (1, 0, ["dead"])])
 def test_what_was_taken_on_under_a_profile_listed_no_more_is_still_tried_once(tmp_path, start, trips, calls,
                                                                               ends):
