Calls: a 200 before the last byte delivers nothing; a bundle shrunk to one is a call of one

Change: nothing counts as delivered before the last byte went out, and that byte does not go behind an answer that has begun; a call is of one by what is written.

--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -47,7 +47,7 @@
         self.job = job
         self.door = door
         self.waiting: dict[Part[Parcel], None] = dict.fromkeys(job.parts)
-        self.alone = len(job.parts) == 1
+        self.alone = True  # one packet in it
         self.link: Link | None = None
         self.timer: asyncio.TimerHandle | None = None
         self._written: list[Part[Parcel]] = []
@@ -63,7 +63,7 @@
         if not parts:
             hosts.keep(self.door, link)
             return
-        self.link, self._written = link, parts
+        self.link, self._written, self.alone = link, parts, len(parts) == 1  # others may have ended meanwhile
         left = max(1, -(-(max(part.until for part in parts) - now) // MILLISECOND))
         if len(parts) == 1:
             parcel = parts[0].item
@@ -88,8 +88,9 @@
         hosts, parts = self._hosts, list(self.waiting)
         try:
             now = clock.steady()
-            if parts != self._written or not all(hosts.still(now, part) for part in parts):
-                raise OSError("given up in part, or its host told to wait or left")
+            still = all(hosts.still(now, part) for part in parts)
+            if not still or parts != self._written or link.reader.begun:
+                raise OSError("given up in part, answered already, or its host told to wait or left")
             hosts.journal.trip([part.item for part in parts], clock.to_wall(now))
         except OSError as fault:
             hosts.log.say(f"call-withheld {fault}")
@@ -151,7 +152,9 @@
     def answered(self, link: Link) -> None:
         reader = link.reader
         self._hosts.keep(self.door, link)
-        if reader.status == 200 and not self.alone:
+        if reader.status == 200 and not self._trips:
+            self.all_over(Outcome.CUT_OFF)  # said before the last byte went out: of another call, or of none
+        elif reader.status == 200 and not self.alone:
             self._read_states(reader.body, reader.wait, reader.load)
         elif reader.over_slots:
             self.all_over(Outcome.MOOT, load=reader.load)
@@ -178,7 +181,7 @@
     @property
     def delivered(self) -> bool:
         """A first line that says 200 is true for the one packet of a call, whatever becomes of the rest."""
-        return self.link is not None and self.link.reader.says == 200 and self.alone
+        return bool(self._trips) and self.link.reader.says == 200 and self.alone
 
     def lost(self, link: Link) -> None:
         if self.delivered:
--- a/tests/net/test_calls.py
+++ b/tests/net/test_calls.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from rig import Platform, Rig, cut, reply, until, well
+from rig import CONFIG, Platform, Rig, cut, reply, until, well
 
 from millweir.interface import MILLISECOND, SECOND
 from millweir.net import clock
@@ -180,6 +180,49 @@
     play(platform, tmp_path, monkeypatch, steps)
 
 
+@pytest.mark.parametrize("ends", [False, True])
+@pytest.mark.parametrize("said", [reply(200), b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nhal",
+                                  b"HTTP/1.1 200"], ids=["whole", "half", "first-line"])
+def test_a_200_that_comes_before_the_last_byte_went_out_delivers_nothing(tmp_path, monkeypatch, said, ends):
+    platform = Platform(hosts=1)
+
+    async def steps(relay):
+        await handed_in(relay, "early")
+        await held_back(relay)
+        host = platform.open["h0"][1][-1]
+        host.sendall(said)  # late bytes of an earlier call, or of none
+        if ends:
+            cut(host)
+        await relay.until(lambda: not relay.desk._journal.owed)
+        assert len(platform.sent("early")) == 1 and not platform.notices
+
+    play(platform, tmp_path, monkeypatch, steps, hold=QUICK)
+
+
+def test_a_bundle_of_which_one_packet_is_left_when_its_link_comes_up_is_a_call_of_one(tmp_path, monkeypatch):
+    platform = Platform(hosts=1, kind="big")
+
+    async def steps(relay):
+        gate = relay.desk._hosts.loop = Gate(relay.desk._hosts.loop)
+        (client,) = await relay.rested()
+        relay.desk._facade.wait_told(clock.steady(), b"h0", clock.steady() + 50 * MILLISECOND)
+        client.send(request("stays", "once") + request("ends", "once", left="3000m"))
+        assert await client.statuses(2) == [202] * 2
+        await relay.until(lambda: gate.waiting)
+        (call,) = relay.desk._hosts._calls.values()
+        assert len(call.waiting) == 2
+        jump(monkeypatch, 3 * SECOND)
+        relay.desk.wake()
+        await relay.until(lambda: platform.noticed("ends"))
+        gate.open.set()
+        await relay.until(lambda: not relay.desk._journal.owed)
+        assert [call.id for call in platform.calls] == ["stays"] and not platform.noticed("stays")
+
+    # Where calls may be cancelled, one that has outlasted a packet is given up whole before that.
+    ceilings = CONFIG["ceilings"] | {"cancel": False}
+    play(platform, tmp_path, monkeypatch, steps, {"settings": CONFIG | {"ceilings": ceilings}})
+
+
 def test_an_idle_link_that_its_host_closes_in_the_turn_of_its_use_loses_nothing(tmp_path, monkeypatch):
     platform = Platform(hosts=1)
 
