--- a/millweir/net/clients.py
+++ b/millweir/net/clients.py
@@ -29,7 +29,7 @@
     def __init__(self, door: ClientDoor) -> None:
         self._door = door
         self._reader = RequestReader(door.bounds.head_most, door.bounds.body_most)
-        self._unread = 0  # bytes thrown away since the last answer
+        self._unread = 0  # bytes thrown away since its end began
         self._transport: asyncio.Transport | None = None
         self.pending = 0  # requests read and not answered
         self.asked = 0
