Tests: a list of a lower version, and the effect that the settings name now for old trips

Need: two lines of docs/design/crossings.md rested on reading alone. Both are as they should be; taken out (the version never falls; what was out in an earlier life is not weighed), the tests fail.

--- a/tests/net/test_restored.py
+++ b/tests/net/test_restored.py
@@ -156,6 +156,17 @@
     assert len(platform.sent("a")) == calls and platform.noticed("a") == ["dead"] == (ends or ["dead"])
 
 
+@pytest.mark.parametrize("semantics, calls", [("side_effect", 0), ("pure", 1)])
+def test_the_effect_that_the_settings_name_now_decides_on_old_trips(tmp_path, start, semantics, calls):
+    owed(tmp_path / STATE, (b"a", b"again", 1))  # replayable when it was taken on; it may have run
+    grades = [grade | {"semantics": semantics} if grade["name"] == "again" else grade
+              for grade in CONFIG["grades"]]
+    platform = Gated(hosts=1)
+    start(platform, settings=CONFIG | {"grades": grades})
+    until(lambda: platform.noticed("a") or platform.sent("a"))
+    assert len(platform.sent("a")) == calls and platform.noticed("a") == ["dead"] * (not calls)
+
+
 def test_a_kill_between_the_two_writes_of_a_hand_over_gives_no_packet_two_lives(tmp_path, start):
     owed(tmp_path / STATE, (b"a", b"once", 0), (b"b", b"once", 0))
     owed(tmp_path / STATE, (b"a", b"once", 0), slot=1)  # adopted above, its own file not yet gone
--- a/tests/net/test_watch.py
+++ b/tests/net/test_watch.py
@@ -9,7 +9,7 @@
 from rig import settings
 
 from millweir.control import bounds
-from millweir.interface import SECOND, Limits
+from millweir.interface import SECOND, Change, Limits
 from net.agent import Agent, Watched, listed, row
 from net.inside import Gate
 
@@ -206,6 +206,16 @@
     played(steps)
 
 
+def test_a_whole_list_with_a_lower_version_is_taken_and_followed():
+    async def steps(agent):
+        watched = Watched(agent)  # it knows version 7
+        (await agent.asked()).tell(listed(3, row("h1"), whole=True))  # discovery came back with less
+        assert (await agent.asked()).path.endswith("?since=3&timeout_ms=200")
+        assert watched.names == [(3, ["h1"])] and watched.told[0][0] is Change.FULL
+        watched.watch.close()
+    played(steps)
+
+
 @pytest.mark.parametrize("form", ["indented", "chunked", "bytes", "close"])
 def test_a_list_is_read_alike_in_whatever_form_it_comes(form):
     async def steps(agent):
