Calls: whether one packet is in a call is read off what was written

`alone` was kept beside `_written` and set in two places; it is a property now. Behaviour as before. Measured: tests of calls and net pass; policy files untouched.

--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -40,14 +40,13 @@
 class Call:
     """One job under way."""
 
-    __slots__ = ("_hosts", "_trips", "_written", "alone", "door", "job", "link", "timer", "waiting")
+    __slots__ = ("_hosts", "_trips", "_written", "door", "job", "link", "timer", "waiting")
 
     def __init__(self, hosts: Hosts, job: Job[Parcel], door: Door) -> None:
         self._hosts = hosts
         self.job = job
         self.door = door
         self.waiting: dict[Part[Parcel], None] = dict.fromkeys(job.parts)
-        self.alone = True  # one packet in it
         self.link: Link | None = None
         self.timer: asyncio.TimerHandle | None = None
         self._written: list[Part[Parcel]] = []
@@ -63,7 +62,7 @@
         if not parts:
             hosts.keep(self.door, link)
             return
-        self.link, self._written, self.alone = link, parts, len(parts) == 1  # others may have ended meanwhile
+        self.link, self._written = link, parts
         left = max(1, -(-(max(part.until for part in parts) - now) // MILLISECOND))
         if len(parts) == 1:
             parcel = parts[0].item
@@ -178,6 +177,11 @@
             outcome = STATES.get(state, Outcome.SPOILT) if isinstance(state, str) else Outcome.SPOILT
             self.over(part, outcome, state in ("accepted", "expired"), wait, load)
 
+    @property
+    def alone(self) -> bool:
+        """One packet is in what was written; others of its job may have ended before."""
+        return len(self._written) == 1
+
     @property
     def delivered(self) -> bool:
         """A first line that says 200 is true for the one packet of a call, whatever becomes of the rest."""
