A restored profile listed no more keeps what a reload has changed

Cause, by reading: the stand-in profile was told with the settings of the start, so packets adopted after a SIGHUP with fewer trips brought the old number of trips back for all packets. Seen in the test before the mend: "assert 8 == 1". Change: the desk keeps the settings last taken; the stand-in is made once. Test: tests/net/test_restored.py, fails without the mend.

--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -280,9 +280,9 @@
             return
         if parcel.profile not in self._profiles and self._unlisted is None:
             # Guards what an earlier settings file took on: it is still tried, as what may run only once.
-            self._unlisted = self._facade.settings_told(
-                replace(self._settings, profiles=(unlisted_profile(self._settings),)))
-            self._known.append(unlisted_profile(self._settings))
+            stand_in = unlisted_profile(self._settings)
+            self._unlisted = self._facade.settings_told(replace(self._settings, profiles=(stand_in,)))
+            self._known.append(stand_in)
         self._hand_in(parcel)
 
     def _hand_in(self, parcel: Parcel) -> None:
@@ -446,6 +446,7 @@
         now on, those gone are refused, packets under way keep theirs; fewer trips bind at once."""
         fresh = [p for p in config.settings.profiles
                  if (at := self._profiles.get(p.name.encode())) is None or self._known[at] != p]
+        self._settings = config.settings
         first = self._facade.settings_told(replace(config.settings, profiles=tuple(fresh)))
         self._known += fresh
         kept = {p.name.encode(): self._profiles[p.name.encode()] for p in config.settings.profiles
--- a/tests/net/test_restored.py
+++ b/tests/net/test_restored.py
@@ -3,6 +3,8 @@
 import json
 import threading
 import time
+from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from rig import CONFIG, Platform, Program, reply, until
@@ -11,6 +13,7 @@
 from millweir.interface import Limits
 from millweir.net.journal import FILE, Journal, Parcel, named
 from millweir.settings import read_settings
+from net.inside import play
 
 STATE = "state"
 BOUNDS = bounds(read_settings(CONFIG), Limits(256, 1 << 20, 192 << 20))
@@ -167,6 +170,16 @@
     assert len(platform.sent("a")) == calls and platform.noticed("a") == ["dead"] * (not calls)
 
 
+def test_a_profile_listed_no_more_brings_back_no_settings_from_before_a_reload(tmp_path, monkeypatch):
+    async def steps(relay):
+        desk = relay.desk
+        desk.reload(SimpleNamespace(settings=replace(desk._settings, max_trips=1), discovery=desk._discovery))
+        desk._restore(Parcel(b"a", b"forgotten", b"", b"", b"", 0, time.time_ns() + 15 * 10**9, b"hello"))
+        assert desk._facade._relay._max_trips == 1  # fewer trips bind at once, and go on to
+
+    play(Platform(hosts=1), tmp_path, monkeypatch, steps)
+
+
 def test_a_kill_between_the_two_writes_of_a_hand_over_gives_no_packet_two_lives(tmp_path, start):
     owed(tmp_path / STATE, (b"a", b"once", 0), (b"b", b"once", 0))
     owed(tmp_path / STATE, (b"a", b"once", 0), slot=1)  # adopted above, its own file not yet gone
