--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -36,8 +36,10 @@
     desk.reloads[0] += 1
     parts = ("listen", "control", "state", "limits")
     later = [part for part in parts if getattr(config, part) != getattr(fresh, part)]
-    log.must(f"reloaded discovery={':'.join(map(str, fresh.discovery))} "
-             f"at-next-start={','.join(later) or 'none'}")
+    log.must(
+        f"reloaded discovery={':'.join(map(str, fresh.discovery))} "
+        f"at-next-start={','.join(later) or 'none'}"
+    )
     desk.reload(fresh)
 
 
@@ -48,7 +50,8 @@
     bounds = facade.bounds
     log = Log(bounds.log_lines)
     loop.set_exception_handler(
-        lambda _, what: log.say(f"fault {what.get('message')} {what.get('exception')!r}"))
+        lambda _, what: log.say(f"fault {what.get('message')} {what.get('exception')!r}")
+    )
     journal = Journal(config.state, bounds.journal_file, bounds.journal_live, log.say)
     if journal.torn:
         log.must(f"journal-torn dropped_bytes={journal.torn}")
@@ -66,13 +69,16 @@
     if operator:
         await operator.start(config.name, config.state)
     # Shared with a process that replaces this one, or is replaced by it (an upgrade).
-    server = await loop.create_server(lambda: ClientLink(desk.clients), *config.listen, backlog=512,
-                                      reuse_port=True)
+    server = await loop.create_server(
+        lambda: ClientLink(desk.clients), *config.listen, backlog=512, reuse_port=True
+    )
     if config.control:
         door = ControlDoor(loop, desk)
         await loop.create_server(door.link, *config.control, backlog=64)
-    log.must(f"ready name={config.name} listen={':'.join(map(str, config.listen))} "
-             f"discovery={':'.join(map(str, config.discovery))} owed={len(journal.owed)}")
+    log.must(
+        f"ready name={config.name} listen={':'.join(map(str, config.listen))} "
+        f"discovery={':'.join(map(str, config.discovery))} owed={len(journal.owed)}"
+    )
     # Guards turns against pauses of 0.2 s: what is there now stays, and what comes holds no circles, so that
     # the whole heap hardly ever needs a walk.
     gc.collect()
@@ -94,6 +100,7 @@
     try:
         if len(sys.argv) > 1:  # without arguments nothing beyond the platform's protocol is loaded
             from millweir.operator.start import Operator, Unusable
+
             try:
                 operator = Operator(sys.argv[1:])
             except Unusable as fault:
--- a/millweir/adapter/wire.py
+++ b/millweir/adapter/wire.py
@@ -40,8 +40,14 @@
 SELECTED = struct.Struct("<HI")
 
 OUTCOMES = {
-    200: Outcome.FULFILLED, 500: Outcome.FAULT, 503: Outcome.FULL, 504: Outcome.TIMED_OUT,
-    502: Outcome.UNCONNECTED, 598: Outcome.RESET, 499: Outcome.CANCELLED, 410: Outcome.MOOT,
+    200: Outcome.FULFILLED,
+    500: Outcome.FAULT,
+    503: Outcome.FULL,
+    504: Outcome.TIMED_OUT,
+    502: Outcome.UNCONNECTED,
+    598: Outcome.RESET,
+    499: Outcome.CANCELLED,
+    410: Outcome.MOOT,
 }
 CHANGES = (Change.DELTA, Change.FULL, Change.CACHED, Change.FAILED)
 PHASES = (Phase.GONE, Phase.READY, Phase.DRAINING)
@@ -161,14 +167,25 @@
                 raise Malformed(f"settled before byte {at} has unknown reason {reason}")
             if relay is not None:
                 told = wait * 1_000_000 if reason == 503 else 0
-                self._guard(number, relay.trip_ended, now, ident, copy, OUTCOMES[reason], bool(finished),
-                            latency * 1000, told, report)
+                self._guard(
+                    number,
+                    relay.trip_ended,
+                    now,
+                    ident,
+                    copy,
+                    OUTCOMES[reason],
+                    bool(finished),
+                    latency * 1000,
+                    told,
+                    report,
+                )
             return at + 4 * n
         if code == 1020:
             ident, profile, tenant, key, not_after, _, bound, _ = ORDER.unpack_from(body, at)
             if relay is not None:
-                self._guard(number, relay.packet_taken, now, ident, profile, tenant, key, not_after * 1000,
-                            int(bound))
+                self._guard(
+                    number, relay.packet_taken, now, ident, profile, tenant, key, not_after * 1000, int(bound)
+                )
             return at + ORDER.size
         if code == 1060:
             REMINDER.unpack_from(body, at)
@@ -198,7 +215,7 @@
             if at + size > len(body):
                 raise Malformed(f"power_on before byte {at} has settings past the end of the batch")
             try:
-                settings = read_settings(json.loads(body[at:at + size]))
+                settings = read_settings(json.loads(body[at : at + size]))
             except (ValueError, KeyError, TypeError, AttributeError) as fault:
                 raise Malformed(f"settings of power_on at byte {at} can't be read: {fault!r}") from fault
             self._ports[number] = WirePort()
--- a/millweir/cli/__init__.py
+++ b/millweir/cli/__init__.py
@@ -6,8 +6,11 @@
 
 import click
 
-GROUPS = {"members": "millweir.cli.members:members", "lab": "millweir.cli.lab:lab",
-          "check": "millweir.cli.check:check"}
+GROUPS = {
+    "members": "millweir.cli.members:members",
+    "lab": "millweir.cli.lab:lab",
+    "check": "millweir.cli.check:check",
+}
 
 
 class Lazy(click.Group):
--- a/millweir/cli/check.py
+++ b/millweir/cli/check.py
@@ -11,6 +11,7 @@
     """Read the operator's FILE and say what is wrong with it."""
     from millweir.operator.file import Unusable, read_operator
     from millweir.operator.start import Kinds
+
     try:
         sections = read_operator(file, Kinds())
     except Unusable as fault:
--- a/millweir/cli/lab.py
+++ b/millweir/cli/lab.py
@@ -24,6 +24,7 @@
     """Play DAY on real relays with faults between them; exit 1 where a rule broke or a view was wrong."""
     from millweir.lab.cluster import Rig
     from millweir.lab.day import read_day
+
     try:
         given = read_day(day)
     except ValueError as fault:
@@ -36,12 +37,20 @@
 
     played = asyncio.run(run())
     verdict, finding = played.verdict, played.finding
-    out = {"seed": seed, "fine": played.fine, "rules": {k: v[:5] for k, v in verdict.broken.items()},
-           "packets": dict(verdict.counts), "wrong": finding.wrong, "missed": finding.missed,
-           "failures": played.failures, "detected": sorted(round(at, 2) for at in finding.detected),
-           "accused": dict(finding.accused), "buried": dict(finding.buried),
-           "member_hours": round(finding.hours, 4),
-           "agreed_after": sorted(round(at, 2) for at in finding.agreed_after)}
+    out = {
+        "seed": seed,
+        "fine": played.fine,
+        "rules": {k: v[:5] for k, v in verdict.broken.items()},
+        "packets": dict(verdict.counts),
+        "wrong": finding.wrong,
+        "missed": finding.missed,
+        "failures": played.failures,
+        "detected": sorted(round(at, 2) for at in finding.detected),
+        "accused": dict(finding.accused),
+        "buried": dict(finding.buried),
+        "member_hours": round(finding.hours, 4),
+        "agreed_after": sorted(round(at, 2) for at in finding.agreed_after),
+    }
     if as_json:
         click.echo(json.dumps(out))
     else:
@@ -60,12 +69,22 @@
 @click.option("--seconds", type=int, default=120, show_default=True, help="simulated, of each run")
 @click.option("--workers", type=int, default=4, show_default=True)
 @click.option("--out", type=click.Path(path_type=Path), required=True, help="JSON lines; goes on there")
-def fleet(ways: str, sizes: str, troubles: str, suspicions: str, seeds: int, seconds: int,
-          workers: int, out: Path) -> None:
+def fleet(
+    ways: str, sizes: str, troubles: str, suspicions: str, seeds: int, seconds: int, workers: int, out: Path
+) -> None:
     """Simulated fleets: time to detect, false deaths, messages and bytes, by size, trouble and way."""
     from millweir.lab.detect import sweep
-    for line in sweep(ways.split(","), [int(size) for size in sizes.split(",")], troubles.split(","),
-                      [float(one) for one in suspicions.split(",")], seeds, seconds, workers, out):
+
+    for line in sweep(
+        ways.split(","),
+        [int(size) for size in sizes.split(",")],
+        troubles.split(","),
+        [float(one) for one in suspicions.split(",")],
+        seeds,
+        seconds,
+        workers,
+        out,
+    ):
         click.echo(line)
 
 
@@ -75,4 +94,5 @@
 def plot(rows: Path, picture: Path) -> None:
     """Draw what `fleet` wrote: PNG or SVG by the file's ending (needs matplotlib)."""
     from millweir.lab.plots import detection
+
     detection(rows, picture)
--- a/millweir/cli/members.py
+++ b/millweir/cli/members.py
@@ -18,9 +18,14 @@
 
 
 def _socket(function: Any) -> Any:
-    return click.option("--socket", "path", envvar="MILLWEIR_SOCKET", required=True,
-                        type=click.Path(path_type=Path),
-                        help="the relay's local socket (members.sock in its folder)")(function)
+    return click.option(
+        "--socket",
+        "path",
+        envvar="MILLWEIR_SOCKET",
+        required=True,
+        type=click.Path(path_type=Path),
+        help="the relay's local socket (members.sock in its folder)",
+    )(function)
 
 
 def _call(path: Path, do: str) -> socket.socket:
@@ -56,11 +61,15 @@
         click.echo(json.dumps(view, indent=1))
     else:
         doubt = f", in doubt of itself ({view['doubt']})" if view["doubt"] else ""
-        click.echo(f"{view['name']}: {view['standing']}, incarnation {view['incarnation']}, slowed "
-                   f"{view['slow']} times, late by {view['late_ms']} ms{doubt}")
+        click.echo(
+            f"{view['name']}: {view['standing']}, incarnation {view['incarnation']}, slowed "
+            f"{view['slow']} times, late by {view['late_ms']} ms{doubt}"
+        )
         for row in view["members"]:
-            line = (f"{row['name']:<20} {row['degree']:<9} since {row['since']:>9.1f} s by {row['by']:<12} "
-                    f"incarnation {row['incarnation']} at {row['address']} {' '.join(row['paths'])}")
+            line = (
+                f"{row['name']:<20} {row['degree']:<9} since {row['since']:>9.1f} s by {row['by']:<12} "
+                f"incarnation {row['incarnation']} at {row['address']} {' '.join(row['paths'])}"
+            )
             click.echo(line.rstrip())
     raise SystemExit(1 if view["doubt"] or view["standing"] != "in" else 0)
 
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -78,8 +78,17 @@
         """
         return self._relay.refusal(destination, size, room, left, lag)
 
-    def take(self, now: int, item: Item, profile: int, tenant: int, key: int, hard_stop: int,
-             destination: int, earlier: tuple[tuple[int, bool], ...] = ()) -> None:
+    def take(
+        self,
+        now: int,
+        item: Item,
+        profile: int,
+        tenant: int,
+        key: int,
+        hard_stop: int,
+        destination: int,
+        earlier: tuple[tuple[int, bool], ...] = (),
+    ) -> None:
         """Hand in a packet; `earlier` holds the trips of an earlier life: when, and whether it never ran."""
         ident = self._idents()
         self._now, self._items[ident] = now, item
@@ -90,8 +99,15 @@
         self._now = now
         self._relay.list_told(now, change, entries)
 
-    def report(self, now: int, part: Part[Item], outcome: Outcome, finished: bool = False, wait: int = 0,
-               load: tuple[float, ...] = ()) -> None:
+    def report(
+        self,
+        now: int,
+        part: Part[Item],
+        outcome: Outcome,
+        finished: bool = False,
+        wait: int = 0,
+        load: tuple[float, ...] = (),
+    ) -> None:
         """How one part of a job ended; `finished`: nothing more is owed for its packet."""
         if self._parts.pop((part._packet, part._number), None) is None:
             return
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -56,8 +56,9 @@
         return self in MAY_RUN_ON
 
 
-NEVER_RAN = frozenset((Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT, Outcome.UNREADABLE, Outcome.CUT_OFF,
-                       Outcome.CROWDED))
+NEVER_RAN = frozenset(
+    (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT, Outcome.UNREADABLE, Outcome.CUT_OFF, Outcome.CROWDED)
+)
 MAY_RUN_ON = frozenset((Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED, Outcome.SPOILT))
 
 
--- a/millweir/lab/baselines.py
+++ b/millweir/lab/baselines.py
@@ -45,8 +45,15 @@
 class Heartbeats:
     """Everybody tells everybody each interval; silence for a fixed time is gone."""
 
-    def __init__(self, port: Port, rules: Rules, chance: random.Random, now: int, me: Claim,
-                 contacts: Iterable[tuple[str, int]] = ()) -> None:
+    def __init__(
+        self,
+        port: Port,
+        rules: Rules,
+        chance: random.Random,
+        now: int,
+        me: Claim,
+        contacts: Iterable[tuple[str, int]] = (),
+    ) -> None:
         self._port, self.rules, self._chance = port, rules, chance
         self.me = me
         self.members: dict[str, Member] = {}
@@ -115,7 +122,7 @@
         mean = sum(past) / len(past)
         deviation = max(math.sqrt(sum((one - mean) ** 2 for one in past) / len(past)), self.LEAST_DEVIATION)
         tail = 0.5 * math.erfc((now - member.heard_at - mean) / deviation / math.sqrt(2))
-        return tail < 10 ** -self.THRESHOLD
+        return tail < 10**-self.THRESHOLD
 
 
 WAYS = {"millweir": Core, "plain-swim": PlainSwim, "heartbeats": Heartbeats, "phi-accrual": PhiAccrual}
--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -129,8 +129,21 @@
 class Member:
     """One other member, as held here."""
 
-    __slots__ = ("accusers", "ask_in_vain", "claim", "cut_in", "cut_out", "degree", "heard_at", "late",
-                 "since", "suspected_at", "vain_since", "verdict_at", "word")
+    __slots__ = (
+        "accusers",
+        "ask_in_vain",
+        "claim",
+        "cut_in",
+        "cut_out",
+        "degree",
+        "heard_at",
+        "late",
+        "since",
+        "suspected_at",
+        "vain_since",
+        "verdict_at",
+        "word",
+    )
 
     def __init__(self, claim: Claim, now: int) -> None:
         self.claim = claim
@@ -154,8 +167,18 @@
 class Probe:
     """The one probe under way."""
 
-    __slots__ = ("answered", "asked", "asks_at", "began", "direct", "ends", "nacks", "seq", "target",
-                 "wanted")
+    __slots__ = (
+        "answered",
+        "asked",
+        "asks_at",
+        "began",
+        "direct",
+        "ends",
+        "nacks",
+        "seq",
+        "target",
+        "wanted",
+    )
 
     def __init__(self, target: Member, seq: int, began: int, asks_at: int, ends: int) -> None:
         self.target, self.seq, self.began, self.asks_at, self.ends = target, seq, began, asks_at, ends
@@ -166,8 +189,15 @@
 class Core:
     """One member."""
 
-    def __init__(self, port: Port, rules: Rules, chance: random.Random, now: int, me: Claim,
-                 contacts: Iterable[Address] = ()) -> None:
+    def __init__(
+        self,
+        port: Port,
+        rules: Rules,
+        chance: random.Random,
+        now: int,
+        me: Claim,
+        contacts: Iterable[Address] = (),
+    ) -> None:
         """`me`: the incarnation is the last one kept by an earlier life, 0 for none."""
         self._port, self.rules, self._chance = port, rules, chance
         self.me = me.ranked(Rank.ALIVE, me.name)
@@ -392,8 +422,9 @@
             self._probe_at = now + self.rules.interval
             return
         seq = self._chance.getrandbits(48)
-        probe = self._probe = Probe(target, seq, now, now + self._span(self.rules.timeout),
-                                    now + self._span(self.rules.interval))
+        probe = self._probe = Probe(
+            target, seq, now, now + self._span(self.rules.timeout), now + self._span(self.rules.interval)
+        )
         self._past[seq] = target, now
         while len(self._past) > 32:
             self._past.popitem(last=False)
@@ -418,8 +449,9 @@
         self._send(now, claim, Kind.PING, probe.seq, target=claim.name)  # the first one may just be lost
         for helper in self._some(self.rules.helpers, probe.target):
             probe.wanted += 1
-            self._send(now, helper.claim, Kind.ASK, probe.seq, target=claim.name, host=claim.host,
-                       port=claim.port)
+            self._send(
+                now, helper.claim, Kind.ASK, probe.seq, target=claim.name, host=claim.host, port=claim.port
+            )
 
     def _failed(self, now: int, probe: Probe) -> None:
         """No answer on any way."""
@@ -451,8 +483,11 @@
         if target:
             self._send(now, target.claim, Kind.PING, seq, target=told.target, asker=told.me.name)
         else:
-            self._port.send((told.host, told.port), self.me.low, Datagram(
-                Kind.PING, seq, self.me, told.target, asker=told.me.name))
+            self._port.send(
+                (told.host, told.port),
+                self.me.low,
+                Datagram(Kind.PING, seq, self.me, told.target, asker=told.me.name),
+            )
 
     def _acked(self, now: int, told: Told, sender: Member | None) -> None:
         relay = self._relays.pop(told.seq, None)
@@ -498,8 +533,10 @@
     def _path(self, now: int, member: Member, out: bool, into: bool) -> None:
         """The paths to and from a member, as found by our own probes."""
         before = self.degree(now, member)
-        for field, down, start, end in (("cut_out", out, self.me.name, member.claim.name),
-                                        ("cut_in", into, member.claim.name, self.me.name)):
+        for field, down, start, end in (
+            ("cut_out", out, self.me.name, member.claim.name),
+            ("cut_in", into, member.claim.name, self.me.name),
+        ):
             if bool(getattr(member, field)) != down:
                 setattr(member, field, now if down else 0)
                 self._cut_number = max(self._cut_number + 1, now // MILLISECOND)
@@ -510,8 +547,14 @@
     def _cut_told(self, now: int, cut: Cut) -> None:
         teller = self.members.get(cut.by)
         held = self.cuts.get((cut.start, cut.end, cut.by))
-        if (teller and teller.active and cut.by in (cut.start, cut.end) and cut.by != self.me.name
-                and cut.number > (held.number if held else -1) and (held or cut.down)):
+        if (
+            teller
+            and teller.active
+            and cut.by in (cut.start, cut.end)
+            and cut.by != self.me.name
+            and cut.number > (held.number if held else -1)
+            and (held or cut.down)
+        ):
             self._hold_cut(cut)
 
     def _hold_cut(self, cut: Cut) -> None:
@@ -688,15 +731,23 @@
             return
         if self._is_anothers(claim):
             self._yield(now, claim)
-        elif claim.rank is not Rank.ALIVE and (mine or claim.rank >= Rank.GONE) or (
-                not mine and claim.address == self.me.address):  # its port is ours: that life is over
+        elif (
+            claim.rank is not Rank.ALIVE
+            and (mine or claim.rank >= Rank.GONE)
+            or (not mine and claim.address == self.me.address)
+        ):  # its port is ours: that life is over
             self._rise(now, claim.incarnation + 1, claim)
 
     def _is_anothers(self, claim: Claim) -> bool:
         """Our name, held by a living process elsewhere with the better claim."""
         me = self.me
-        return (claim.name == me.name and claim.birth != me.birth and claim.rank < Rank.GONE
-                and claim.address != me.address and claim.key > me.key)
+        return (
+            claim.name == me.name
+            and claim.birth != me.birth
+            and claim.rank < Rank.GONE
+            and claim.address != me.address
+            and claim.key > me.key
+        )
 
     def _rise(self, now: int, incarnation: int, because: Claim | None = None) -> None:
         """Refute what is claimed, or begin a new life, with a number that nobody has used."""
@@ -705,8 +756,9 @@
         self._port.keep(incarnation)
         if because and because.birth == me.birth:
             self._slow = min(self._slow + 1, self.rules.late_most)
-            self._port.say("members.refuted", claimed=because.rank.name.lower(), by=because.by,
-                           incarnation=incarnation)
+            self._port.say(
+                "members.refuted", claimed=because.rank.name.lower(), by=because.by, incarnation=incarnation
+            )
         self._changed_at = now
         if self.standing is Standing.IN:
             self._tell(me.name, self.me)
@@ -714,8 +766,9 @@
     def _yield(self, now: int, other: Claim) -> None:
         """Guards a name used by two processes: the one with the lower claim stays out until it is free."""
         if self.standing is Standing.IN:
-            self._port.say("members.name-lost", other=f"{other.host}:{other.port}",
-                           incarnation=other.incarnation)
+            self._port.say(
+                "members.name-lost", other=f"{other.host}:{other.port}", incarnation=other.incarnation
+            )
         self.standing = Standing.OUT
         self._probe = None
         self._news.pop(self.me.name, None)
@@ -736,8 +789,11 @@
         """One word to one who is not among the active: how members join and cuts heal."""
         jitter = self._chance.uniform(0.75, 1.25)
         outside = self.standing is Standing.OUT
-        every = self.rules.interval if outside and now - self._began < 10 * self.rules.interval else \
-            self.rules.contact_every
+        every = (
+            self.rules.interval
+            if outside and now - self._began < 10 * self.rules.interval
+            else self.rules.contact_every
+        )
         self._contact_at = now + round(every * jitter)
         if self.standing is Standing.LEAVING:
             return
@@ -746,8 +802,9 @@
         for member in gone:
             if now - member.since > self.rules.forget:
                 del self.members[member.claim.name]
-        ways: list[Address] = [address for address in self._contacts
-                               if address not in there and address != self.me.address]
+        ways: list[Address] = [
+            address for address in self._contacts if address not in there and address != self.me.address
+        ]
         if gone and (not ways or self._chance.random() < 0.5):
             member = self._chance.choice(gone)
             self._send(now, member.claim, Kind.PING, 0, target=member.claim.name)
@@ -819,9 +876,21 @@
         digest = self._digest ^ mark(self.me.name, self.me.incarnation, self.me.birth)
         settled = min((now - self._changed_at) // MILLISECOND, 1 << 30)
         version = min(to.high, self.me.high)
-        self._port.send(to.address, version, Datagram(
-            kind, seq, self.me, late=self._lateness, digest=digest if self.standing is Standing.IN else 0,
-            settled=settled, claims=tuple(claims), cuts=tuple(cuts), **fields))
+        self._port.send(
+            to.address,
+            version,
+            Datagram(
+                kind,
+                seq,
+                self.me,
+                late=self._lateness,
+                digest=digest if self.standing is Standing.IN else 0,
+                settled=settled,
+                claims=tuple(claims),
+                cuts=tuple(cuts),
+                **fields,
+            ),
+        )
 
     def _pack(self, room: int, to: Claim, claims: list, cuts: list) -> int:
         """The news told least often first; what has been told often enough is dropped."""
--- a/millweir/members/links.py
+++ b/millweir/members/links.py
@@ -42,9 +42,17 @@
 class Links(asyncio.DatagramProtocol):
     """One UDP socket and one listener on the same address."""
 
-    def __init__(self, seal: Seal, via: dict[Address, Address], members_most: int, bytes_most: int,
-                 heard: Callable[[Told], None], whole_told: Callable[[Whole], None],
-                 whole: Callable[[int], Whole], refused: Callable[[str, str], None]) -> None:
+    def __init__(
+        self,
+        seal: Seal,
+        via: dict[Address, Address],
+        members_most: int,
+        bytes_most: int,
+        heard: Callable[[Told], None],
+        whole_told: Callable[[Whole], None],
+        whole: Callable[[int], Whole],
+        refused: Callable[[str, str], None],
+    ) -> None:
         self._seal, self._via = seal, via
         self._heard, self._whole_told, self._whole, self._refused = heard, whole_told, whole, refused
         self._most = members_most * WHOLE_EACH + 65536
--- a/millweir/members/messages.py
+++ b/millweir/members/messages.py
@@ -60,15 +60,30 @@
         return self.host, self.port
 
     def ranked(self, rank: Rank, by: str) -> Claim:
-        return Claim(self.name, self.birth, self.incarnation, rank, self.host, self.port, by, self.low,
-                     self.high, self.place)
+        return Claim(
+            self.name,
+            self.birth,
+            self.incarnation,
+            rank,
+            self.host,
+            self.port,
+            by,
+            self.low,
+            self.high,
+            self.place,
+        )
 
     def usable(self) -> bool:
         """Within bounds; what is not is never taken in."""
         texts = (self.name, self.host, self.by, self.place)
-        return (all(len(text.encode()) <= NAME_MOST for text in texts) and bool(self.name and self.host)
-                and 0 < self.port < 65536 and 0 <= self.incarnation < 1 << 62 and 0 <= self.birth < 1 << 63
-                and 0 < self.low <= self.high < 256)
+        return (
+            all(len(text.encode()) <= NAME_MOST for text in texts)
+            and bool(self.name and self.host)
+            and 0 < self.port < 65536
+            and 0 <= self.incarnation < 1 << 62
+            and 0 <= self.birth < 1 << 63
+            and 0 < self.low <= self.high < 256
+        )
 
 
 class Cut(msgspec.Struct, array_like=True, frozen=True):
--- a/millweir/members/part.py
+++ b/millweir/members/part.py
@@ -82,11 +82,28 @@
         host, port = address(section.advertise or section.listen)
         self.events = Events(KINDS)
         self._kept = self._read_kept()
-        claim = Claim(self._name, birth, self._kept.incarnation, Rank.ALIVE, host, port, self._name,
-                      *versions, section.place)
+        claim = Claim(
+            self._name,
+            birth,
+            self._kept.incarnation,
+            Rank.ALIVE,
+            host,
+            port,
+            self._name,
+            *versions,
+            section.place,
+        )
         via = {address(start): address(end) for start, end in section.via.items()}
-        self._links = Links(Seal(section.cluster, section.keys(), birth, versions), via, section.members_most,
-                            section.bytes_most, self._heard, self._whole_told, self._whole, self._refused)
+        self._links = Links(
+            Seal(section.cluster, section.keys(), birth, versions),
+            via,
+            section.members_most,
+            section.bytes_most,
+            self._heard,
+            self._whole_told,
+            self._whole,
+            self._refused,
+        )
         contacts = [address(seed) for seed in section.seeds]
         contacts += [tuple(contact) for contact in self._kept.contacts]
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -109,8 +126,14 @@
             self._server = await asyncio.start_unix_server(self._called, str(self.socket), limit=CALL_MOST)
         finally:
             os.umask(mask)
-        self.core = Core(self, self._section.rules(), random.Random(secrets.randbits(62)), now(), self._claim,
-                         self._contacts)
+        self.core = Core(
+            self,
+            self._section.rules(),
+            random.Random(secrets.randbits(62)),
+            now(),
+            self._claim,
+            self._contacts,
+        )
         self.core.time_passed(now())
         self._save_later()
 
@@ -150,8 +173,14 @@
         self._timer = self._loop.call_later(max(at - now(), 0) / 1e9, self._woken)
 
     def changed(self, change: Change) -> None:
-        self.events.say("members.changed", name=change.name, before=change.before and change.before.value,
-                        after=change.after.value, by=change.by, incarnation=change.incarnation)
+        self.events.say(
+            "members.changed",
+            name=change.name,
+            before=change.before and change.before.value,
+            after=change.after.value,
+            by=change.by,
+            incarnation=change.incarnation,
+        )
 
     def keep(self, incarnation: int) -> None:
         self._kept.incarnation = incarnation
@@ -240,6 +269,7 @@
 
     async def _watch(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Events from now on until the caller goes; one that doesn't read is let go."""
+
         def tell(line: bytes) -> None:
             if writer.transport.get_write_buffer_size() > WATCH_MOST:
                 writer.transport.abort()
@@ -263,10 +293,27 @@
         rows = []
         for name, member in sorted(core.members.items()):
             claim, degree = member.claim, core.degree(at, member)
-            rows.append(Row(
-                name, degree.value, round((at - member.since) / 1e9, 3), member.word, claim.incarnation,
-                f"{claim.host}:{claim.port}", claim.place, (claim.low, claim.high),
-                round((at - member.heard_at) / 1e9, 3) if member.heard_at > 0 else None,
-                tuple(paths.get(name, ())) if degree not in (Degree.GONE, Degree.LEFT) else ()))
-        return View(self._name, core.standing.value, core.in_doubt(at), core.slow, core.lateness,
-                    core.me.incarnation, dict(self._links.counts), tuple(rows))
+            rows.append(
+                Row(
+                    name,
+                    degree.value,
+                    round((at - member.since) / 1e9, 3),
+                    member.word,
+                    claim.incarnation,
+                    f"{claim.host}:{claim.port}",
+                    claim.place,
+                    (claim.low, claim.high),
+                    round((at - member.heard_at) / 1e9, 3) if member.heard_at > 0 else None,
+                    tuple(paths.get(name, ())) if degree not in (Degree.GONE, Degree.LEFT) else (),
+                )
+            )
+        return View(
+            self._name,
+            core.standing.value,
+            core.in_doubt(at),
+            core.slow,
+            core.lateness,
+            core.me.incarnation,
+            dict(self._links.counts),
+            tuple(rows),
+        )
--- a/millweir/members/seal.py
+++ b/millweir/members/seal.py
@@ -57,7 +57,7 @@
             raise Refused("cluster")
         if not self._versions[0] <= version <= self._versions[1]:
             raise Refused("version")
-        bare, body = raw[:BARE.size], raw[HEAD.size:]
+        bare, body = raw[: BARE.size], raw[HEAD.size :]
         if not any(compare_digest(self._mac(key, bare, body), mac) for key in self._keys):
             raise Refused("key" if self._keys[0] else "garbled")
         if not self._fresh(birth, counter):
--- a/millweir/members/section.py
+++ b/millweir/members/section.py
@@ -18,10 +18,16 @@
     """All off without the section; `cluster` and `listen` are needed, the rest has defaults."""
 
     RANGES: ClassVar[dict[str, tuple[int, int]]] = {
-        "interval": (SECOND // 20, 60 * SECOND), "timeout": (SECOND // 100, 30 * SECOND),
-        "suspicion": (2, 100), "helpers": (0, 8), "members_most": (2, 65536),
-        "contact_every": (SECOND // 10, 600 * SECOND), "doubt_most": (SECOND, 3600 * SECOND),
-        "datagram_most": (576, 8192), "bytes_most": (4096, 1 << 30), "protocol": VERSIONS,
+        "interval": (SECOND // 20, 60 * SECOND),
+        "timeout": (SECOND // 100, 30 * SECOND),
+        "suspicion": (2, 100),
+        "helpers": (0, 8),
+        "members_most": (2, 65536),
+        "contact_every": (SECOND // 10, 600 * SECOND),
+        "doubt_most": (SECOND, 3600 * SECOND),
+        "datagram_most": (576, 8192),
+        "bytes_most": (4096, 1 << 30),
+        "protocol": VERSIONS,
     }
 
     cluster: str
@@ -74,11 +80,19 @@
         return tuple(line.strip() for line in Path(self.key_file).read_bytes().splitlines() if line.strip())
 
     def rules(self) -> Rules:
-        return Rules(interval=self.interval, timeout=self.timeout, helpers=self.helpers,
-                     suspicion=float(self.suspicion), contact_every=self.contact_every,
-                     doubt_most=self.doubt_most, members_most=self.members_most,
-                     datagram_most=self.datagram_most, news_every=min(SECOND // 5, self.interval // 5),
-                     settle=3 * self.interval, whole_rest=10 * self.interval)
+        return Rules(
+            interval=self.interval,
+            timeout=self.timeout,
+            helpers=self.helpers,
+            suspicion=float(self.suspicion),
+            contact_every=self.contact_every,
+            doubt_most=self.doubt_most,
+            members_most=self.members_most,
+            datagram_most=self.datagram_most,
+            news_every=min(SECOND // 5, self.interval // 5),
+            settle=3 * self.interval,
+            whole_rest=10 * self.interval,
+        )
 
 
 def _literal(host: str) -> bool:
--- a/millweir/net/clients.py
+++ b/millweir/net/clients.py
@@ -23,8 +23,18 @@
     an answer with it that is still on its way.
     """
 
-    __slots__ = ("_door", "_reader", "_transport", "_unread", "asked", "begun", "open", "peer", "pending",
-                 "reason")
+    __slots__ = (
+        "_door",
+        "_reader",
+        "_transport",
+        "_unread",
+        "asked",
+        "begun",
+        "open",
+        "peer",
+        "pending",
+        "reason",
+    )
 
     def __init__(self, door: ClientDoor) -> None:
         self._door = door
@@ -102,8 +112,9 @@
         else:
             self.end("silent")
 
-    def answer(self, request: Request, status: int, body: bytes = b"", wait: int = 0,
-               keep: bool = True) -> None:
+    def answer(
+        self, request: Request, status: int, body: bytes = b"", wait: int = 0, keep: bool = True
+    ) -> None:
         """Answer the oldest request read."""
         self.pending -= 1
         if not self.open:
@@ -133,8 +144,14 @@
 class ClientDoor:
     """All client connections, bounded in number, and the requests that wait for their turn."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, bounds: Bounds, wake: Callable[[], None], log: Log,
-                 counters: Counters) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        bounds: Bounds,
+        wake: Callable[[], None],
+        log: Log,
+        counters: Counters,
+    ) -> None:
         self.bounds = bounds
         self._most, self._wake, self._log, self._counters = bounds.client_links, wake, log, counters
         self._links: dict[ClientLink, None] = {}  # the one idle longest first
--- a/millweir/net/config.py
+++ b/millweir/net/config.py
@@ -73,13 +73,19 @@
         return Config(
             name=str(environ.get("RELAY_NAME") or given.get("name", "")),
             listen=read_address(environ.get("RELAY_LISTEN") or given.get("listen"), "RELAY_LISTEN"),
-            control=(read_address(control, "RELAY_CONTROL")
-                     if (control := environ.get("RELAY_CONTROL") or given.get("control")) else None),
+            control=(
+                read_address(control, "RELAY_CONTROL")
+                if (control := environ.get("RELAY_CONTROL") or given.get("control"))
+                else None
+            ),
             discovery=read_address(discovery, "RELAY_DISCOVERY"),
             state=Path(state),
             seed=int(str(given.get("seed", "0")), 16),
-            limits=Limits(int(limits.get("sockets", 1024)), int(limits.get("disk_mb", 1) * MEGABYTE),
-                          int(limits.get("memory_mb", 64) * MEGABYTE)),
+            limits=Limits(
+                int(limits.get("sockets", 1024)),
+                int(limits.get("disk_mb", 1) * MEGABYTE),
+                int(limits.get("memory_mb", 64) * MEGABYTE),
+            ),
             known=known,
             settings=read_settings(given["settings"]),
             given=given["settings"],
--- a/millweir/net/control.py
+++ b/millweir/net/control.py
@@ -133,4 +133,3 @@
         if self._timer:
             self._timer.cancel()
             self._timer = None
-
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -34,8 +34,15 @@
 class Desk:
     """One relay at work."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, facade: Facade[Parcel],
-                 journal: Journal, log: Log, counters: Counters) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        config: Config,
+        facade: Facade[Parcel],
+        journal: Journal,
+        log: Log,
+        counters: Counters,
+    ) -> None:
         settings, bounds = config.settings, facade.bounds
         self._loop, self._facade, self._journal = loop, facade, journal
         self._log, self._counters, self._bounds = log, counters, bounds
@@ -60,8 +67,9 @@
         self._lag = Lag(bounds.lag_kept, clock.steady())
         self.stopped = loop.create_future()
         self.clients = ClientDoor(loop, bounds, self.wake, log, counters)
-        self._hosts = Hosts(loop, bounds, settings.connect_timeout, journal, facade.still,
-                            self._report, log, counters)
+        self._hosts = Hosts(
+            loop, bounds, settings.connect_timeout, journal, facade.still, self._report, log, counters
+        )
         self._notices = Notices(loop, config.discovery, bounds, self._over, log, counters)
         self._known_list = self._read_known(config)  # None once calls may go out
         if self._known_list:
@@ -74,8 +82,9 @@
         self._adopt_later()
         self._read_waits(first=True)
         index = self._known_list.index if self._known_list else -1
-        self._watch = Watch(loop, config.discovery, settings, bounds, index, self._told,
-                            facade.rest, log, counters)
+        self._watch = Watch(
+            loop, config.discovery, settings, bounds, index, self._told, facade.rest, log, counters
+        )
         self.wake()
 
     def _read_known(self, config: Config) -> News | None:
@@ -206,12 +215,20 @@
     def figures(self) -> dict[str, Any]:
         """What the second address tells: counts since this process began, and what is so now."""
         targets, disabled = self._facade.targets()
-        replies = {profile.decode(errors="replace"): {"success": s, "overload": o, "error": e}
-                   for profile, (s, o, e) in self._replies.items()}
+        replies = {
+            profile.decode(errors="replace"): {"success": s, "overload": o, "error": e}
+            for profile, (s, o, e) in self._replies.items()
+        }
         counts = self._counters.counts
-        return {"replies": replies, "dispatches": counts["trips_sent"], "concurrent": len(self._owed),
-                "targets": targets, "targets_disabled": disabled, "reload_success": self.reloads[0],
-                "reload_failure": self.reloads[1]}
+        return {
+            "replies": replies,
+            "dispatches": counts["trips_sent"],
+            "concurrent": len(self._owed),
+            "targets": targets,
+            "targets_disabled": disabled,
+            "reload_success": self.reloads[0],
+            "reload_failure": self.reloads[1],
+        }
 
     def cordon(self, host: bytes, out: bool) -> str:
         """By hand: the host out or back; the module decides what that means.  '' or why not."""
@@ -290,8 +307,15 @@
         # Guards rule 2 where the wall clock was set back: a trip out at a time to come may be of any age.
         trips = tuple((clock.from_wall(at if at <= now else 0), bool(void)) for at, void in parcel.trips)
         self._facade.take(
-            clock.steady(), parcel, self._profiles.get(parcel.profile, self._unlisted), tenant,
-            int.from_bytes(parcel.key), clock.from_wall(parcel.hard_stop), parcel.destination, trips)
+            clock.steady(),
+            parcel,
+            self._profiles.get(parcel.profile, self._unlisted),
+            tenant,
+            int.from_bytes(parcel.key),
+            clock.from_wall(parcel.hard_stop),
+            parcel.destination,
+            trips,
+        )
 
     def wake(self) -> None:
         """Have a turn once all that has come in by now is read."""
@@ -369,8 +393,12 @@
             link.answer(request, 200, self._counters.text())
         elif path != b"/api" or request.method != b"POST":
             link.answer(request, 404 if path != b"/api" else 405)
-        elif (not request.id or request.left < 0 or request.destination < 0
-              or request.profile not in self._profiles):
+        elif (
+            not request.id
+            or request.left < 0
+            or request.destination < 0
+            or request.profile not in self._profiles
+        ):
             self._counters.add("requests_malformed")
             if request.profile and (request.profile in self._replies or len(self._replies) < REPLIES_MOST):
                 self._count(request.profile, 2)  # errored for its client, of a profile not known here
@@ -387,10 +415,19 @@
             return
         now, stop = clock.steady(), request.read_at + request.left
         self._lag.note(now, now - request.read_at)
-        parcel = Parcel(request.id, request.profile, request.account, request.key, request.mark,
-                        request.destination, clock.to_wall(stop), request.body)
-        wait = self._facade.refusal(parcel.destination, parcel.size, self._journal.room, stop - now,
-                                    self._lag.at(now))
+        parcel = Parcel(
+            request.id,
+            request.profile,
+            request.account,
+            request.key,
+            request.mark,
+            request.destination,
+            clock.to_wall(stop),
+            request.body,
+        )
+        wait = self._facade.refusal(
+            parcel.destination, parcel.size, self._journal.room, stop - now, self._lag.at(now)
+        )
         if not wait:
             try:
                 self._journal.taken(parcel)
@@ -444,13 +481,19 @@
     def reload(self, config: Config) -> None:
         """SIGHUP: discovery and notices move to the address given now; profiles new or changed are used from
         now on, those gone are refused, packets under way keep theirs; fewer trips bind at once."""
-        fresh = [p for p in config.settings.profiles
-                 if (at := self._profiles.get(p.name.encode())) is None or self._known[at] != p]
+        fresh = [
+            p
+            for p in config.settings.profiles
+            if (at := self._profiles.get(p.name.encode())) is None or self._known[at] != p
+        ]
         self._settings = config.settings
         first = self._facade.settings_told(replace(config.settings, profiles=tuple(fresh)))
         self._known += fresh
-        kept = {p.name.encode(): self._profiles[p.name.encode()] for p in config.settings.profiles
-                if p.name.encode() in self._profiles}
+        kept = {
+            p.name.encode(): self._profiles[p.name.encode()]
+            for p in config.settings.profiles
+            if p.name.encode() in self._profiles
+        }
         self._profiles = kept | {p.name.encode(): first + at for at, p in enumerate(fresh)}
         self._log.must(f"settings profiles={len(self._profiles)} new-or-changed={len(fresh)}")
         if config.discovery != self._discovery:
--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -46,13 +46,17 @@
             else:
                 gone.append(name)
             zone, kind = row.get("zone", ""), row.get("type", "")
-            entries.append(Entry(
-                host=name.encode(),
-                zone=settings.zones.index(zone) if zone in settings.zones else len(settings.zones),
-                kind=settings.kinds.index(kind) if kind in settings.kinds else len(settings.kinds),
-                destination=int(row.get("group", -1)), phase=phase, rate=read_number(row.get("weight", 0.0))))
-        return News(int(given["index"]), bool(given.get("snapshot", False)), tuple(entries), addresses,
-                    gone)
+            entries.append(
+                Entry(
+                    host=name.encode(),
+                    zone=settings.zones.index(zone) if zone in settings.zones else len(settings.zones),
+                    kind=settings.kinds.index(kind) if kind in settings.kinds else len(settings.kinds),
+                    destination=int(row.get("group", -1)),
+                    phase=phase,
+                    rate=read_number(row.get("weight", 0.0)),
+                )
+            )
+        return News(int(given["index"]), bool(given.get("snapshot", False)), tuple(entries), addresses, gone)
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError, Misconfigured) as fault:
         raise Garbled(repr(fault)) from fault
 
@@ -68,8 +72,15 @@
 
     __slots__ = ("_exchange", "_failures", "_loop", "_watch", "closed", "proven")
 
-    def __init__(self, watch: Watch, loop: asyncio.AbstractEventLoop, address: tuple[str, int], most: int,
-                 log: Log, counters: Counters) -> None:
+    def __init__(
+        self,
+        watch: Watch,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        most: int,
+        log: Log,
+        counters: Counters,
+    ) -> None:
         self._watch, self._loop = watch, loop
         more = watch.bounds.resend
         self._exchange = Exchange(loop, address, "discovery", most, more, self._took, log, counters)
@@ -104,9 +115,18 @@
 class Watch:
     """Keeps asking for what is newer than the version at hand; while discovery is silent, that one stays."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], settings: Settings,
-                 bounds: Bounds, index: int, told: Callable[[Change, News], None],
-                 rest: Callable[[int], int], log: Log, counters: Counters) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        settings: Settings,
+        bounds: Bounds,
+        index: int,
+        told: Callable[[Change, News], None],
+        rest: Callable[[int], int],
+        log: Log,
+        counters: Counters,
+    ) -> None:
         """`rest`: how long until discovery is asked again after so many failures in a row."""
         self._loop, self._settings, self.bounds, self.rest = loop, settings, bounds, rest
         self._index, self._told, self._log, self._counters = index, told, log, counters
@@ -121,8 +141,7 @@
         for feed in self._feeds[1:]:
             feed.close()
         del self._feeds[1:]
-        self._feeds.append(
-            Feed(self, self._loop, address, self.bounds.list_most, self._log, self._counters))
+        self._feeds.append(Feed(self, self._loop, address, self.bounds.list_most, self._log, self._counters))
         self._loop.call_soon(self._feeds[-1].ask)
 
     def query(self, proven: bool) -> bytes:
--- a/millweir/net/exchange.py
+++ b/millweir/net/exchange.py
@@ -18,12 +18,34 @@
     by `close`; after that whatever still happens on its link or its timer is nobody's.
     """
 
-    __slots__ = ("_address", "_begun", "_counters", "_link", "_log", "_loop", "_more",
-                 "_most", "_name", "_pieces", "_task", "_timer", "_took", "host")
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], name: str, most: int,
-                 more: int, took: Callable[[AnswerReader | None], None], log: Log,
-                 counters: Counters) -> None:
+    __slots__ = (
+        "_address",
+        "_begun",
+        "_counters",
+        "_link",
+        "_log",
+        "_loop",
+        "_more",
+        "_most",
+        "_name",
+        "_pieces",
+        "_task",
+        "_timer",
+        "_took",
+        "host",
+    )
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        name: str,
+        most: int,
+        more: int,
+        took: Callable[[AnswerReader | None], None],
+        log: Log,
+        counters: Counters,
+    ) -> None:
         """`more`: nanoseconds that an answer has to end in which had begun when its patience was over."""
         self._loop, self._address, self._name, self._most = loop, address, name, most
         self._more, self._took, self._log, self._counters = more, took, log, counters
--- a/millweir/net/heads.py
+++ b/millweir/net/heads.py
@@ -10,8 +10,14 @@
 from millweir.interface import MILLISECOND
 
 ID_MOST = 128
-ONCE = {b"x-correlation-id", b"x-service-class", b"x-time-left", b"x-addressing", b"content-length",
-        b"transfer-encoding"}  # what two of could be read in two ways
+ONCE = {
+    b"x-correlation-id",
+    b"x-service-class",
+    b"x-time-left",
+    b"x-addressing",
+    b"content-length",
+    b"transfer-encoding",
+}  # what two of could be read in two ways
 WAIT_MOST = 86_400 * 10**9  # nanoseconds for which anybody may be told to wait
 UNITS = {b"m": MILLISECOND, b"u": MILLISECOND // 1000}
 
@@ -61,8 +67,23 @@
 class Request:
     """One request of a client, as far as read; `fault` is the status that it can only be answered with."""
 
-    __slots__ = ("account", "body", "destination", "fault", "id", "keep", "key", "left", "length", "mark",
-                 "method", "once", "profile", "read_at", "url")
+    __slots__ = (
+        "account",
+        "body",
+        "destination",
+        "fault",
+        "id",
+        "keep",
+        "key",
+        "left",
+        "length",
+        "mark",
+        "method",
+        "once",
+        "profile",
+        "read_at",
+        "url",
+    )
 
     def __init__(self) -> None:
         self.read_at = 0
@@ -192,8 +213,22 @@
 class AnswerReader:
     """Reads one answer after the other of a connection; httptools calls the on_ methods."""
 
-    __slots__ = ("_bodies", "_most", "_parser", "_seen", "_sized", "begun", "body", "complete", "keep",
-                 "load", "over_slots", "says", "status", "wait")
+    __slots__ = (
+        "_bodies",
+        "_most",
+        "_parser",
+        "_seen",
+        "_sized",
+        "begun",
+        "body",
+        "complete",
+        "keep",
+        "load",
+        "over_slots",
+        "says",
+        "status",
+        "wait",
+    )
 
     def __init__(self, most: int) -> None:
         self._most = most
@@ -223,7 +258,7 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as fault:  # a word on the way that names another protocol
             self._parser = httptools.HttpResponseParser(self)
-            return not data[fault.args[0]:] or self.feed(data[fault.args[0]:])
+            return not data[fault.args[0] :] or self.feed(data[fault.args[0] :])
         except httptools.HttpParserError as fault:
             if not self.says and not isinstance(fault, httptools.HttpParserInvalidStatusError):
                 self.says = self._parser.get_status_code()
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -15,12 +15,25 @@
 from millweir.net.links import Link
 from millweir.net.log import Log
 
-STATUSES = {200: Outcome.FULFILLED, 429: Outcome.FULL, 503: Outcome.FULL, 504: Outcome.MOOT,
-            410: Outcome.MOOT, 404: Outcome.MOOT, 400: Outcome.UNREADABLE, 413: Outcome.UNREADABLE}
+STATUSES = {
+    200: Outcome.FULFILLED,
+    429: Outcome.FULL,
+    503: Outcome.FULL,
+    504: Outcome.MOOT,
+    410: Outcome.MOOT,
+    404: Outcome.MOOT,
+    400: Outcome.UNREADABLE,
+    413: Outcome.UNREADABLE,
+}
 # An answer with any other status may have run.
 NOWHERE = ("127.0.0.1", 0)  # of a host that the list has forgotten: no connection comes up
-STATES = {"accepted": Outcome.FULFILLED, "fault": Outcome.FAULT, "deferred": Outcome.FULL,
-          "expired": Outcome.MOOT, "no_more": Outcome.MOOT}
+STATES = {
+    "accepted": Outcome.FULFILLED,
+    "fault": Outcome.FAULT,
+    "deferred": Outcome.FULL,
+    "expired": Outcome.MOOT,
+    "no_more": Outcome.MOOT,
+}
 
 Still = Callable[[int, Part[Parcel]], bool]
 Report = Callable[[Part[Parcel], Outcome, bool, int, bytes], None]
@@ -79,7 +92,12 @@
                 rows.append(row)
             path, body, ident = b"/hook/batch", json.dumps(rows, separators=(",", ":")).encode(), b""
         head = b"POST %b HTTP/1.1\r\nHost: %b\r\n%bX-Time-Left: %dm\r\nContent-Length: %d\r\n\r\n" % (
-            path, self.door.name.encode(), ident, left, len(body))
+            path,
+            self.door.name.encode(),
+            ident,
+            left,
+            len(body),
+        )
         link.ask(self, [head, body], hosts.bounds.hold)
 
     def released(self, link: Link) -> bool:
@@ -101,8 +119,9 @@
         hosts.counters.add("trips_sent", len(parts))
         return True
 
-    def over(self, part: Part[Parcel], outcome: Outcome, finished: bool = False, wait: int = 0,
-             load: bytes = b"") -> None:
+    def over(
+        self, part: Part[Parcel], outcome: Outcome, finished: bool = False, wait: int = 0, load: bytes = b""
+    ) -> None:
         """One part has its outcome."""
         if part not in self.waiting:
             return
@@ -146,7 +165,8 @@
         if self.waiting:
             left = min([part.until for part in self.waiting]) - clock.steady()
             self.timer = self._hosts.loop.call_later(
-                max(left, 0) / 1e9 + 0.0005, clock.once_read, self._hosts.loop, self.time_out)
+                max(left, 0) / 1e9 + 0.0005, clock.once_read, self._hosts.loop, self.time_out
+            )
 
     def answered(self, link: Link) -> None:
         reader = link.reader
@@ -198,8 +218,17 @@
 class Hosts:
     """All doors, and the calls under way."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, bounds: Bounds, connect_timeout: int,
-                 journal: Journal, still: Still, report: Report, log: Log, counters: Counters) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        bounds: Bounds,
+        connect_timeout: int,
+        journal: Journal,
+        still: Still,
+        report: Report,
+        log: Log,
+        counters: Counters,
+    ) -> None:
         self.loop = loop
         self.journal = journal
         self.still = still
@@ -252,8 +281,14 @@
 
     async def _dial(self, call: Call) -> None:
         door = call.door
-        link = Link(self.loop, f"{door.name}/{door.address[0]}:{door.address[1]}", self.bounds.answer_most,
-                    self.bounds.answer_time, self.log, self.counters)
+        link = Link(
+            self.loop,
+            f"{door.name}/{door.address[0]}:{door.address[1]}",
+            self.bounds.answer_most,
+            self.bounds.answer_time,
+            self.log,
+            self.counters,
+        )
         try:
             async with asyncio.timeout(self._connect_timeout):
                 await self.loop.create_connection(lambda: link, *door.address)
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -33,11 +33,32 @@
 class Parcel:
     """A packet as the sockets know it, from being taken on to its end."""
 
-    __slots__ = ("account", "body", "destination", "given_up", "hard_stop", "id", "key", "mark", "number",
-                 "profile", "size", "trips")
-
-    def __init__(self, ident: bytes, profile: bytes, account: bytes, key: bytes, mark: bytes,
-                 destination: int, hard_stop: int, body: bytes) -> None:
+    __slots__ = (
+        "account",
+        "body",
+        "destination",
+        "given_up",
+        "hard_stop",
+        "id",
+        "key",
+        "mark",
+        "number",
+        "profile",
+        "size",
+        "trips",
+    )
+
+    def __init__(
+        self,
+        ident: bytes,
+        profile: bytes,
+        account: bytes,
+        key: bytes,
+        mark: bytes,
+        destination: int,
+        hard_stop: int,
+        body: bytes,
+    ) -> None:
         self.number = 0
         self.id = ident
         self.profile = profile
@@ -232,7 +253,7 @@
         at = 0
         while at + FRAME.size <= len(raw):
             size, check = FRAME.unpack_from(raw, at)
-            body = raw[at + FRAME.size:at + FRAME.size + size]
+            body = raw[at + FRAME.size : at + FRAME.size + size]
             if len(body) < size or not size or zlib.crc32(body) != check or not self._replay(body):
                 break
             at += FRAME.size + size
@@ -246,7 +267,7 @@
                 _, number, hard_stop, *lengths, destination = TAKEN.unpack_from(body)
                 texts, at = [], TAKEN.size
                 for length in lengths:
-                    texts.append(body[at:at + length])
+                    texts.append(body[at : at + length])
                     at += length
                 parcel = Parcel(*texts, destination, hard_stop, body[at:])
                 parcel.number = self._last = number
--- a/millweir/net/links.py
+++ b/millweir/net/links.py
@@ -27,11 +27,28 @@
 class Link(asyncio.Protocol):
     """Reads answers; whoever asked hears of each once."""
 
-    __slots__ = ("_asker", "_counters", "_held", "_log", "_loop", "_peer", "_reason", "_time", "_timer",
-                 "_transport", "asked", "idle_since", "open", "reader", "spoilt", "when_closed")
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, peer: str, most: int, time: int, log: Log,
-                 counters: Counters) -> None:
+    __slots__ = (
+        "_asker",
+        "_counters",
+        "_held",
+        "_log",
+        "_loop",
+        "_peer",
+        "_reason",
+        "_time",
+        "_timer",
+        "_transport",
+        "asked",
+        "idle_since",
+        "open",
+        "reader",
+        "spoilt",
+        "when_closed",
+    )
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, peer: str, most: int, time: int, log: Log, counters: Counters
+    ) -> None:
         """`time`: how long an answer may take from its first bytes to its last, 0 for any time."""
         self._loop = loop
         self._time = time
--- a/millweir/net/notices.py
+++ b/millweir/net/notices.py
@@ -17,8 +17,15 @@
 class Notices:
     """Holds what the platform has yet to be told."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], bounds: Bounds,
-                 done: Callable[[Parcel], None], log: Log, counters: Counters) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        bounds: Bounds,
+        done: Callable[[Parcel], None],
+        log: Log,
+        counters: Counters,
+    ) -> None:
         self._loop, self._bounds, self._done, self._log = loop, bounds, done, log
         self._counters = counters
         self._exchange = self._to(address)
@@ -54,7 +61,7 @@
         """Send what waits, unless a request is out or the last one failed a moment ago."""
         if self._sent or self._resting or not self._waiting:
             return
-        self._sent = list(self._waiting)[:self._most]
+        self._sent = list(self._waiting)[: self._most]
         lines = []
         for parcel in self._sent:
             del self._waiting[parcel]
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -17,8 +17,19 @@
     """What one limit holds for: a destination, or one host of it where routes are apart."""
 
     __slots__ = (
-        "cut_at", "ill", "limit", "listed", "log", "out", "pressed", "raised_at", "share", "top", "turned",
-        "turned_at", "wait_until",
+        "cut_at",
+        "ill",
+        "limit",
+        "listed",
+        "log",
+        "out",
+        "pressed",
+        "raised_at",
+        "share",
+        "top",
+        "turned",
+        "turned_at",
+        "wait_until",
     )
 
     def __init__(self, listed: float, share: float, top: float, now: int) -> None:
@@ -41,9 +52,32 @@
     """All that is known of one host."""
 
     __slots__ = (
-        "back_at", "clear_at", "destination", "doubt", "fee", "freed_at", "id", "idle_lost",
-        "idle_lost_at", "kind", "latency", "left_at", "lingering", "links", "lost", "out", "overdue",
-        "pace", "ready", "route", "set_at", "spread", "stale_at", "tried_at", "used_at", "zone",
+        "back_at",
+        "clear_at",
+        "destination",
+        "doubt",
+        "fee",
+        "freed_at",
+        "id",
+        "idle_lost",
+        "idle_lost_at",
+        "kind",
+        "latency",
+        "left_at",
+        "lingering",
+        "links",
+        "lost",
+        "out",
+        "overdue",
+        "pace",
+        "ready",
+        "route",
+        "set_at",
+        "spread",
+        "stale_at",
+        "tried_at",
+        "used_at",
+        "zone",
     )
 
     def __init__(self, entry: Entry, destination: Destination, route: Route, fee: float) -> None:
@@ -105,8 +139,9 @@
 
     __slots__ = ("home", "hosts", "loss", "packets", "saved")
 
-    def __init__(self, saved: float, loss: float, home: Destination, hosts: list[Host],
-                 packets: list[Packet]) -> None:
+    def __init__(
+        self, saved: float, loss: float, home: Destination, hosts: list[Host], packets: list[Packet]
+    ) -> None:
         self.saved = saved  # gain for each second of a slot
         self.loss = loss  # of gain, if it were put off for a quoted time
         self.home = home
@@ -129,8 +164,18 @@
     """One call out to a host; packets sent to it in one turn share it."""
 
     __slots__ = (
-        "fresh", "given_up", "host", "idle", "judged", "late", "left", "sent_at", "shared", "stop",
-        "trips", "yields_at",
+        "fresh",
+        "given_up",
+        "host",
+        "idle",
+        "judged",
+        "late",
+        "left",
+        "sent_at",
+        "shared",
+        "stop",
+        "trips",
+        "yields_at",
     )
 
     def __init__(self, host: Host | None, sent_at: int, shared: bool) -> None:
@@ -170,12 +215,29 @@
     """A packet that this relay took."""
 
     __slots__ = (
-        "aim_at", "alone", "bound", "curve", "destination", "ended", "gain", "hard_stop", "held", "id", "key",
-        "last", "lingers", "nth", "out", "profile", "trips", "weight",
+        "aim_at",
+        "alone",
+        "bound",
+        "curve",
+        "destination",
+        "ended",
+        "gain",
+        "hard_stop",
+        "held",
+        "id",
+        "key",
+        "last",
+        "lingers",
+        "nth",
+        "out",
+        "profile",
+        "trips",
+        "weight",
     )
 
-    def __init__(self, ident: int, nth: int, profile: Profile, curve: Curve, destination: Destination,
-                 hard_stop: int) -> None:
+    def __init__(
+        self, ident: int, nth: int, profile: Profile, curve: Curve, destination: Destination, hard_stop: int
+    ) -> None:
         self.id = ident
         self.nth = nth  # in the order taken
         self.profile = profile
--- a/millweir/settings.py
+++ b/millweir/settings.py
@@ -75,9 +75,16 @@
 def unlisted_profile(settings: Settings) -> Profile:
     """What stands in for a profile that the settings list no more: as little of it is held safe as can be."""
     return Profile(
-        name="", gain=min(p.gain for p in settings.profiles), quoted=max(p.quoted for p in settings.profiles),
-        give_up=max(p.give_up for p in settings.profiles), late_share=0.0, effect=Effect.SINGLE_USE,
-        repeat_known=0, repeat_known_by_zone=False, in_order=True)
+        name="",
+        gain=min(p.gain for p in settings.profiles),
+        quoted=max(p.quoted for p in settings.profiles),
+        give_up=max(p.give_up for p in settings.profiles),
+        late_share=0.0,
+        effect=Effect.SINGLE_USE,
+        repeat_known=0,
+        repeat_known_by_zone=False,
+        in_order=True,
+    )
 
 
 def _positive(value: Any) -> bool:
--- a/millweir/store/core.py
+++ b/millweir/store/core.py
@@ -129,8 +129,9 @@
     @property
     def _voters_at(self) -> int:
         """Where that entry stands."""
-        return next((entry.index for entry in reversed(self.log) if entry.kind is Kind.VOTERS),
-                    self.snapshot.index)
+        return next(
+            (entry.index for entry in reversed(self.log) if entry.kind is Kind.VOTERS), self.snapshot.index
+        )
 
     @property
     def is_voter(self) -> bool:
@@ -155,8 +156,11 @@
     @property
     def due(self) -> int:
         """When `time_passed` is wanted next."""
-        return min(self._beat_at, self._quorum_at + self.rules.election) if self.role is Role.LEADER \
+        return (
+            min(self._beat_at, self._quorum_at + self.rules.election)
+            if self.role is Role.LEADER
             else self._election_at
+        )
 
     def propose(self, now: int, data: bytes) -> int:
         """Append a command; returns its index.  It counts once it comes back committed under this term."""
@@ -209,11 +213,11 @@
         if index == self.snapshot.index:
             return self.snapshot
         voters = self.snapshot.voters
-        for entry in self.log[:index - self.snapshot.index]:
+        for entry in self.log[: index - self.snapshot.index]:
             if entry.kind is Kind.VOTERS:
                 voters = read_voters(entry.data)
         snapshot = Snapshot(index, self.term_of(index), voters, data)
-        del self.log[:index - self.snapshot.index]
+        del self.log[: index - self.snapshot.index]
         self.snapshot = snapshot
         return snapshot
 
@@ -237,8 +241,9 @@
             self.handing_to, self._handing_until = None, NEVER
         if now - self._quorum_at >= self.rules.election:
             # Guards what rests on being the only leader: without a majority's answers it may not be.
-            if not self._quorum(one for one, peer in self.peers.items()
-                                if now - peer.heard_at < self.rules.election):
+            if not self._quorum(
+                one for one, peer in self.peers.items() if now - peer.heard_at < self.rules.election
+            ):
                 self._follow(now, self.term, None)
                 return
             self._quorum_at = now
@@ -249,15 +254,24 @@
         """A word came."""
         if word.to != self.me:
             return  # for another, or for an earlier life of this name
-        if word.ask in (Ask.MAY_I, Ask.VOTE) and not word.handed and (
-                self.role is Role.LEADER or now - self._leader_at < self.rules.election):
+        if (
+            word.ask in (Ask.MAY_I, Ask.VOTE)
+            and not word.handed
+            and (self.role is Role.LEADER or now - self._leader_at < self.rules.election)
+        ):
             return  # guards a leader that is well, and what rests on it, against one that hears less
         if word.term > self.term and word.ask not in (Ask.MAY_I, Ask.MAY):
             self._follow(now, word.term, word.me if word.ask in (Ask.APPEND, Ask.SNAPSHOT) else None)
         handlers = {
-            Ask.MAY_I: self._may_i, Ask.MAY: self._may, Ask.VOTE: self._asked_vote, Ask.VOTED: self._voted,
-            Ask.APPEND: self._followed, Ask.APPENDED: self._appended, Ask.SNAPSHOT: self._restored,
-            Ask.LEAD: self._handed}
+            Ask.MAY_I: self._may_i,
+            Ask.MAY: self._may,
+            Ask.VOTE: self._asked_vote,
+            Ask.VOTED: self._voted,
+            Ask.APPEND: self._followed,
+            Ask.APPENDED: self._appended,
+            Ask.SNAPSHOT: self._restored,
+            Ask.LEAD: self._handed,
+        }
         handlers[word.ask](now, word)
 
     # Elections.
@@ -295,8 +309,9 @@
     def _to_voters(self, ask: Ask, term: int, handed: bool = False) -> None:
         for one in self.voters.voters:
             if one != self.me:
-                self._work.words.append(Word(ask, self.me, one, term, self.last, self.term_of(self.last),
-                                             handed=handed))
+                self._work.words.append(
+                    Word(ask, self.me, one, term, self.last, self.term_of(self.last), handed=handed)
+                )
 
     def _quorum(self, others: Iterable[Id]) -> bool:
         """Whether these, with this member if it has a vote, are a majority of the voters."""
@@ -317,8 +332,12 @@
                 self._stand(now)
 
     def _asked_vote(self, now: int, word: Word) -> None:
-        yes = (word.term == self.term and self.vote in (None, word.me) and self._as_new(word)
-               and self.role is not Role.LEADER)
+        yes = (
+            word.term == self.term
+            and self.vote in (None, word.me)
+            and self._as_new(word)
+            and self.role is not Role.LEADER
+        )
         if yes and self.vote is None:
             self.vote = word.me
             self._work.term, self._work.vote = self.term, word.me
@@ -363,14 +382,35 @@
         peer.sent_at = now
         term = self.term_of(before)
         if term is None:  # it stands in the snapshot
-            self._work.words.append(Word(Ask.SNAPSHOT, self.me, one, self.term, self.snapshot.index,
-                                         self.snapshot.term, commit=self.commit, round=self.round,
-                                         snapshot=self.snapshot))
+            self._work.words.append(
+                Word(
+                    Ask.SNAPSHOT,
+                    self.me,
+                    one,
+                    self.term,
+                    self.snapshot.index,
+                    self.snapshot.term,
+                    commit=self.commit,
+                    round=self.round,
+                    snapshot=self.snapshot,
+                )
+            )
             return
         at = before - self.snapshot.index
-        entries = tuple(self.log[at:at + self.rules.entries_most])
-        self._work.words.append(Word(Ask.APPEND, self.me, one, self.term, before, term, entries=entries,
-                                     commit=self.commit, round=self.round))
+        entries = tuple(self.log[at : at + self.rules.entries_most])
+        self._work.words.append(
+            Word(
+                Ask.APPEND,
+                self.me,
+                one,
+                self.term,
+                before,
+                term,
+                entries=entries,
+                commit=self.commit,
+                round=self.round,
+            )
+        )
 
     def _appended(self, now: int, word: Word) -> None:
         peer = self.peers.get(word.me) if self.role is Role.LEADER and word.term == self.term else None
@@ -398,8 +438,9 @@
         if self.role is not Role.LEADER:
             return False
         voters = self.voters
-        matches = sorted((self.last if one == self.me else self.peers[one].match for one in voters.voters),
-                         reverse=True)
+        matches = sorted(
+            (self.last if one == self.me else self.peers[one].match for one in voters.voters), reverse=True
+        )
         index = matches[voters.majority - 1]
         if index <= self.commit or self.term_of(index) != self.term:
             return False
@@ -461,7 +502,7 @@
     def _cut(self, index: int) -> None:
         """Entries of an earlier leader that the present one doesn't hold."""
         assert index > self.commit, "a committed entry would be lost"
-        del self.log[index - self.snapshot.index - 1:]
+        del self.log[index - self.snapshot.index - 1 :]
         self._work.entries = [entry for entry in self._work.entries if entry.index < index]
         self._work.cut_from = min(index, self._work.cut_from or index)
 
@@ -478,7 +519,7 @@
         given = word.snapshot
         if given is not None and given.index > self.commit:
             if self.term_of(given.index) == given.term:  # the log goes on from there
-                self.log = self.log[given.index - self.snapshot.index:]
+                self.log = self.log[given.index - self.snapshot.index :]
             else:
                 self.log = []
             self._work.entries, self._work.cut_from = list(self.log), 0
@@ -486,7 +527,9 @@
             self.commit = self.applied = given.index
         self._answer(word, Ask.APPENDED, yes=True, index=given.index if given else 0)
 
-    def _answer(self, word: Word, ask: Ask, yes: bool = False, index: int = 0,
-                term: int | None = None) -> None:
-        self._work.words.append(Word(ask, self.me, word.me, self.term if term is None else term, index,
-                                     yes=yes, round=word.round))
+    def _answer(
+        self, word: Word, ask: Ask, yes: bool = False, index: int = 0, term: int | None = None
+    ) -> None:
+        self._work.words.append(
+            Word(ask, self.me, word.me, self.term if term is None else term, index, yes=yes, round=word.round)
+        )
