--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -30,8 +30,13 @@
 
 
 def request(ident="r1", profile="again", left="16000m", length=2, **fields):
-    fields = {"X-Correlation-Id": ident, "X-Service-Class": profile, "X-Time-Left": left,
-              "X-Addressing": "dest=0", "Content-Length": length} | fields
+    fields = {
+        "X-Correlation-Id": ident,
+        "X-Service-Class": profile,
+        "X-Time-Left": left,
+        "X-Addressing": "dest=0",
+        "Content-Length": length,
+    } | fields
     head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
     return f"POST /api HTTP/1.1\r\nHost: x\r\n{head}\r\n".encode()
 
@@ -71,8 +76,14 @@
     until(lambda: platform.noticed("p1") == ["dead"])
     later = until(lambda: len(platform.calls) > 1 and platform.calls[1:])
     assert later[0].at - batch.at >= 0.69  # a wait beside packets that were taken binds as well
-    until(lambda: {row["id"] for call in platform.calls[1:] for row in (
-        call.rows if call.path != "/hook" else [{"id": call.id}])} == {"p2", "p4"})
+    until(
+        lambda: {
+            row["id"]
+            for call in platform.calls[1:]
+            for row in (call.rows if call.path != "/hook" else [{"id": call.id}])
+        }
+        == {"p2", "p4"}
+    )
     assert not platform.noticed("p0") and not platform.noticed("p3")
 
 
@@ -164,8 +175,15 @@
     began = time.monotonic()
     relay.send_signal(signal.SIGTERM)
     until(lambda: relay.get("/ready") == 503)
-    status, _, head = relay.ask("POST", "/api", b"x", X_Correlation_Id="new", X_Service_Class="again",
-                                X_Time_Left="16000m", X_Addressing="dest=0")
+    status, _, head = relay.ask(
+        "POST",
+        "/api",
+        b"x",
+        X_Correlation_Id="new",
+        X_Service_Class="again",
+        X_Time_Left="16000m",
+        X_Addressing="dest=0",
+    )
     assert status == 503 and float(head["Retry-After"]) > 0 and head["Connection"] == "close"
     time.sleep(1)
     release.append(True)
@@ -202,28 +220,32 @@
     assert relay.process.wait(2) == 0
 
 
-@pytest.mark.parametrize(("raw", "status"), [
-    (b"nonsense\r\n\r\n", 400),
-    (request(left="soon") + b"hi", 400),
-    (request(left="-5m") + b"hi", 400),
-    (request(left="9" * 14 + "m") + b"hi", 400),
-    (request(profile="unheard-of") + b"hi", 400),
-    (request(ident="") + b"hi", 400),
-    (request(ident="x" * 200) + b"hi", 400),
-    (request(**{"X-Addressing": "dest=north"}) + b"hi", 400),
-    (request(length="two") + b"hi", 400),
-    (request(length=70000) + b"hi", 413),
-    (request(length=0, **{"Transfer-Encoding": "chunked"}) + b"hi", 400),
-    (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" + request()[20:] + b"0\r\n\r\n", 400),
-    (request(**{"x-correlation-id": "another"}) + b"hi", 400),
-    (request(**{"content-length": 5}) + b"hi", 400),
-    (request(length=-2) + b"hi", 400),
-    (request(length=200_000) + b"x" * 200_000, 413),
-    (b"GET /" + b"a" * 20000, 400),
-    (b"POST /api HTTP/1.1\r\n" + b"X-Long: " + b"a" * 20000, 400),
-    (b"CONNECT a:1 HTTP/1.1\r\n\r\n", 404),
-    (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 400),
-], ids=lambda given: str(given)[-30:])
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (request(left="soon") + b"hi", 400),
+        (request(left="-5m") + b"hi", 400),
+        (request(left="9" * 14 + "m") + b"hi", 400),
+        (request(profile="unheard-of") + b"hi", 400),
+        (request(ident="") + b"hi", 400),
+        (request(ident="x" * 200) + b"hi", 400),
+        (request(**{"X-Addressing": "dest=north"}) + b"hi", 400),
+        (request(length="two") + b"hi", 400),
+        (request(length=70000) + b"hi", 413),
+        (request(length=0, **{"Transfer-Encoding": "chunked"}) + b"hi", 400),
+        (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" + request()[20:] + b"0\r\n\r\n", 400),
+        (request(**{"x-correlation-id": "another"}) + b"hi", 400),
+        (request(**{"content-length": 5}) + b"hi", 400),
+        (request(length=-2) + b"hi", 400),
+        (request(length=200_000) + b"x" * 200_000, 413),
+        (b"GET /" + b"a" * 20000, 400),
+        (b"POST /api HTTP/1.1\r\n" + b"X-Long: " + b"a" * 20000, 400),
+        (b"CONNECT a:1 HTTP/1.1\r\n\r\n", 404),
+        (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 400),
+    ],
+    ids=lambda given: str(given)[-30:],
+)
 def test_malformed_requests_are_refused_and_close(start, raw, status):
     platform = Platform()
     relay = start(platform)
@@ -240,11 +262,15 @@
     silent = [socket.create_connection(address, timeout=4) for _ in range(60)]
     half = [socket.create_connection(address, timeout=4) for _ in range(60)]
     for n, link in enumerate(half):
-        link.sendall(request()[:20 + n])
+        link.sendall(request()[: 20 + n])
     kept = http.client.HTTPConnection(*address, timeout=4)
     for n in range(25):
-        head = {"X-Correlation-Id": f"p{n}", "X-Service-Class": "again", "X-Time-Left": "9000m",
-                "X-Addressing": "dest=0"}
+        head = {
+            "X-Correlation-Id": f"p{n}",
+            "X-Service-Class": "again",
+            "X-Time-Left": "9000m",
+            "X-Addressing": "dest=0",
+        }
         kept.request("POST", "/api", b"x", head)
         assert kept.getresponse().read() == b"" and kept.sock
         time.sleep(0.02)
@@ -257,11 +283,20 @@
 def test_what_can_not_be_used_is_not_taken_on(start):
     platform = Platform()
     relay = start(platform)
-    status, _, head = relay.ask("POST", "/api", b"x", X_Correlation_Id="lost", X_Service_Class="again",
-                                X_Time_Left="9000m", X_Addressing="dest=70000")
+    status, _, head = relay.ask(
+        "POST",
+        "/api",
+        b"x",
+        X_Correlation_Id="lost",
+        X_Service_Class="again",
+        X_Time_Left="9000m",
+        X_Addressing="dest=70000",
+    )
     assert status == 503 and float(head["Retry-After"]) > 0
-    raw = (request("chunks", **{"Transfer-Encoding": "chunked"}).replace(b"Content-Length: 2\r\n", b"")
-           + b"2\r\nhi\r\n0\r\nX-Addressing: dest=70000\r\nX-Correlation-Id: other\r\n\r\n")
+    raw = (
+        request("chunks", **{"Transfer-Encoding": "chunked"}).replace(b"Content-Length: 2\r\n", b"")
+        + b"2\r\nhi\r\n0\r\nX-Addressing: dest=70000\r\nX-Correlation-Id: other\r\n\r\n"
+    )
     assert relay.say(raw.replace(b"Host: x", b"Connection: close")).startswith(b"HTTP/1.1 202 ")
     assert until(lambda: platform.calls)[0].id == "chunks"  # what stands behind a body says nothing of it
 
@@ -302,7 +337,7 @@
         for _ in range(chance.choice((0, 1, 4))):
             raw[chance.randrange(len(raw))] = chance.randrange(256)
         with socket.create_connection(("127.0.0.1", relay.port)) as link:
-            link.sendall(raw[:chance.randrange(len(raw) + 1)])
+            link.sendall(raw[: chance.randrange(len(raw) + 1)])
     assert relay.hand_in("fine") == 202 and "Traceback" not in relay.log()
 
 
@@ -346,12 +381,21 @@
     assert platform.noticed("a") == ["dead"] and len(platform.calls) == 1
 
 
-@pytest.mark.parametrize("answer", [
-    "reset", b"HTTP/1.1 2x0 ?\r\n\r\n", b"\0\1\2", b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
-    b"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 OK 200\r\nContent-Length: 0\r\n\r\n",
-    b"HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\ncut", b"HTTP/1.1 100 Continue\r\n\r\n" * 5000,
-    b"HTTP/1.1 500 X\r\nX-Pad: p",
-], ids=lambda given: str(given)[:40])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        "reset",
+        b"HTTP/1.1 2x0 ?\r\n\r\n",
+        b"\0\1\2",
+        b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 OK 200\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\ncut",
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 5000,
+        b"HTTP/1.1 500 X\r\nX-Pad: p",
+    ],
+    ids=lambda given: str(given)[:40],
+)
 def test_an_answer_that_does_not_say_it_never_ran_ends_single_use(start, answer):
     platform = Platform(hosts=1)
     platform.decide = lambda call: answer if 1 < len(platform.calls) < 4 else reply(200)
@@ -365,20 +409,25 @@
     assert len(platform.sent("once")) == 1
 
 
-@pytest.mark.parametrize("answer", [
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\ncut",),
-    (b"HTTP/1.1 200 OK\r\n\r\nwithout a length",),
-    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\nHTTP/",
-    b"HTTP/1.1 100 Continue\r\n\r\n" + reply(200, b"well"),
-    [b"HTTP/1.1 102 Processing\r\n\r\n", 0.8, reply(200, b"well")],
-    b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n" + reply(200),
-    b"HTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nno colon here\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nhi",
-    b"HTTP/1.1 200\r\nContent-Length: -1\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nhi",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", b"HTTP/1.1 200 OK\r\nX-Pad: p",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 200_000,
-], ids=lambda given: str(given)[:60])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\ncut",),
+        (b"HTTP/1.1 200 OK\r\n\r\nwithout a length",),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\nHTTP/",
+        b"HTTP/1.1 100 Continue\r\n\r\n" + reply(200, b"well"),
+        [b"HTTP/1.1 102 Processing\r\n\r\n", 0.8, reply(200, b"well")],
+        b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n" + reply(200),
+        b"HTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nno colon here\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nhi",
+        b"HTTP/1.1 200\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nhi",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi",
+        b"HTTP/1.1 200 OK\r\nX-Pad: p",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 200_000,
+    ],
+    ids=lambda given: str(given)[:60],
+)
 def test_a_first_line_with_200_delivers_whatever_follows_it(start, answer):
     platform = Platform()
     platform.decide = lambda call: answer
@@ -678,12 +727,15 @@
     until(lambda: "packets_taken=1" in relay.log())
 
 
-@pytest.mark.parametrize(("change", "says"), [
-    ({"settings": {}}, "grades"),
-    ({"listen": "nowhere"}, "RELAY_LISTEN"),
-    ({"seed": "not hex"}, "not hex"),
-    (None, "is not JSON"),
-])
+@pytest.mark.parametrize(
+    ("change", "says"),
+    [
+        ({"settings": {}}, "grades"),
+        ({"listen": "nowhere"}, "RELAY_LISTEN"),
+        ({"seed": "not hex"}, "not hex"),
+        (None, "is not JSON"),
+    ],
+)
 def test_bad_configuration_ends_with_a_plain_message(tmp_path, change, says):
     config = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": CONFIG}
     (tmp_path / "config").write_text("{" if change is None else json.dumps(config | change))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,9 +10,14 @@
 
 HOST = bytes((10, 0, 0, 1, 80, 0))
 CONFIG = {
-    "balancers": 1, "period-us": 5000, "weight-source": "nominal", "membership-mode": "push", "new-key": [1],
+    "balancers": 1,
+    "period-us": 5000,
+    "weight-source": "nominal",
+    "membership-mode": "push",
+    "new-key": [1],
     "grades": [{"objective-us": 2000000, "give-up-us": 16000000, "semantics": "pure"}],
-    "family-info": {"slots": 4}, "ceilings": {"max-attempts": 3, "max-open": 50},
+    "family-info": {"slots": 4},
+    "ceilings": {"max-attempts": 3, "max-open": 50},
     "obligations": {"drain-grace-us": 500000, "cold-from": 0.2, "fall-multiple": 2, "fall-us": 2000000},
 }
 
@@ -50,8 +55,8 @@
     replies, raw = [], sink.getvalue()
     while raw:
         (size,) = struct.unpack_from("<I", raw)
-        replies.append(raw[4:4 + size])
-        raw = raw[4 + size:]
+        replies.append(raw[4 : 4 + size])
+        raw = raw[4 + size :]
     return replies
 
 
@@ -88,14 +93,17 @@
     assert struct.pack("<H", 1000) in reply and b"IndexError" in reply
 
 
-@pytest.mark.parametrize(("body", "says"), [
-    (select() + b"\xff\xff", "unknown record code 65535"),
-    (select() + order(7, 1)[:-3], "cut short"),
-    (roster()[:-1], "past the end"),
-    (select() + power_on({}), "grades"),
-    (select() + targets(9), "list 9"),
-    (order(7, 1), "before any select"),
-])
+@pytest.mark.parametrize(
+    ("body", "says"),
+    [
+        (select() + b"\xff\xff", "unknown record code 65535"),
+        (select() + order(7, 1)[:-3], "cut short"),
+        (roster()[:-1], "past the end"),
+        (select() + power_on({}), "grades"),
+        (select() + targets(9), "list 9"),
+        (order(7, 1), "before any select"),
+    ],
+)
 def test_malformed_input_is_named(body, says):
     with pytest.raises(Malformed, match=says):
         play((1000, body))
