--- a/millweir/cli/lab.py
+++ b/millweir/cli/lab.py
@@ -96,3 +96,38 @@
     from millweir.lab.plots import detection
 
     detection(rows, picture)
+
+
+@lab.command()
+@click.argument("part", metavar="PART")
+@click.option("--size", type=click.IntRange(1), required=True, help="what the part grows with")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="JSON lines; added at the end")
+def scale(part: str, size: int, seed: int, out: Path | None) -> None:
+    """Measure PART at one size; exit 1 where the run stopped itself at its limits."""
+    from millweir.lab.scale import parts
+    from millweir.lab.scale.guard import Guard, LimitExceeded
+    from millweir.lab.scale.measurement import (
+        Measurement,
+        append_measurements,
+        current_commit,
+        current_machine,
+    )
+
+    if part not in parts.PARTS:
+        raise click.UsageError(f"no part {part!r}; there are {', '.join(parts.PARTS)}")
+    command = f"millweir lab scale {part} --size {size} --seed {seed}"
+    commit, machine = current_commit(), current_machine()
+    try:
+        for figure in parts.load_part(part)(size, seed, Guard.for_this_machine()):
+            click.echo(
+                f"{figure.part:<14} {figure.trouble:<22} {figure.quantity:<40} "
+                f"{figure.value:.6g} {figure.unit} ({figure.low:.6g} to {figure.high:.6g})"
+            )
+            if out:
+                measurement = Measurement(
+                    figure=figure, command=command, seed=seed, commit=commit, machine=machine
+                )
+                append_measurements(out, [measurement])
+    except LimitExceeded as fault:
+        raise click.ClickException(f"stopped: {fault}") from None
--- /dev/null
+++ b/millweir/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration told by partition, as differences by version, and acknowledged."""
--- /dev/null
+++ b/millweir/lab/scale/parts.py
@@ -0,0 +1,26 @@
+"""The parts that can be measured, each loaded only when it is asked for."""
+
+from __future__ import annotations
+
+import importlib
+from collections.abc import Callable, Iterator
+
+from millweir.lab.scale.guard import Guard
+from millweir.lab.scale.measurement import Figure
+
+Measure = Callable[[int, int, Guard], Iterator[Figure]]  # size, seed, limits of the run
+
+PARTS = {
+    "decisions": "millweir.lab.scale.decisions",
+    "held": "millweir.lab.scale.held",
+    "membership": "millweir.lab.scale.membership",
+    "register": "millweir.lab.scale.register",
+    "journal": "millweir.lab.scale.journal",
+    "placement": "millweir.lab.scale.placement",
+    "configuration": "millweir.lab.scale.configuration",
+}
+
+
+def load_part(name: str) -> Measure:
+    """The function `measure` of a part's module; KeyError for an unknown name."""
+    return importlib.import_module(PARTS[name]).measure
