Desk split: shared waits, cordons and counts of replies are modules of their own

Behaviour unchanged; the test of waits over a chain of processes drives SharedWaits where it drove the desk, same assertions.

--- /dev/null
+++ b/millweir/net/cordons.py
@@ -0,0 +1,71 @@
+"""Hosts cordoned by hand: kept in the folder, shared with a process beside this one (rule 3, upgrades)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from millweir.facade import Facade
+from millweir.net import clock
+from millweir.net.log import Log
+from millweir.net.times import Unreadable, read_times, write_times
+
+FILE = "cordons.json"
+
+
+class Cordons:
+    """The cordoned hosts: host to when it was put out, in wall time (nanoseconds)."""
+
+    __slots__ = ("_facade", "_log", "_path", "_read_at", "_since", "_wake")
+
+    def __init__(self, folder: Path, facade: Facade[Any], wake: Callable[[], None], log: Log) -> None:
+        self._path, self._facade, self._wake, self._log = folder / FILE, facade, wake, log
+        self._since: dict[str, int] = {}
+        self._read_at = 0  # the file's time of change when it was read last
+
+    def read(self, again: bool = False) -> None:
+        """Take the file as it is now; `again`: only if it has changed since it was read."""
+        try:
+            changed_at = self._path.stat().st_mtime_ns
+            if again and changed_at == self._read_at:
+                return
+            self._read_at = changed_at
+            since = read_times(self._path)
+        except FileNotFoundError:
+            return
+        except (OSError, Unreadable) as fault:
+            self._log.must(f"cordons-unreadable {str(fault)[:200]}")
+            return
+        for host in self._since.keys() - since.keys():  # let back by the process beside this one
+            self._facade.cordon(clock.steady(), host.encode(), False)
+        self._since = since
+        self.bind()
+        self._wake()
+
+    def bind(self) -> None:
+        """Tell the decisions of all cordons: hosts may be listed now that were unknown when it was read."""
+        for host, since in self._since.items():
+            self._facade.cordon(clock.steady(), host.encode(), True, clock.from_wall(since))
+
+    def change(self, host: bytes, out: bool) -> str:
+        """By hand: the host out or back.  Written before it is answered; '' or why it can't be done."""
+        now, name = clock.steady(), host.decode()
+        if not self._facade.cordon(now, host, out):
+            return f"no host {name[:80]} was ever listed"
+        if out == (name in self._since):
+            return ""  # a repeat changes nothing
+        if out:
+            self._since[name] = clock.to_wall(now)
+        else:
+            del self._since[name]
+        self._write()
+        self._log.must(f"{'cordon' if out else 'uncordon'} host={name[:80]}")
+        self._wake()
+        return ""
+
+    def _write(self) -> None:
+        try:
+            write_times(self._path, self._since)
+        except OSError as fault:
+            self._log.must(f"cordons-unwritten {fault}")
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -4,11 +4,8 @@
 
 import asyncio
 import json
-import os
 import traceback
-from collections.abc import Callable
 from dataclasses import replace
-from pathlib import Path
 from typing import Any
 
 from millweir.facade import Facade, Part
@@ -16,20 +13,19 @@
 from millweir.net import clock
 from millweir.net.clients import ClientDoor, ClientLink
 from millweir.net.config import Config
+from millweir.net.cordons import Cordons
 from millweir.net.counters import Counters
 from millweir.net.discovery import Garbled, News, Watch, read_list
-from millweir.net.heads import WAIT_MOST, Request, read_number
+from millweir.net.heads import Request, read_number
 from millweir.net.hosts import Hosts
-from millweir.net.journal import SLOTS, Journal, Parcel, named
+from millweir.net.journal import Journal, Parcel
 from millweir.net.lag import Lag
 from millweir.net.log import Log
 from millweir.net.notices import Notices
-from millweir.net.times import Unreadable, read_times
+from millweir.net.replies import Replies, Reply
+from millweir.net.retry_after import SharedWaits
 from millweir.settings import unlisted_profile
 
-REPLIES_MOST = 256  # profiles counted, lest names that clients make up grow the table without end
-WAITS_READ = 0.05  # seconds between looks at the waits of a process beside this one
-
 
 class Desk:
     """One relay at work."""
@@ -55,12 +51,9 @@
         self._owed: dict[bytes, Parcel] = {}
         self._ended: dict[bytes, int] = {}  # ids no longer owed, the one that ended first at the front
         self._scheduled = self._listed = self._leaving = self._lingered = self._quiet = False
-        self._replies: dict[bytes, list[int]] = {}  # success, overload, error, a profile each
-        self._cordons_file = config.state / "cordons.json"
-        self._cordons: dict[str, int] = {}  # host id: when it was put out, wall clock
-        self._cordons_seen = 0  # when the file was written that was read last
-        self._waits: dict[str, int] = {}  # host: until when it told this process to wait, wall clock
-        self._waits_seen: dict[int, int] = {}  # slot of a process beside this one: when its file was read
+        self._replies = Replies()
+        self._cordons = Cordons(config.state, facade, self.wake, log)
+        self._waits = SharedWaits(loop, journal.folder, journal.slot, facade, self.wake, log)
         self.reloads = [0, 0]  # taken, turned down
         self._alarm: asyncio.TimerHandle | None = None
         self._alarm_at = 0
@@ -76,11 +69,11 @@
             leaving = [replace(entry, phase=Phase.DRAINING) for entry in self._known_list.entries]
             self._list(Change.CACHED, replace(self._known_list, entries=tuple(leaving)))
             loop.call_later(bounds.opening / 1e9, clock.once_read, loop, self._open)
-        self._read_cordons()
+        self._cordons.read()
         for parcel in list(journal.owed.values()):
             self._restore(parcel)
         self._adopt_later()
-        self._read_waits(first=True)
+        self._waits.start()
         index = self._known_list.index if self._known_list else -1
         self._watch = Watch(
             loop, config.discovery, settings, bounds, index, self._told, facade.rest, log, counters
@@ -105,61 +98,6 @@
         if known:
             self._list(Change.CACHED, known)
 
-    def _read_waits(self, first: bool = False) -> None:
-        """Waits told to a process beside this one, or before it in this slot, bind here too (rule 6).
-
-        Each process writes all waits it knows of, its own and those it read, so that they outlast a chain
-        of upgrades; read every 50 ms, well within the 100 ms in which calls are let through."""
-        now, wall, grown = clock.steady(), clock.to_wall(clock.steady()), False
-        for slot in range(SLOTS):
-            path = self._journal.folder / named(slot, ".waits")
-            try:
-                seen = path.stat().st_mtime_ns
-                if slot == self._journal.slot and not first or seen == self._waits_seen.get(slot):
-                    continue
-                self._waits_seen[slot] = seen
-                for host, until in read_times(path).items():
-                    # One that ends beyond any wait that can be told is no wait of this deployment's.
-                    if max(wall, self._waits.get(host, 0)) < until <= wall + WAIT_MOST:
-                        self._waits[host], grown = until, True
-                        self._facade.wait_told(now, host.encode(), clock.from_wall(until))
-            except FileNotFoundError:
-                continue
-            except (OSError, Unreadable) as fault:
-                self._log.say(f"waits-unreadable slot={slot} {str(fault)[:200]}")
-        if grown:
-            self._write_waits(wall)
-            clock.once_read(self._loop, self.wake)  # after a stall, what came meanwhile is read first
-        self._loop.call_later(WAITS_READ, self._read_waits)
-
-    def _bind_waits(self) -> None:
-        """News of the list: hosts that were not known when their wait was read get it now."""
-        now, wall = clock.steady(), clock.to_wall(clock.steady())
-        for host, until in self._waits.items():
-            if until > wall:
-                self._facade.wait_told(now, host.encode(), clock.from_wall(until))
-
-    def _tell_wait(self, host: str, wait: int) -> None:
-        """A wait told to this process, written for a process beside it."""
-        now = clock.to_wall(clock.steady())
-        if now + wait > self._waits.get(host, 0) + WAITS_READ * 1e9 / 5:  # else it knows as much
-            self._waits[host] = now + wait
-            self._write_waits(now)
-
-    def _write_waits(self, now: int) -> None:
-        self._waits = {name: at for name, at in self._waits.items() if at > now}  # those over are dropped
-        path = self._journal.folder / named(self._journal.slot, ".waits")
-        self._write_json(path, self._waits, "waits", self._log.say)  # often: faults rate-limited
-
-    def _write_json(self, path: Path, value: dict[str, int], what: str, say: Callable[[str], None]) -> None:
-        """Whole or not at all, for a process beside this one or after it: written aside, then renamed."""
-        fresh = path.with_suffix(".new")
-        try:
-            fresh.write_text(json.dumps(value))
-            os.replace(fresh, path)
-        except OSError as fault:
-            say(f"{what}-unwritten {fault}")
-
     def _adopt_later(self) -> None:
         self._loop.call_later(self._bounds.doubtful / 1e9, self._adopt)
 
@@ -175,39 +113,9 @@
         if orphans:
             self._log.must(f"adopted owed={len(orphans)}")
             clock.once_read(self._loop, self.wake)
-        self._read_cordons(again=True)
+        self._cordons.read(again=True)
         self._adopt_later()
 
-    def _read_cordons(self, again: bool = False) -> None:
-        """Hosts put out by hand in an earlier life stay out (rule 3 over an upgrade)."""
-        try:
-            seen = self._cordons_file.stat().st_mtime_ns
-            if again and seen == self._cordons_seen:
-                return
-            self._cordons_seen = seen
-            told = read_times(self._cordons_file)
-        except FileNotFoundError:
-            return
-        except (OSError, Unreadable) as fault:
-            self._log.must(f"cordons-unreadable {str(fault)[:200]}")
-            return
-        for host in self._cordons.keys() - told.keys():  # let back by the process beside this one
-            self._facade.cordon(clock.steady(), host.encode(), False)
-        self._cordons = told
-        self._bind_cordons()
-        self.wake()
-
-    def _bind_cordons(self) -> None:
-        """Also at news of the list: hosts not listed yet when their cordon was read are out from now on."""
-        for host, since in self._cordons.items():
-            self._facade.cordon(clock.steady(), host.encode(), True, clock.from_wall(since))
-
-    def _count(self, profile: bytes, which: int) -> None:
-        counts = self._replies.get(profile)
-        if counts is None:
-            counts = self._replies[profile] = [0, 0, 0]
-        counts[which] += 1
-
     def healthy(self) -> bool:
         """Ready to serve: a list is known, and it is neither leaving nor drained."""
         return self._listed and not self._leaving and not self._quiet
@@ -215,13 +123,9 @@
     def figures(self) -> dict[str, Any]:
         """What the second address tells: counts since this process began, and what is so now."""
         targets, disabled = self._facade.targets()
-        replies = {
-            profile.decode(errors="replace"): {"success": s, "overload": o, "error": e}
-            for profile, (s, o, e) in self._replies.items()
-        }
         counts = self._counters.counts
         return {
-            "replies": replies,
+            "replies": self._replies.figures(),
             "dispatches": counts["trips_sent"],
             "concurrent": len(self._owed),
             "targets": targets,
@@ -231,20 +135,8 @@
         }
 
     def cordon(self, host: bytes, out: bool) -> str:
-        """By hand: the host out or back; the module decides what that means.  '' or why not."""
-        now, name = clock.steady(), host.decode()
-        if not self._facade.cordon(now, host, out):
-            return f"no host {name[:80]} was ever listed"
-        if out == (name in self._cordons):
-            return ""  # a repeat changes nothing
-        if out:
-            self._cordons[name] = clock.to_wall(now)
-        else:
-            del self._cordons[name]
-        self._write_json(self._cordons_file, self._cordons, "cordons", self._log.must)  # before the answer
-        self._log.must(f"{'cordon' if out else 'uncordon'} host={name[:80]}")
-        self.wake()
-        return ""
+        """By hand: the host out or back; '' or why it can't be done."""
+        return self._cordons.change(host, out)
 
     def quiesce(self) -> None:
         """Send clients away: /ready says no, connections close after their answers; nothing is refused."""
@@ -284,8 +176,8 @@
         gone = news.gone if change is Change.DELTA else self._hosts.all_but(news.addresses)
         self._hosts.listed(news.addresses, gone)
         self._facade.told(clock.steady(), change, news.entries)
-        self._bind_cordons()
-        self._bind_waits()
+        self._cordons.bind()
+        self._waits.bind()
         self.wake()
 
     def _restore(self, parcel: Parcel) -> None:
@@ -400,8 +292,8 @@
             or request.profile not in self._profiles
         ):
             self._counters.add("requests_malformed")
-            if request.profile and (request.profile in self._replies or len(self._replies) < REPLIES_MOST):
-                self._count(request.profile, 2)  # errored for its client, of a profile not known here
+            if request.profile:
+                self._replies.add_unknown(request.profile)
             request.fault = 400
             link.answer(request, 400, keep=False)
         else:
@@ -436,7 +328,7 @@
                 wait = self._facade.refusal(parcel.destination, 1, 0, stop - now, 0)
         if wait:
             self._counters.add("packets_refused")
-            self._count(parcel.profile, 1)
+            self._replies.add(parcel.profile, Reply.OVERLOAD)
             link.answer(request, 503, wait=wait, keep=not self._leaving)
             return
         self._owed[parcel.id] = parcel
@@ -446,11 +338,12 @@
 
     def _report(self, part: Part[Parcel], outcome: Outcome, finished: bool, wait: int, load: bytes) -> None:
         if wait > 0:
-            self._tell_wait(part.job.host, wait)
+            self._waits.told(part.job.host, wait)
         self._counters.add("trips_" + outcome.name.lower())
         if finished and part.item.given_up is None:
             self._counters.add("packets_fulfilled" if outcome is Outcome.FULFILLED else "packets_over")
-            self._count(part.item.profile, 0 if outcome is Outcome.FULFILLED else 2)
+            reply = Reply.SUCCESS if outcome is Outcome.FULFILLED else Reply.ERROR
+            self._replies.add(part.item.profile, reply)
             self._over(part.item)
         self._facade.report(clock.steady(), part, outcome, finished, wait, self._read_load(load))
         self.wake()
@@ -466,7 +359,7 @@
 
     def _give_up(self, parcel: Parcel, again: bool, wait: int) -> None:
         self._counters.add("packets_dismissed" if again else "packets_errored")
-        self._count(parcel.profile, 1 if again else 2)
+        self._replies.add(parcel.profile, Reply.OVERLOAD if again else Reply.ERROR)
         self._journal.given_up(parcel, again, wait)
         self._notices.add(parcel)
 
--- /dev/null
+++ b/millweir/net/retry_after.py
@@ -0,0 +1,110 @@
+"""Told waits (retry-after) shared by processes of one relay: they bind all of them, and outlast each.
+
+Each process writes a file of all waits that it knows of, its own and those it read, so that they outlast a
+chain of upgrades; the files of the others are read every `READ_EVERY` seconds, well within the 100 ms in
+which calls are let through (rule 6).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from millweir.facade import Facade
+from millweir.net import clock
+from millweir.net.heads import WAIT_MOST
+from millweir.net.journal import SLOTS, named
+from millweir.net.log import Log
+from millweir.net.times import Unreadable, read_times, write_times
+
+READ_EVERY = 0.05  # seconds
+KNOWN_WITHIN = 10_000_000  # nanoseconds: a wait that ends so little later than the known one is not written
+
+
+class SharedWaits:
+    """The waits known to this process: host to the end of its wait, in wall time (nanoseconds)."""
+
+    __slots__ = ("_facade", "_folder", "_log", "_loop", "_read_at", "_slot", "_until", "_wake")
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        folder: Path,
+        slot: int,
+        facade: Facade[Any],
+        wake: Callable[[], None],
+        log: Log,
+    ) -> None:
+        """`slot` is this process's own among those that share the folder; `wake` asks for a turn."""
+        self._loop, self._folder, self._slot = loop, folder, slot
+        self._facade, self._wake, self._log = facade, wake, log
+        self._until: dict[str, int] = {}
+        self._read_at: dict[int, int] = {}  # slot of another process: its file's time of change when read
+
+    def start(self) -> None:
+        """Read what is there, this slot's earlier life included, and go on reading what others write."""
+        self._read_all(first=True)
+
+    def bind(self) -> None:
+        """Tell the decisions of all waits: hosts may be listed now that were unknown when they were read."""
+        now = clock.steady()
+        wall = clock.to_wall(now)
+        for host, until in self._until.items():
+            if until > wall:
+                self._facade.wait_told(now, host.encode(), clock.from_wall(until))
+
+    def told(self, host: str, wait: int) -> None:
+        """A wait of so many nanoseconds was told to this process: written for the others."""
+        now = clock.to_wall(clock.steady())
+        if now + wait > self._until.get(host, 0) + KNOWN_WITHIN:
+            self._until[host] = now + wait
+            self._write(now)
+
+    def _read_again(self) -> None:
+        self._read_all(first=False)
+
+    def _read_all(self, first: bool) -> None:
+        grown = [self._read_slot(slot) for slot in range(SLOTS) if first or slot != self._slot]
+        if any(grown):
+            self._write(clock.to_wall(clock.steady()))
+            clock.once_read(self._loop, self._wake)  # after a stall, what came meanwhile is read first
+        self._loop.call_later(READ_EVERY, self._read_again)
+
+    def _read_slot(self, slot: int) -> bool:
+        """Whether the file of that slot, if it has changed, held a wait that was not known."""
+        path = self._path(slot)
+        try:
+            changed_at = path.stat().st_mtime_ns
+            if changed_at == self._read_at.get(slot):
+                return False
+            self._read_at[slot] = changed_at
+            return self._merge(read_times(path))
+        except FileNotFoundError:
+            return False
+        except (OSError, Unreadable) as fault:
+            self._log.say(f"waits-unreadable slot={slot} {str(fault)[:200]}")
+            return False
+
+    def _merge(self, waits: dict[str, int]) -> bool:
+        """Take the later end of each; one beyond any wait that can be told is not of this deployment."""
+        now = clock.steady()
+        wall = clock.to_wall(now)
+        grown = False
+        for host, until in waits.items():
+            if max(wall, self._until.get(host, 0)) < until <= wall + WAIT_MOST:
+                self._until[host] = until
+                self._facade.wait_told(now, host.encode(), clock.from_wall(until))
+                grown = True
+        return grown
+
+    def _write(self, now: int) -> None:
+        self._until = {host: until for host, until in self._until.items() if until > now}
+        try:
+            write_times(self._path(self._slot), self._until)
+        except OSError as fault:  # happens often if at all: rate-limited
+            self._log.say(f"waits-unwritten {fault}")
+
+    def _path(self, slot: int) -> Path:
+        return self._folder / named(slot, ".waits")
--- a/millweir/net/times.py
+++ b/millweir/net/times.py
@@ -1,8 +1,9 @@
-"""Files in the relay's folder that hold a time for each host: read whole, or told to be unusable."""
+"""Files in the relay's folder that hold a time for each host: read and written whole, or not at all."""
 
 from __future__ import annotations
 
 import json
+import os
 from pathlib import Path
 
 
@@ -23,3 +24,10 @@
     except (ValueError, RecursionError) as fault:
         raise Unreadable(repr(fault)) from fault
     return given
+
+
+def write_times(path: Path, times: dict[str, int]) -> None:
+    """Host to wall time in nanoseconds, written aside and then renamed; OSError where that fails."""
+    fresh = path.with_suffix(".new")
+    fresh.write_text(json.dumps(times))
+    os.replace(fresh, path)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -17,6 +17,7 @@
 from millweir.net.journal import FILE, VOID, VOID_KIND, Journal, Parcel, framed
 from millweir.net.lag import Lag
 from millweir.net.log import Log
+from millweir.net.retry_after import SharedWaits
 
 
 def parcel(name, body=b""):
@@ -309,35 +310,31 @@
 def test_waits_outlast_a_chain_of_processes_and_reach_hosts_listed_later(tmp_path):
     # Guards rule 6 over upgrades: a wait told to the first process binds the third, also for a host that
     # the third hears of only after it read the wait.
-    from millweir.net.desk import Desk
-
     told = []
 
     class Facade:
         def wait_told(self, now, host, until):
             told.append(host)
 
-    class Journal:
-        folder, slot = tmp_path, 0
-
-    def desk(slot):
-        d = Desk.__new__(Desk)
-        d._journal, d._facade, d._waits, d._waits_seen = Journal(), Facade(), {}, {}
-        d._journal.slot = slot
-        loop = type("Loop", (), {"call_later": lambda *a: None, "call_soon": lambda *a: None})()
-        d._log, d._loop = Log(100), loop
-        return d
-
-    first = desk(0)
-    first._tell_wait("h1", 30 * SECOND)
-    second = desk(1)
-    second._read_waits(first=True)  # the first is still there, beside it
+    class Loop:
+        def call_later(self, *_):
+            pass
+
+        call_soon = call_later
+
+    def process(slot):
+        return SharedWaits(Loop(), tmp_path, slot, Facade(), lambda: None, Log(100))
+
+    first = process(0)
+    first.told("h1", 30 * SECOND)
+    second = process(1)
+    second.start()  # the first is still there, beside it
     assert told == [b"h1"]
-    third = desk(0)  # the first has ended; the third takes its slot
+    third = process(0)  # the first has ended; the third takes its slot
     (tmp_path / "journal.waits").unlink()
     told.clear()
-    third._read_waits(first=True)
+    third.start()
     assert told == [b"h1"]  # from the second's file, which carries what it read
     told.clear()
-    third._bind_waits()
+    third.bind()
     assert told == [b"h1"]
