--- a/millweir/cli/lab.py
+++ b/millweir/cli/lab.py
@@ -1,4 +1,4 @@
-"""`millweir lab`: days on real processes, fleets in simulated time."""
+"""`millweir lab`: scenarios on real processes, fleets in simulated time."""
 
 from __future__ import annotations
 
@@ -16,19 +16,19 @@
 
 
 @lab.command()
-@click.argument("day", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.argument("scenario", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 @click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--keep", type=click.Path(path_type=Path), help="folder for logs, ledger and views")
+@click.option("--keep", type=click.Path(path_type=Path), help="folder for logs, history and views")
 @click.option("--json", "as_json", is_flag=True)
-def cluster(day: Path, seed: int, keep: Path | None, as_json: bool) -> None:
-    """Play DAY on real relays with faults between them; exit 1 where a rule broke or a view was wrong."""
+def cluster(scenario: Path, seed: int, keep: Path | None, as_json: bool) -> None:
+    """Play SCENARIO on real relays with faults between them; exit 1 for a broken rule or a wrong view."""
     from millweir.lab.cluster import Rig
-    from millweir.lab.day import read_day
+    from millweir.lab.scenario import read_scenario
 
     try:
-        given = read_day(day)
+        given = read_scenario(scenario)
     except ValueError as fault:
-        raise click.UsageError(f"{day}: {fault}") from None
+        raise click.UsageError(f"{scenario}: {fault}") from None
 
     async def run() -> object:
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
@@ -56,7 +56,7 @@
     else:
         for key, value in out.items():
             click.echo(f"{key:<13} {value}")
-        click.echo(f"replay        millweir lab cluster {day} --seed {seed}")
+        click.echo(f"replay        millweir lab cluster {scenario} --seed {seed}")
     raise SystemExit(0 if played.fine else 1)
 
 
--- a/millweir/lab/__init__.py
+++ b/millweir/lab/__init__.py
@@ -1,1 +1,1 @@
-"""The lab: real processes with faults between them, simulated fleets, judges; only the command imports it."""
+"""The lab: real processes with faults between them, simulated fleets, scale tests; only `cli` imports it."""
--- a/millweir/lab/judge.py
+++ b/millweir/lab/checker.py
@@ -1,15 +1,15 @@
-"""The six rules, read off the ledger of the stand-ins alone; nothing here knows the program."""
+"""The six rules, read off the history of the stand-ins alone; nothing here knows the program."""
 
 from __future__ import annotations
 
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from millweir.lab.ledger import (
+from millweir.lab.history import (
     Answered,
     Called,
     Fallen,
-    Ledger,
+    History,
     Listed,
     Noticed,
     Offered,
@@ -49,32 +49,32 @@
         return not self.broken
 
 
-def judge(ledger: Ledger, terms: Terms, over: int) -> Verdict:
-    """`over`: when the day had ended and every end was due."""
+def check_rules(history: History, terms: Terms, over: int) -> Verdict:
+    """`over`: when the scenario had ended and every end was due."""
     verdict = Verdict()
-    offered = {row.id: row for row in ledger.of(Offered)}
+    offered = {row.id: row for row in history.of(Offered)}
     calls: dict[str, list[Called]] = defaultdict(list)
-    for call in ledger.of(Called):
+    for call in history.of(Called):
         calls[call.id].append(call)
-    returns: dict[int, Returned] = {row.call: row for row in ledger.of(Returned)}
-    _ends(ledger, terms, offered, calls, returns, over, verdict)
+    returns: dict[int, Returned] = {row.call: row for row in history.of(Returned)}
+    _ends(history, terms, offered, calls, returns, over, verdict)
     _effects(terms, offered, calls, returns, verdict)
-    _drains(ledger, terms, verdict)
-    for row in ledger.of(Fallen):
+    _drains(history, terms, verdict)
+    for row in history.of(Fallen):
         verdict.broken[4].append(f"{row.host} fell at {row.calls} calls")
     _order(terms, offered, calls, returns, verdict)
-    _waits(ledger, terms, verdict)
+    _waits(history, terms, verdict)
     return verdict
 
 
-def _excused(ledger: Ledger) -> dict[str, list[tuple[int, int, bool]]]:
+def _excused(history: History) -> dict[str, list[tuple[int, int, bool]]]:
     """Spans in which each relay could not end anything: from a kill until it is ready again; machine lost?"""
     ready: dict[str, list[int]] = defaultdict(list)
-    for row in ledger.of(Ready):
+    for row in history.of(Ready):
         ready[row.relay].append(row.at)
     spans: dict[str, list[tuple[int, int, bool]]] = defaultdict(list)
     stops: dict[str, int] = {}
-    for row in ledger.of(Struck):
+    for row in history.of(Struck):
         if row.kind in ("kill", "lose", "term") and not row.over:
             back = min((at for at in ready[row.who] if at > row.at), default=1 << 62)
             spans[row.who].append((row.at, back, row.kind == "lose"))
@@ -88,7 +88,7 @@
 
 
 def _ends(
-    ledger: Ledger,
+    history: History,
     terms: Terms,
     offered: dict[str, Offered],
     calls: dict[str, list[Called]],
@@ -97,11 +97,11 @@
     verdict: Verdict,
 ) -> None:
     """Rule 1: what was taken on gets one end, in time."""
-    statuses = {row.id: row for row in ledger.of(Answered)}
+    statuses = {row.id: row for row in history.of(Answered)}
     notices: dict[str, list[Noticed]] = defaultdict(list)
-    for row in ledger.of(Noticed):
+    for row in history.of(Noticed):
         notices[row.id].append(row)
-    excused = _excused(ledger)
+    excused = _excused(history)
     for ident, packet in offered.items():
         answer = statuses.get(ident)
         delivered = [
@@ -160,10 +160,10 @@
             verdict.broken[2].append(f"{ident} (referenced) was repeated too late")
 
 
-def _drains(ledger: Ledger, terms: Terms, verdict: Verdict) -> None:
+def _drains(history: History, terms: Terms, verdict: Verdict) -> None:
     """Rule 3: nothing new to hosts that drain or are gone."""
     closed: dict[str, int] = {}
-    for row in ledger.rows:
+    for row in history.rows:
         if isinstance(row, Listed):
             if row.status == "SERVING":
                 closed.pop(row.host, None)
@@ -199,16 +199,16 @@
                         break
 
 
-def _waits(ledger: Ledger, terms: Terms, verdict: Verdict) -> None:
+def _waits(history: History, terms: Terms, verdict: Verdict) -> None:
     """Rule 6: no call to a host within a wait that it told this relay, but for those under way.
 
     A restart ends the waits of that relay.  Whose call it was is told by who the packet was handed to; once
-    relays take work over, the ledger needs the caller itself.
+    relays take work over, the history needs the caller itself.
     """
-    hosts = {call.call: call.host for call in ledger.of(Called)}
-    relays = {row.id: row.relay for row in ledger.of(Offered)}
+    hosts = {call.call: call.host for call in history.of(Called)}
+    relays = {row.id: row.relay for row in history.of(Offered)}
     until: dict[tuple[str, str], tuple[int, int]] = {}
-    for row in ledger.rows:
+    for row in history.rows:
         if isinstance(row, Returned) and row.wait:
             key = hosts[row.call], relays.get(row.id, "")
             until[key] = max(until.get(key, (0, 0)), (row.at + row.wait, row.at + terms.wait_grace))
--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -1,4 +1,4 @@
-"""Play a day on real relays: processes, stand-ins, a wire for each directed pair, a timeline of faults."""
+"""Play a scenario on real relays: processes, stand-ins, a proxy for each directed pair, timed faults."""
 
 from __future__ import annotations
 
@@ -16,10 +16,10 @@
 
 import msgspec
 
-from millweir.lab.day import HOST, Day, Fault, timeline
-from millweir.lab.judge import Terms, Verdict, judge
-from millweir.lab.ledger import Ledger, Ready, Struck, steady
+from millweir.lab.checker import Terms, Verdict, check_rules
+from millweir.lab.history import History, Ready, Struck, steady
 from millweir.lab.processes import Address, Relay, TookTooLong
+from millweir.lab.scenario import HOST, Fault, Scenario, timeline
 from millweir.lab.standins import SETTINGS, Clients, Host, Platform
 from millweir.lab.views import Finding, Truth, Watched, findings
 from millweir.lab.wire import Faults, Wire
@@ -37,7 +37,7 @@
 
 @dataclass(slots=True)
 class Played:
-    """What a day came to."""
+    """What a scenario came to."""
 
     verdict: Verdict
     finding: Finding
@@ -50,17 +50,17 @@
 
 
 class Rig:
-    """All that a day needs; `async with` starts it, and ends every process on the way out."""
+    """All that a scenario needs; `async with` starts it, and ends every process on the way out."""
 
-    def __init__(self, day: Day, seed: int, folder: Path | None = None, number: int = 0) -> None:
-        self.day, self.seed = day, seed
+    def __init__(self, scenario: Scenario, seed: int, folder: Path | None = None, number: int = 0) -> None:
+        self.scenario, self.seed = scenario, seed
         self.folder = folder or Path(tempfile.mkdtemp(prefix="mw-"))
         self._keep = folder is not None
         self.folder.mkdir(parents=True, exist_ok=True)
         self.chance = random.Random(seed ^ 0x5EED)
         self.host = own_address(number)
-        self.ledger, self.truth = Ledger(), Truth(day.names)
-        self.platform = Platform((self.host, 7900), self.ledger)
+        self.history, self.truth = History(), Truth(scenario.names)
+        self.platform = Platform((self.host, 7900), self.history)
         calls = [0]
         self.hosts = [
             Host(
@@ -68,11 +68,11 @@
                 n % GROUPS,
                 40.0,
                 (self.host, 8000 + n),
-                self.ledger,
+                self.history,
                 random.Random(self.chance.getrandbits(60)),
                 calls,
             )
-            for n in range(day.hosts)
+            for n in range(scenario.hosts)
         ]
         self.wires: dict[tuple[str, str], Wire] = {}
         self.relays: dict[str, Relay] = {}
@@ -94,15 +94,15 @@
     # Addresses.
 
     def members_at(self, name: str) -> Address:
-        return self.host, 7100 + self.day.names.index(name)
+        return self.host, 7100 + self.scenario.names.index(name)
 
     def wire_at(self, start: str, end: str) -> Address:
-        names = self.day.names
+        names = self.scenario.names
         return self.host, 10000 + names.index(start) * len(names) + names.index(end)
 
     def operator(self, name: str, /, seeds: tuple[str, ...] = (), **more: str) -> str:
         """The operator's file of a relay: it reaches the others by its own wires."""
-        day, names = self.day, self.day.names
+        scenario, names = self.scenario, self.scenario.names
 
         def text(address: Address) -> str:
             return f'"{address[0]}:{address[1]}"'
@@ -116,14 +116,14 @@
             "listen": text(self.members_at(name)),
             "seeds": f"[{', '.join(text(self.members_at(seed)) for seed in seeds)}]",
             "place": f'"b{names.index(name) % 2}/m{names.index(name)}"',
-            "interval": f'"{day.interval // 1000}us"',
-            "timeout": f'"{day.interval // 2000}us"',
-            "suspicion": str(day.suspicion),
-            "doubt-most": f'"{day.doubt_most // 1000}us"',
-            "contact-every": f'"{max(day.interval * 5, 10 ** 8) // 1000}us"',
-            "protocol": str(day.protocols.get(name, 2)),
+            "interval": f'"{scenario.interval // 1000}us"',
+            "timeout": f'"{scenario.interval // 2000}us"',
+            "suspicion": str(scenario.suspicion),
+            "doubt-most": f'"{scenario.doubt_most // 1000}us"',
+            "contact-every": f'"{max(scenario.interval * 5, 10 ** 8) // 1000}us"',
+            "protocol": str(scenario.protocols.get(name, 2)),
         } | more
-        if day.key:
+        if scenario.key:
             key = self.folder / "key"
             key.write_text("a key for this rig alone\n")
             lines["key-file"] = f'"{key}"'
@@ -137,7 +137,7 @@
             "limits": {"memory_mb": 192, "sockets": 512, "disk_mb": 16},
             "discovery": f"{self.platform.address[0]}:{self.platform.address[1]}",
             "known": self.platform.list() | {"index": 0},
-            "settings": SETTINGS | {"balancers": self.day.relays},
+            "settings": SETTINGS | {"balancers": self.scenario.relays},
         }
 
     # Start and end.
@@ -147,15 +147,15 @@
         for host in self.hosts:
             await host.open()
             await self.platform.put(host)
-        for start in self.day.names:
-            for end in self.day.names:
+        for start in self.scenario.names:
+            for end in self.scenario.names:
                 if start != end:
                     chance = random.Random(self.chance.getrandbits(60))
                     wire = self.wires[start, end] = Wire(start, end, self.members_at(end), chance)
                     await wire.open(self.wire_at(start, end))
         for (start, end), wire in self.wires.items():
             wire.back = self.wires[end, start]
-        for number, name in enumerate(self.day.names):
+        for number, name in enumerate(self.scenario.names):
             relay = self.relays[name] = Relay(
                 name,
                 self.folder / name,
@@ -166,7 +166,7 @@
             relay.spawn()
         await asyncio.gather(*(relay.ready() for relay in self.relays.values()))
         for name in self.relays:
-            self.ledger.add(Ready(steady(), name))
+            self.history.add(Ready(steady(), name))
 
     async def _close(self) -> None:
         for task in list(self._tasks):
@@ -206,7 +206,7 @@
     ) -> float:
         """Wait until all that are up hold each other for there; returns how long it took."""
         began = time.monotonic()
-        names = set(among or self.day.names)
+        names = set(among or self.scenario.names)
         views: dict = {}
 
         def all_there() -> bool:
@@ -254,7 +254,7 @@
 
     def _note(self, fault: Fault, over: bool) -> None:
         for who in fault.who or ("",):
-            self.ledger.add(Struck(steady(), fault.kind, who, over))
+            self.history.add(Struck(steady(), fault.kind, who, over))
         self.truth.struck(time.monotonic(), fault, over)
 
     async def _strike_process(self, fault: Fault, relay: Relay) -> None:
@@ -292,7 +292,7 @@
             relay.go_on()
         await relay.ready()
         if not relay.killed:
-            self.ledger.add(Ready(steady(), relay.name))
+            self.history.add(Ready(steady(), relay.name))
 
     async def _strike_host(self, fault: Fault, number: int) -> None:
         host = self.hosts[number]
@@ -331,10 +331,10 @@
             await asyncio.sleep(seconds)
         self.set_links(fault.start, fault.end, both, **calm)
 
-    # A whole day.
+    # A whole scenario.
 
     async def play(self, say: Callable[[str], None] = lambda line: None) -> Played:
-        day, faults = self.day, timeline(self.day, self.seed)
+        scenario, faults = self.scenario, timeline(self.scenario, self.seed)
         await self.agreed()
         watched = Watched()
         began = time.monotonic()
@@ -342,18 +342,18 @@
         self._clients = Clients(
             lambda: [(relay.name, relay.listen) for relay in self.relays.values() if relay.up],
             GROUPS,
-            day.rate,
-            self.ledger,
+            scenario.rate,
+            self.history,
             random.Random(self.chance.getrandbits(60)),
         )
-        load = self.task(self._clients.run(day.span / 1e9)) if day.rate else None
+        load = self.task(self._clients.run(scenario.span / 1e9)) if scenario.rate else None
         watch = self.task(self._watch(watched))
         running = []
         for fault in faults:
             await asyncio.sleep(max(began + fault.at / 1e9 - time.monotonic(), 0))
             say(fault.line())
             running.append(self.task(self.strike(fault)))
-        await asyncio.sleep(max(began + day.span / 1e9 - time.monotonic(), 0))
+        await asyncio.sleep(max(began + scenario.span / 1e9 - time.monotonic(), 0))
         if running:
             await asyncio.wait(running)
         with contextlib.suppress(TookTooLong):
@@ -370,10 +370,10 @@
             if not relay.alive and relay.name not in self.truth.down
         ]
         events = {relay.name: relay.read_events() for relay in self.relays.values()}
-        verdict = judge(self.ledger, self.terms(), steady())
+        verdict = check_rules(self.history, self.terms(), steady())
         finding = findings(self.truth, watched, events)
         if self._keep:
-            self.ledger.write(self.folder / "ledger.jsonl")
+            self.history.write(self.folder / "history.jsonl")
             (self.folder / "views.json").write_bytes(msgspec.json.encode(watched.rows))
         return Played(verdict, finding, [fault.line() for fault in faults], self.failures)
 
--- a/millweir/lab/ledger.py
+++ b/millweir/lab/history.py
@@ -1,4 +1,4 @@
-"""What the stand-ins saw, in the order in which they saw it; all that the judge reads."""
+"""What the stand-ins saw, in the order in which they saw it; all that the checker reads."""
 
 from __future__ import annotations
 
@@ -90,7 +90,7 @@
 KINDS = Offered | Answered | Called | Returned | Noticed | Listed | Fallen | Struck | Ready
 
 
-class Ledger:
+class History:
     """Rows in memory, written as JSON lines at the end."""
 
     __slots__ = ("rows",)
@@ -108,6 +108,6 @@
         path.write_bytes(b"".join(msgspec.json.encode(row) + b"\n" for row in self.rows))
 
     @classmethod
-    def read(cls, path: Path) -> Ledger:
+    def read(cls, path: Path) -> History:
         read = msgspec.json.Decoder(KINDS).decode
         return cls([read(line) for line in path.read_bytes().splitlines()])
--- a/millweir/lab/day.py
+++ b/millweir/lab/scenario.py
@@ -1,4 +1,4 @@
-"""A day of a cluster: size, load and a timeline of faults, as a TOML file; or composed from a seed."""
+"""A scenario of a cluster: size, load and a timeline of faults, as a TOML file; or composed from a seed."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
         return f"{self.at / 1e9:.1f} s {self.kind} {where} for {self.span / 1e9:.1f} s"
 
 
-class Day(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"):
+class Scenario(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"):
     """What is played."""
 
     relays: int = 5
@@ -61,27 +61,27 @@
         return tuple(f"r{n}" for n in range(1, self.relays + 1))
 
 
-def read_day(path: Path) -> Day:
+def read_scenario(path: Path) -> Scenario:
     """ValueError says what is wrong."""
-    return msgspec.convert(tomllib.loads(path.read_text()), Day, dec_hook=decode)
+    return msgspec.convert(tomllib.loads(path.read_text()), Scenario, dec_hook=decode)
 
 
-def timeline(day: Day, seed: int) -> list[Fault]:
-    """The faults of a day; the same seed gives the same ones."""
-    chance, faults, at = random.Random(seed), list(day.fault), 0
-    while day.compose:
-        at += round(chance.uniform(0.4, 1.6) * day.every)
-        if at >= day.span - day.calm:
+def timeline(scenario: Scenario, seed: int) -> list[Fault]:
+    """The faults of a scenario; the same seed gives the same ones."""
+    chance, faults, at = random.Random(seed), list(scenario.fault), 0
+    while scenario.compose:
+        at += round(chance.uniform(0.4, 1.6) * scenario.every)
+        if at >= scenario.span - scenario.calm:
             break
-        faults.append(_drawn(day, chance, at))
+        faults.append(_drawn(scenario, chance, at))
     return sorted(faults, key=lambda fault: fault.at)
 
 
-def _drawn(day: Day, chance: random.Random, at: int) -> Fault:
-    kind = chance.choice(day.compose)
-    most = (day.span - day.calm - at) / SECOND
+def _drawn(scenario: Scenario, chance: random.Random, at: int) -> Fault:
+    kind = chance.choice(scenario.compose)
+    most = (scenario.span - scenario.calm - at) / SECOND
     span = Span(round(min(chance.choice((2.0, 5.0, 10.0, 20.0)), most) * SECOND))
-    names = list(day.names)
+    names = list(scenario.names)
     chance.shuffle(names)
     if kind in PROCESS:
         # Killed ones stay away long enough to be found, half of the fleet at the most.
@@ -98,13 +98,13 @@
             hours=chance.choice((-1.0, 1.0)),
         )
     if kind in HOST:
-        return Fault(at=Span(at), span=span, kind=kind, who=(f"h{chance.randrange(day.hosts)}",))
+        return Fault(at=Span(at), span=span, kind=kind, who=(f"h{chance.randrange(scenario.hosts)}",))
     side = chance.randint(1, len(names) - 1)
     start, end = tuple(names[:side]), tuple(names[side:])
     if kind in ("cut", "cut-one-way", "flap"):
         start, end = start[:1], end[: chance.randint(1, len(end))]
     elif kind != "split":
-        start = end = tuple(day.names)
+        start = end = tuple(scenario.names)
     wait = {"flap": SECOND, "delay": round(chance.choice((0.05, 0.3)) * SECOND), "reorder": SECOND // 5}
     return Fault(
         at=Span(at), span=span, kind=kind, start=start, end=end, share=0.3, wait=Span(wait.get(kind, 0))
--- a/millweir/lab/standins.py
+++ b/millweir/lab/standins.py
@@ -1,6 +1,6 @@
 """Hosts, discovery, platform and clients as stand-ins on loopback, in the rig's own loop.
 
-They write down what they saw in the ledger and nothing of what the program means by it.
+They write down what they saw in the history and nothing of what the program means by it.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from millweir.lab.ledger import Answered, Called, Fallen, Ledger, Listed, Noticed, Offered, Returned, steady
+from millweir.lab.history import Answered, Called, Fallen, History, Listed, Noticed, Offered, Returned, steady
 
 Address = tuple[str, int]
 SECOND = 1_000_000_000
@@ -107,12 +107,12 @@
         group: int,
         rate: float,
         address: Address,
-        ledger: Ledger,
+        history: History,
         chance: random.Random,
         calls: list[int],
     ) -> None:
         self.name, self.group, self.rate, self.address = name, group, rate, address
-        self._ledger, self._chance, self._calls = ledger, chance, calls
+        self._history, self._chance, self._calls = history, chance, calls
         self._tokens, self._at = rate, steady()
         self.hung = False
         self._cold_at = 0  # when it came back; 0 for warm
@@ -150,14 +150,14 @@
             self._recent.popleft()
         allowed = self.rate * warmth * rules["fall-multiple"] * span / 1e9
         if len(self._recent) > allowed + 3 * allowed**0.5 + 3:
-            self._ledger.add(Fallen(now, self.name, len(self._recent)))
+            self._history.add(Fallen(now, self.name, len(self._recent)))
             self._recent.clear()
 
     async def _asked(self, line: str, fields: dict[str, str], body: bytes) -> bytes | None:
         ident = fields.get("x-correlation-id", "")
         self._calls[0] += 1
         call = self._calls[0]
-        self._ledger.add(Called(steady(), ident, self.name, call))
+        self._history.add(Called(steady(), ident, self.name, call))
         status, wait, ran = 200, 0.0, True
         now = steady()
         warmth = self._warmth(now)
@@ -173,15 +173,15 @@
             await asyncio.sleep(min(self._chance.lognormvariate(-3.5, 0.6), 2.0))
             while self.hung:
                 await asyncio.sleep(0.1)
-        self._ledger.add(Returned(steady(), ident, call, status, ran, int(wait * 1e9)))
+        self._history.add(Returned(steady(), ident, call, status, ran, int(wait * 1e9)))
         return answer(status, **({"Retry-After": wait} if wait else {}))
 
 
 class Platform:
     """Discovery with its watch, and the address that takes notices."""
 
-    def __init__(self, address: Address, ledger: Ledger) -> None:
-        self.address, self._ledger = address, ledger
+    def __init__(self, address: Address, history: History) -> None:
+        self.address, self._history = address, history
         self._index = 1
         self._rows: dict[str, dict] = {}
         self._news = asyncio.Condition()
@@ -208,7 +208,7 @@
             "since_ms": 0,
             "index": self._index,
         }
-        self._ledger.add(Listed(steady(), host.name, status))
+        self._history.add(Listed(steady(), host.name, status))
         async with self._news:
             self._news.notify_all()
 
@@ -221,7 +221,7 @@
         if method == "POST":
             for row in body.splitlines():
                 notice = json.loads(row)
-                self._ledger.add(Noticed(steady(), notice["ref"], notice["result"]))
+                self._history.add(Noticed(steady(), notice["ref"], notice["result"]))
             return answer(204)
         while self.silent:
             await asyncio.sleep(0.1)
@@ -243,11 +243,11 @@
         relays: Callable[[], list[tuple[str, Address]]],
         groups: int,
         rate: float,
-        ledger: Ledger,
+        history: History,
         chance: random.Random,
     ) -> None:
         self._relays, self._groups, self._rate = relays, groups, rate
-        self._ledger, self._chance = ledger, chance
+        self._history, self._chance = history, chance
         self._tasks: set[asyncio.Task[None]] = set()
         self._links: dict[Address, deque] = {}
         self._number = 0
@@ -286,7 +286,7 @@
         raw = f"POST /api HTTP/1.1\r\nHost: x\r\n{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
         status, writer = 0, None
         idle = self._links.setdefault(address, deque())
-        self._ledger.add(Offered(steady(), ident, name, grade["name"], key, grade["give-up-us"] * 1000))
+        self._history.add(Offered(steady(), ident, name, grade["name"], key, grade["give-up-us"] * 1000))
         try:
             async with asyncio.timeout(PATIENCE):
                 reader, writer = idle.pop() if idle else await asyncio.open_connection(*address)
@@ -301,7 +301,7 @@
         finally:
             if writer:
                 writer.close()
-        self._ledger.add(Answered(steady(), ident, status))
+        self._history.add(Answered(steady(), ident, status))
 
     def close(self) -> None:
         for idle in self._links.values():
--- a/millweir/lab/views.py
+++ b/millweir/lab/views.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from millweir.lab.day import HOST, Fault
+from millweir.lab.scenario import HOST, Fault
 
 THERE = ("alive", "late", "cut", "suspected")
 AFTER = 15.0  # seconds for which a fault that is over still explains what is seen
@@ -69,7 +69,7 @@
 
 @dataclass(slots=True)
 class Finding:
-    """Figures of a day, and what was wrong at its end."""
+    """Figures of a scenario, and what was wrong at its end."""
 
     wrong: list[str] = field(default_factory=list)
     detected: list[float] = field(default_factory=list)  # seconds from a kill to each view that found it
--- a/tests/lab/test_judge.py
+++ b/tests/lab/test_checker.py
@@ -1,17 +1,17 @@
-"""The judge of ledgers: each rule is seen broken where it is, and not where it isn't."""
+"""The checker of histories: each rule is seen broken where it is, and not where it isn't."""
 
 import asyncio
 import random
 
 import pytest
 
+from millweir.lab.checker import check_rules
 from millweir.lab.cluster import Rig
-from millweir.lab.judge import judge
-from millweir.lab.ledger import (
+from millweir.lab.history import (
     Answered,
     Called,
     Fallen,
-    Ledger,
+    History,
     Listed,
     Noticed,
     Offered,
@@ -42,7 +42,7 @@
         (row for part in parts for row in (part if isinstance(part, list) else [part])),
         key=lambda row: row.at,
     )
-    return sorted(judge(Ledger(rows), TERMS, OVER).broken)
+    return sorted(check_rules(History(rows), TERMS, OVER).broken)
 
 
 FINE = {
@@ -119,22 +119,22 @@
 
 def test_a_ledger_is_read_as_it_was_written(tmp_path):
     rows = [row for part in FINE["delivered"] for row in part] + [Struck(5, "kill", "r1", True)]
-    Ledger(rows).write(tmp_path / "l")
-    assert Ledger.read(tmp_path / "l").rows == rows
+    History(rows).write(tmp_path / "l")
+    assert History.read(tmp_path / "l").rows == rows
 
 
 def test_a_cold_host_falls_when_it_is_pushed():
     """The stand-in's own side of rule 4: few calls warm it, many make it fall."""
 
     async def run(calls):
-        ledger = Ledger()
-        host = Host("h0", 0, 20.0, ("127.0.0.1", 1), ledger, random.Random(1), [0])
+        history = History()
+        host = Host("h0", 0, 20.0, ("127.0.0.1", 1), history, random.Random(1), [0])
         host.hang(True)
         host.hang(False)
         for number in range(calls):
             call = asyncio.create_task(host._asked("", {"x-correlation-id": str(number)}, b""))
             await asyncio.sleep(0)
             call.cancel()
-        return list(ledger.of(Fallen))
+        return list(history.of(Fallen))
 
     assert not asyncio.run(run(15)) and asyncio.run(run(60))
--- a/tests/lab/test_cluster.py
+++ b/tests/lab/test_cluster.py
@@ -11,8 +11,8 @@
 import pytest
 
 from millweir.lab.cluster import Rig
-from millweir.lab.day import Day, Fault
 from millweir.lab.processes import until
+from millweir.lab.scenario import Fault, Scenario
 from millweir.operator.units import Span
 
 S = 1_000_000_000
@@ -20,8 +20,8 @@
 BOUND = 60  # seconds for what takes two or three on a quiet machine
 
 
-def day(relays=3):
-    return Day(relays=relays, hosts=2, rate=0.0, interval=QUICK)
+def scenario(relays=3):
+    return Scenario(relays=relays, hosts=2, rate=0.0, interval=QUICK)
 
 
 def span(seconds):
@@ -31,7 +31,7 @@
 def run(play, relays=3):
     async def whole():
         async with asyncio.timeout(150):
-            async with Rig(day(relays), 1) as rig:
+            async with Rig(scenario(relays), 1) as rig:
                 await rig.agreed(BOUND)
                 await play(rig)
 
@@ -227,10 +227,10 @@
 
 
 def test_old_and_new_protocol_side_by_side_under_load_and_a_restart():
-    """A whole day: packets flow, a relay is ended and back, a host drains, one hangs; no rule is broken."""
+    """A whole scenario: messages flow, a relay restarts, a host drains, one hangs; no rule is broken."""
 
     async def play():
-        given = Day(
+        given = Scenario(
             relays=3,
             hosts=3,
             rate=30.0,
