Discovery: a change is told 4 s after discovery can be reached, whatever failed before

What counts is 6 s. Ruled out: refused dials, answers cut short, closed connections and answers that are no list, 1.1 s at most.

Change: `rest` never passes 4 s; the third patience is 1.5 s; a dial has a second; a pause counts the time of the call that failed; only a list is followed by a long watch, after a call turned away or crossed by a close the wait is one second. `told_within` works the bound out from the constants: 4 s, 5.55 s with one more connection that falls silent.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -39,7 +39,7 @@
                   client_links=min(limits.descriptors // 3, memory // (head + body)), request=4 * half,
                   doubtful=half, journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # two fit
                   resend=SECOND, redial=SECOND // 20, watch=watch, silence=watch + half, lag_kept=half // 2,
-                  proofs=(SECOND, SECOND, 4 * SECOND), opening=5 * SECOND // 4, leave=33 * SECOND // 10,
+                  proofs=(SECOND, SECOND, 3 * half), opening=5 * SECOND // 4, leave=33 * SECOND // 10,
                   parting=SECOND // 5, log_lines=200, notices=500, answer_most=body, answer_time=half,
                   hold=SECOND // 500, list_most=min(16 << 20, memory), turn_reads=64, turn_calls=16)
 
@@ -145,8 +145,8 @@
             host.route.wait_until, self._stirred[host.destination] = max(host.route.wait_until, until), None
 
     def rest(self, failures: int) -> int:
-        """Until discovery is asked: at random, ever longer, as all relays start and fail as one."""
-        return int(self._random() * (min(self._relays * APIECE, APIECE_MOST) << min(failures, RESTS)))
+        """Until discovery is asked: at random, as all fail as one; its news counts as told 6 s after that."""
+        return int(self._random() * min(self._relays * APIECE << min(failures, RESTS), APIECE_MOST))
 
     def refusal(self, destination: int, size: int, room: int, left: int, lag: int) -> int:
         """0 where a packet may be handed in and stored, else how long its client ought to wait."""
--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -61,16 +61,54 @@
         raise Garbled(repr(fault)) from fault
 
 
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """What one call asks for, in nanoseconds: how long discovery may wait for news, and the relay for it."""
+
+    wait: int
+    silence: int
+
+
+def patience_after(bounds: Bounds, proven: bool, failures: int, unread: bool) -> Patience:
+    """The patience of the next call to an address: only what follows a list is a long watch."""
+    if not proven:
+        return Patience(MILLISECOND, bounds.proofs[min(failures, len(bounds.proofs) - 1)])
+    if not failures and not unread:
+        return Patience(bounds.watch, bounds.silence)
+    on_the_way = bounds.silence - bounds.watch
+    wait = min(bounds.watch, bounds.proofs[-1] - on_the_way)
+    return Patience(wait, wait + on_the_way)
+
+
+def pause_after(bounds: Bounds, failures: int, spent: int) -> int:
+    """Until a call that got no list is repeated; its own time counts as part of the pause."""
+    return max(bounds.redial, min(bounds.redial << min(failures - 1, 8), bounds.resend) - spent)
+
+
+def told_within(bounds: Bounds, longest_rest: int, silent_links: int = 0) -> int:
+    """The longest time from when discovery has a change and can be reached to the call that is told of it.
+
+    It holds after any call that failed, was turned away or given up.  What is under way at first may be the
+    rest after a call that was turned away, the pause after one that failed, or a call that began just before
+    and that nothing answers any more: its patience, more time if half of its answer had come, and the pause.
+    Each of `silent_links` is a connection that falls silent although discovery can be reached.
+    """
+    retry = patience_after(bounds, proven=True, failures=1, unread=False).silence
+    patience = max(retry, *bounds.proofs)
+    under_way = max(longest_rest, bounds.resend, patience + bounds.resend + bounds.redial)
+    return under_way + silent_links * (patience + bounds.redial)
+
+
 class Feed:
     """One address of discovery, asked again as soon as it has answered.
 
-    It is proven from an answer on, if only one that turns the relay away, until it fails to answer.  A proven
-    one is asked to wait for news; one that is not is asked for an answer at once, with little patience: a
-    silent connection can't be told from a list without news, and what it misses counts as told two seconds
-    after the wait (docs/design/crossings.md).
+    It is proven from an answer on, if only one that turns the relay away, until it fails to answer.  After a
+    list, a proven one is asked to wait long for news.  After anything else it is asked for little: a silent
+    connection can't be told from a list without news, and what it misses counts as told 6 s after discovery
+    could be reached (`told_within`, docs/design/crossings.md).
     """
 
-    __slots__ = ("_exchange", "_failures", "_loop", "_watch", "closed", "proven")
+    __slots__ = ("_asked_at", "_exchange", "_failures", "_loop", "_watch", "closed", "proven")
 
     def __init__(
         self,
@@ -82,17 +120,24 @@
         counters: Counters,
     ) -> None:
         self._watch, self._loop = watch, loop
-        more = watch.bounds.resend
-        self._exchange = Exchange(loop, address, "discovery", most, more, self._took, log, counters)
+        more, dial_time = watch.bounds.resend, watch.bounds.proofs[0]
+        self._exchange = Exchange(
+            loop, address, "discovery", most, more, dial_time, self._took, log, counters, self._unread
+        )
         self.proven = self.closed = False
-        self._failures = 0
+        self._failures, self._asked_at = 0, loop.time()
 
-    def ask(self) -> None:
+    def ask(self, unread: bool = False) -> None:
+        """Call for what is newer.  `unread`: once more, as the last call found its connection closed."""
         if not self.closed:
-            query, bounds = self._watch.query(self.proven), self._watch.bounds
+            patience = patience_after(self._watch.bounds, self.proven, self._failures, unread)
+            query = self._watch.query(patience.wait)
             head = b"GET /v1/endpoints%b HTTP/1.1\r\nHost: %b\r\n\r\n" % (query, self._exchange.host)
-            proof = bounds.proofs[min(self._failures, len(bounds.proofs) - 1)]
-            self._exchange.ask([head], bounds.silence if self.proven else proof)
+            self._asked_at = self._loop.time()
+            self._exchange.ask([head], patience.silence)
+
+    def _unread(self) -> None:
+        self.ask(unread=True)
 
     def _took(self, reader: AnswerReader | None) -> None:
         if self._watch.heard(self, reader):
@@ -101,9 +146,10 @@
         else:
             # Turned away, it rests as the module says, then asks with patience: discovery has too much to do.
             # Else it goes on soon: what the agent learns meanwhile binds at once.
-            bounds, self._failures = self._watch.bounds, self._failures + 1
+            self._failures += 1
             self.proven = reader is not None and reader.status != 200
-            soon = min(bounds.redial << min(self._failures - 1, 8), bounds.resend)
+            spent = int((self._loop.time() - self._asked_at) * 1e9)
+            soon = pause_after(self._watch.bounds, self._failures, spent)
             rest = self._watch.rest(self._failures) if self.proven else soon
             self._loop.call_later(rest / 1e9, self.ask)
 
@@ -144,10 +190,9 @@
         self._feeds.append(Feed(self, self._loop, address, self.bounds.list_most, self._log, self._counters))
         self._loop.call_soon(self._feeds[-1].ask)
 
-    def query(self, proven: bool) -> bytes:
-        """What to ask for; a version of none asks for the whole list, a first answer is wanted at once."""
-        wait = self.bounds.watch // MILLISECOND if proven else 1
-        return b"?since=%d&timeout_ms=%d" % (self._index, wait) if self._index >= 0 else b""
+    def query(self, wait: int) -> bytes:
+        """What to ask for; a version of none asks for the whole list, which never waits."""
+        return b"?since=%d&timeout_ms=%d" % (self._index, wait // MILLISECOND) if self._index >= 0 else b""
 
     def heard(self, feed: Feed, reader: AnswerReader | None) -> bool:
         """Take in an answer; False where it is none."""
--- a/millweir/net/exchange.py
+++ b/millweir/net/exchange.py
@@ -22,6 +22,7 @@
         "_address",
         "_begun",
         "_counters",
+        "_dial_time",
         "_link",
         "_log",
         "_loop",
@@ -32,6 +33,7 @@
         "_task",
         "_timer",
         "_took",
+        "_unread",
         "host",
     )
 
@@ -42,13 +44,22 @@
         name: str,
         most: int,
         more: int,
+        dial_time: int,
         took: Callable[[AnswerReader | None], None],
         log: Log,
         counters: Counters,
+        unread: Callable[[], None] | None = None,
     ) -> None:
-        """`more`: nanoseconds that an answer has to end in which had begun when its patience was over."""
+        """`more`: nanoseconds that an answer has to end in which had begun when its patience was over.
+
+        `dial_time`: nanoseconds in which a connection has to come up, however long the patience: the kernel
+        repeats a lost SYN after 1, 3, 7 and 15 s, a new dial sends one at once.
+        `unread`: told in place of `took` where the peer closed a link at rest just as a request was written
+        to it.  Without it the request goes once more on a new link, within the patience that it had.
+        """
         self._loop, self._address, self._name, self._most = loop, address, name, most
-        self._more, self._took, self._log, self._counters = more, took, log, counters
+        self._more, self._dial_time, self._took, self._unread = more, dial_time / 1e9, took, unread
+        self._log, self._counters = log, counters
         self.host = f"{address[0]}:{address[1]}".encode()  # for the heads of requests
         self._link: Link | None = None
         self._task: asyncio.Task[None] | None = None
@@ -69,8 +80,9 @@
     async def _dial(self) -> None:
         link = Link(self._loop, self._name, self._most, 0, self._log, self._counters)
         try:
-            await self._loop.create_connection(lambda: link, *self._address)
-        except OSError as fault:
+            async with asyncio.timeout(self._dial_time):
+                await self._loop.create_connection(lambda: link, *self._address)
+        except (OSError, TimeoutError) as fault:
             self._log.say(f"link-end peer={self._name} reason=unconnected {type(fault).__name__}")
             self._tell(None)
             return
@@ -98,7 +110,11 @@
         if link.asked > 1 and not link.reader.begun:
             # Guards against gaps: the peer's close of a link at rest crossed this request, which goes anew.
             self._link = None
-            self._task = self._loop.create_task(self._dial())
+            if self._unread:
+                self._stop_timer()
+                self._unread()
+            else:
+                self._task = self._loop.create_task(self._dial())
         else:
             self._tell(None)
 
--- a/millweir/net/notices.py
+++ b/millweir/net/notices.py
@@ -43,7 +43,9 @@
 
     def _to(self, address: tuple[str, int]) -> Exchange:
         most, more = self._bounds.answer_most, self._bounds.resend
-        return Exchange(self._loop, address, "notices", most, more, self._took, self._log, self._counters)
+        return Exchange(
+            self._loop, address, "notices", most, more, more, self._took, self._log, self._counters
+        )
 
     def _change_over(self) -> None:
         if self._next:
--- a/tests/net/test_watch.py
+++ b/tests/net/test_watch.py
@@ -13,6 +13,8 @@
 from net.agent import Agent, Watched, listed, row
 from net.inside import Gate
 
+EMPTY = b'{"index": 7, "endpoints": []}       '
+
 
 def played(steps):
     """Run one scene on the loop that the program runs on."""
@@ -146,6 +148,34 @@
     played(steps)
 
 
+def test_only_a_list_is_followed_by_a_long_watch_and_a_dial_in_between_is_given_up_soon():
+    async def steps(agent):
+        watched = Watched(agent, watch=60_000, silence=60_100, rests=(0,))
+        (await agent.asked()).tell(listed(7))
+        (await agent.asked()).end()  # as if it had closed just before the ask came
+        crossed = await agent.asked()
+        assert crossed.waits == 300 and not watched.counters.counts["list_failures"]
+        crossed.tell(b"", status=503)
+        turned_away = await agent.asked()
+        assert turned_away.waits == 300  # the patience with an address that fails, less its way
+        turned_away.tell(listed(7))
+        long = await agent.asked()
+        assert long.waits == 60_000
+        exchange = watched.watch._feeds[0]._exchange
+        gate = exchange._loop = Gate(exchange._loop)
+        long.say(b"HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: 36\r\n\r\n" + EMPTY)
+        for _ in range(200):
+            if gate.waiting > 1:
+                break
+            await asyncio.sleep(0.01)
+        assert gate.waiting > 1  # the long watch's dial did not come up: it was given up, and dialled anew
+        gate.open.set()
+        assert (await agent.asked()).waits == 1
+        watched.watch.close()
+
+    played(steps)
+
+
 def test_what_is_no_list_is_asked_for_again_soon_and_without_end():
     async def steps(agent):
         watched = Watched(agent, redial=1_000_000, resend=4_000_000)
