--- a/millweir/net/config.py
+++ b/millweir/net/config.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import resource
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -43,6 +44,12 @@
     return host, int(port)
 
 
+def read_descriptors(told: int) -> int:
+    """How many descriptors this process may hold: what it is told, or the system's limit if lower."""
+    most, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return told if most == resource.RLIM_INFINITY else min(told, most)
+
+
 def read_config(environ: Mapping[str, str], again: bool = False, start: Config | None = None) -> Config:
     """Read RELAY_CONFIG; at start the other variables win over what the file says.
 
@@ -82,7 +89,7 @@
             state=Path(state),
             seed=int(str(given.get("seed", "0")), 16),
             limits=Limits(
-                int(limits.get("sockets", 1024)),
+                read_descriptors(int(limits.get("sockets", 1024))),
                 int(limits.get("disk_mb", 1) * MEGABYTE),
                 int(limits.get("memory_mb", 64) * MEGABYTE),
             ),
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -275,6 +275,7 @@
                 call.write(link)
                 return
             link.close("idle")
+        self._make_way()
         task = self.loop.create_task(self._dial(call))
         self._dialling.add(task)
         task.add_done_callback(self._dialling.discard)
@@ -311,6 +312,7 @@
         call.job.parts.clear()  # no circle for the collector to find
         if call.timer:
             call.timer.cancel()
+        self._make_way()
 
     def drop(self, part: Part[Parcel]) -> None:
         """A trip is no longer to be waited for."""
@@ -325,9 +327,16 @@
         if link.open:
             door.idle.append(link)
             self._idle[link] = door
-            while len(self._idle) > self.bounds.host_links:
-                oldest = next(iter(self._idle))
-                self._drop(oldest, "many")
+            self._trim(self.bounds.host_links)
+
+    def _make_way(self) -> None:
+        """Guards descriptors: idle links, the one idle longest first, make way for calls, but for half."""
+        most = self.bounds.host_links
+        self._trim(max(most - len(self._calls), most // 2))
+
+    def _trim(self, most: int) -> None:
+        while len(self._idle) > most:
+            self._drop(next(iter(self._idle)), "many")
 
     def sweep(self) -> None:
         """Close links idle for so long that the other end may be about to."""
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -106,6 +106,7 @@
         self.owed: dict[int, Parcel] = {}
         self.torn = 0  # bytes dropped from the end of the file at start
         self._live = self._size = self._last = 0
+        self._reserve = -1  # a descriptor that is lent to the next file
         self._locks: dict[int, int] = {}
         # Guards rule 2 in an upgrade: a process beside this one owns its own file, locked while it lives.
         self.slot = next((slot for slot in range(SLOTS) if self._lock(slot)), SLOTS - 1)
@@ -173,6 +174,7 @@
         if self._file >= 0:
             os.close(self._file)
             self._file = -1
+        self._drop_reserve()
         for fd in self._locks.values():
             os.close(fd)
         self._locks.clear()
@@ -232,7 +234,28 @@
             raise OSError("the journal took only a part of a record")
 
     def _compact(self) -> None:
-        """A new file with what is owed replaces the old one at once: a crash leaves either of them whole."""
+        """A new file with what is owed replaces the old one at once: a crash leaves either of them whole.
+
+        Guards rule 2 where clients or hosts hold all other descriptors: an end has to be written.
+        """
+        self._drop_reserve()
+        try:
+            self._replace_file()
+        finally:
+            self._hold_reserve()
+
+    def _hold_reserve(self) -> None:
+        try:
+            self._reserve = os.open(os.devnull, os.O_RDONLY)
+        except OSError as fault:
+            self._say(f"journal-failed reserve {fault}")
+
+    def _drop_reserve(self) -> None:
+        if self._reserve >= 0:
+            os.close(self._reserve)
+            self._reserve = -1
+
+    def _replace_file(self) -> None:
         raw = framed([body for parcel in self.owed.values() for body in parcel.records()])
         new, name = self.folder / named(self.slot, ".new"), self.folder / named(self.slot)
         fresh = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
