Window of repeats: an attempt of an earlier life is as old as both clocks say

A wall clock set back between two lives by less than the attempt's age (or a start preempted between the two clock reads that give the offset) made it younger than it is: 1.2 s old, 0.8 s set back, repeated within a window of 1 s. The time was also that of the last byte, after the hold and a late turn; the window counts from the send.

Trips are journalled as of the first byte written. Earlier builds skip the new record.

--- a/millweir/net/clock.py
+++ b/millweir/net/clock.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import time
+import uuid
 from collections.abc import Callable
+from pathlib import Path
 
 steady = time.monotonic_ns
 _WALL_AHEAD = time.time_ns() - time.monotonic_ns()
+_BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 
 
 def once_read(loop: asyncio.AbstractEventLoop, what: Callable[..., None], *args: object) -> None:
@@ -27,3 +30,16 @@
 def from_wall(at: int) -> int:
     """Unix time as this process's steady time."""
     return at - _WALL_AHEAD
+
+
+def wall_ahead() -> int:
+    """How far the wall clock was ahead of the steady one when this process started."""
+    return _WALL_AHEAD
+
+
+def boot_id() -> bytes:
+    """16 bytes that name the boot whose uptime the steady clock counts; empty where the system tells none."""
+    try:
+        return uuid.UUID(_BOOT_ID.read_text().strip()).bytes
+    except (OSError, ValueError):
+        return b""
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -53,7 +53,7 @@
 class Call:
     """One job under way."""
 
-    __slots__ = ("_hosts", "_trips", "_written", "door", "job", "link", "timer", "waiting")
+    __slots__ = ("_hosts", "_trips", "_written", "_written_at", "door", "job", "link", "timer", "waiting")
 
     def __init__(self, hosts: Hosts, job: Job[Parcel], door: Door) -> None:
         self._hosts = hosts
@@ -63,6 +63,7 @@
         self.link: Link | None = None
         self.timer: asyncio.TimerHandle | None = None
         self._written: list[Part[Parcel]] = []
+        self._written_at = 0
         self._trips: dict[Part[Parcel], int] = {}  # in the journal, and on their way since
 
     def write(self, link: Link) -> None:
@@ -75,7 +76,7 @@
         if not parts:
             hosts.keep(self.door, link)
             return
-        self.link, self._written = link, parts
+        self.link, self._written, self._written_at = link, parts, now
         left = max(1, -(-(max(part.until for part in parts) - now) // MILLISECOND))
         if len(parts) == 1:
             parcel = parts[0].item
@@ -108,7 +109,8 @@
             still = all(hosts.still(now, part) for part in parts)
             if not still or parts != self._written or link.reader.begun:
                 raise OSError("given up in part, answered already, or its host told to wait or left")
-            hosts.journal.trip([part.item for part in parts], clock.to_wall(now))
+            # Guards rule 2 over a restart: repeats are known for a time that begins with the first byte.
+            hosts.journal.trip([part.item for part in parts], clock.to_wall(self._written_at))
         except OSError as fault:
             hosts.log.say(f"call-withheld {fault}")
             link.close("withheld", abort=True)
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -13,13 +13,17 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from millweir.net import clock
+
 FRAME = struct.Struct("<II")
 TAKEN = struct.Struct("<BQqHHHHHi")  # kind, number, hard stop, five lengths of text, destination
 TRIP = struct.Struct("<BQq")  # kind, number, when it went out
 VOID = struct.Struct("<BQH")  # kind, number, which of its trips never ran
 GIVEN_UP = struct.Struct("<BQBq")  # kind, number, may come again, wait
 OVER = struct.Struct("<BQ")  # kind, number
-TAKEN_KIND, TRIP_KIND, VOID_KIND, GIVEN_UP_KIND, OVER_KIND = range(1, 6)
+CLOCK = struct.Struct("<BQq16s")  # kind, number 0: earlier builds skip it; wall clock ahead of steady, boot
+TAKEN_KIND, TRIP_KIND, VOID_KIND, GIVEN_UP_KIND, OVER_KIND, CLOCK_KIND = range(1, 7)
+OF_ANY_AGE = 0  # wall time of a trip of which nobody can say for sure how long ago it went out
 TRIP_SIZE = 2 * FRAME.size + TRIP.size + VOID.size  # the most that one trip takes in a file
 FIXED_SIZE = 2 * FRAME.size + TAKEN.size + GIVEN_UP.size  # besides texts, body and trips
 FILE = "journal"
@@ -98,6 +102,15 @@
     return b"".join([FRAME.pack(len(body), zlib.crc32(body)) + body for body in bodies])
 
 
+def _set_back_since(wall_ahead: int) -> int:
+    """By how much the wall clock was set back since a process of this boot found it so far ahead.
+
+    Guards rule 2: a trip must not seem younger than it is by the steady clock, which runs on between two
+    processes of one boot.  A wall clock set ahead makes trips seem older, and is left so.
+    """
+    return max(0, wall_ahead - clock.wall_ahead())
+
+
 class Journal:
     """Every parcel that is still owed its end, in memory and on disk alike."""
 
@@ -106,6 +119,7 @@
         self.owed: dict[int, Parcel] = {}
         self.torn = 0  # bytes dropped from the end of the file at start
         self._live = self._size = self._last = 0
+        self._set_back: int | None = None  # of the file being read: nanoseconds, None where that is unknown
         self._locks: dict[int, int] = {}
         # Guards rule 2 in an upgrade: a process beside this one owns its own file, locked while it lives.
         self.slot = next((slot for slot in range(SLOTS) if self._lock(slot)), SLOTS - 1)
@@ -233,7 +247,9 @@
 
     def _compact(self) -> None:
         """A new file with what is owed replaces the old one at once: a crash leaves either of them whole."""
-        raw = framed([body for parcel in self.owed.values() for body in parcel.records()])
+        clock_record = CLOCK.pack(CLOCK_KIND, 0, clock.wall_ahead(), clock.boot_id())
+        bodies = [body for parcel in self.owed.values() for body in parcel.records()]
+        raw = framed([clock_record, *bodies])
         new, name = self.folder / named(self.slot, ".new"), self.folder / named(self.slot)
         fresh = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         try:
@@ -250,7 +266,7 @@
         self._file, self._size = fresh, len(raw)
 
     def _read(self, raw: bytes) -> None:
-        at = 0
+        at, self._set_back = 0, None
         while at + FRAME.size <= len(raw):
             size, check = FRAME.unpack_from(raw, at)
             body = raw[at + FRAME.size : at + FRAME.size + size]
@@ -273,6 +289,10 @@
                 parcel.number = self._last = number
                 self.owed[number] = parcel
                 return True
+            if body[0] == CLOCK_KIND:
+                _, _, ahead, boot = CLOCK.unpack(body)
+                self._set_back = _set_back_since(ahead) if boot == clock.boot_id() else None
+                return True
             parcel = self.owed.get(struct.unpack_from("<Q", body, 1)[0])
             if body[0] == OVER_KIND:
                 if parcel:
@@ -280,7 +300,8 @@
             elif parcel is None:
                 pass  # Guards what comes after: a late word on a parcel that is over is no damage.
             elif body[0] == TRIP_KIND:
-                parcel.went_out(TRIP.unpack(body)[2])
+                at = TRIP.unpack(body)[2]
+                parcel.went_out(OF_ANY_AGE if self._set_back is None else at - self._set_back)
             elif body[0] == VOID_KIND:
                 parcel.trips[VOID.unpack(body)[2]][1] = 1
             elif body[0] == GIVEN_UP_KIND:
--- /dev/null
+++ b/tests/net/test_repeat_window.py
@@ -0,0 +1,213 @@
+"""The window of repeats at its shortest (1 s), over a restart and by the clocks of both lives."""
+
+from dataclasses import replace
+
+import pytest
+from rig import CONFIG, PROFILES, STEP, Platform, entry, settings
+
+from millweir.facade import Facade
+from millweir.interface import MILLISECOND, SECOND, Change, Effect, Limits
+from millweir.net import clock
+from millweir.net.counters import Counters
+from millweir.net.desk import Desk
+from millweir.net.journal import FILE, FRAME, OVER, OVER_KIND, Journal, Parcel
+from net.inside import play
+from net.test_calls import QUICK, handed_in, held_back
+
+WINDOW = SECOND
+MARGIN = 2 * STEP
+LAST = WINDOW - MARGIN - 1  # the greatest age at which a repeat may still go out
+NOW, WALL_AHEAD = 1_000 * SECOND, 1_700_000_000 * SECOND
+BOOT, OTHER_BOOT = b"b" * 16, b"o" * 16
+SETTINGS = settings(profiles=tuple(replace(profile, repeat_known=WINDOW) for profile in PROFILES))
+REFERENCED = next(at for at, profile in enumerate(PROFILES) if profile.effect is Effect.REFERENCED)
+
+
+class Machine:
+    """A machine whose clocks the test sets; each life is one process on it, with the same folder."""
+
+    def __init__(self, monkeypatch, folder):
+        self.patch, self.folder = monkeypatch, folder
+        self.set(NOW, WALL_AHEAD, BOOT)
+
+    def set(self, steady, wall_ahead, boot):
+        self.steady, self.ahead, self.boot = steady, wall_ahead, boot
+        self.patch.setattr(clock, "steady", lambda: steady)
+        self.patch.setattr(clock, "_WALL_AHEAD", wall_ahead)
+        self.patch.setattr(clock, "boot_id", lambda: boot)
+
+    def journal(self):
+        return Journal(self.folder, 500_000, 400_000, print)
+
+    def leave_attempt(self, age):
+        """A life that sent one keyed packet so long ago, and was killed before its answer."""
+        journal = self.journal()
+        stop = clock.to_wall(NOW + 15 * SECOND)
+        parcel = Parcel(b"p", b"marked", b"", b"", b"mark", 0, stop, b"body")
+        journal.taken(parcel)
+        journal.trip([parcel], clock.to_wall(NOW - age))
+        journal.close()
+
+    def restart(self, listed=True):
+        """The next life, as far as its decisions: the facade with all that the folder held."""
+        journal = self.journal()
+        facade = Facade(SETTINGS, Limits(256, 1 << 20, 64 << 20), 1, self.steady)
+        if listed:
+            host = replace(entry(0, 0, kind=1), host=b"h0")
+            facade.told(self.steady, Change.CACHED, (host,))
+        desk = Desk.__new__(Desk)
+        desk._facade, desk._counters, desk._owed = facade, Counters(), {}
+        desk._profiles, desk._tenants, desk._unlisted = {b"marked": REFERENCED}, {}, None
+        for parcel in journal.owed.values():
+            desk._restore(parcel)
+        journal.close()
+        facade.tick(self.steady)
+        return facade
+
+
+@pytest.fixture
+def machine(monkeypatch, tmp_path):
+    return Machine(monkeypatch, tmp_path)
+
+
+def decision(facade):
+    """What became of the one packet: repeated, errored (nothing is promised), dismissed or still held."""
+    ending = facade.ended()
+    if ending:
+        return "dismissed" if ending.again else "errored"
+    return "repeated" if facade.pick() else "held"
+
+
+@pytest.mark.parametrize(
+    "age, end",
+    [
+        (0, "repeated"),
+        (WINDOW // 2, "repeated"),
+        (LAST, "repeated"),
+        (LAST + 1, "errored"),
+        (WINDOW, "errored"),
+        (2 * WINDOW, "errored"),
+    ],
+)
+def test_an_attempt_of_an_earlier_life_is_repeated_inside_the_window_alone(machine, age, end):
+    machine.leave_attempt(age)
+    assert decision(machine.restart()) == end
+
+
+@pytest.mark.parametrize(
+    "age, set_back, end",
+    [
+        (WINDOW // 2, SECOND // 5, "repeated"),
+        (WINDOW // 2, 3600 * SECOND, "repeated"),  # the steady clock still tells its age
+        (LAST, SECOND // 5, "repeated"),
+        (LAST + 1, SECOND // 5, "errored"),
+        (WINDOW * 6 // 5, SECOND // 5 * 4, "errored"),  # 0.4 s old by the wall clock alone
+        (60 * WINDOW, 60 * WINDOW, "errored"),
+        (WINDOW // 2, -SECOND // 5, "repeated"),  # set ahead: older by the wall clock
+        (WINDOW // 2, -SECOND // 2, "errored"),
+        (0, -3600 * SECOND, "errored"),
+    ],
+)
+def test_a_wall_clock_set_between_two_lives_makes_no_attempt_younger(machine, age, set_back, end):
+    machine.leave_attempt(age)
+    machine.set(NOW, WALL_AHEAD - set_back, BOOT)
+    assert decision(machine.restart()) == end
+
+
+@pytest.mark.parametrize("age, end", [(WINDOW // 2, "repeated"), (WINDOW * 6 // 5, "errored")])
+def test_a_wall_clock_set_back_before_each_of_two_restarts_makes_no_attempt_younger(machine, age, end):
+    machine.leave_attempt(age)
+    machine.set(NOW, WALL_AHEAD - SECOND // 2, BOOT)
+    machine.journal().close()  # a life that was killed before it had decided anything
+    machine.set(NOW, WALL_AHEAD - SECOND, BOOT)
+    assert decision(machine.restart()) == end
+
+
+@pytest.mark.parametrize("boot", [OTHER_BOOT, b""], ids=["rebooted", "boot-untold"])
+def test_an_attempt_from_before_a_boot_is_of_any_age(machine, boot):
+    machine.leave_attempt(WINDOW // 2)
+    machine.set(NOW, WALL_AHEAD, boot)
+    assert decision(machine.restart()) == "errored"
+
+
+def test_where_no_boot_can_be_told_apart_an_attempt_is_of_any_age(machine):
+    machine.set(NOW, WALL_AHEAD, b"")
+    machine.leave_attempt(0)
+    assert decision(machine.restart()) == "errored"
+
+
+def test_an_attempt_in_a_file_that_names_no_clock_is_of_any_age(machine):
+    machine.leave_attempt(0)
+    path = machine.folder / FILE
+    raw = path.read_bytes()
+    path.write_bytes(raw[FRAME.size + FRAME.unpack_from(raw)[0] :])  # as an earlier build wrote it
+    assert decision(machine.restart()) == "errored"
+
+
+def test_earlier_builds_skip_the_record_of_the_clock(machine):
+    # They skip a record of any kind whose number they do not owe, and read on.
+    machine.journal().close()
+    raw = (machine.folder / FILE).read_bytes()
+    assert OVER.unpack_from(raw, FRAME.size)[0] > OVER_KIND and OVER.unpack_from(raw, FRAME.size)[1] == 0
+
+
+@pytest.mark.parametrize("listed, end", [(False, "errored"), (True, "repeated")])
+def test_an_attempt_held_for_its_destination_ends_when_its_repeat_is_known_no_more(machine, listed, end):
+    machine.leave_attempt(WINDOW // 2)
+    facade = machine.restart(listed=False)
+    over = NOW - WINDOW // 2 + WINDOW - MARGIN
+    assert facade.tick(NOW) <= over
+    facade.tick(over - 1)
+    assert decision(facade) == "held"
+    if listed:
+        host = replace(entry(0, 0, kind=1), host=b"h0")
+        facade.told(over - 1, Change.DELTA, (host,))
+        facade.tick(over - 1)
+    else:
+        facade.tick(over)
+    assert decision(facade) == end
+
+
+def test_a_repeat_whose_link_comes_up_after_the_window_may_not_be_written(machine):
+    machine.leave_attempt(WINDOW // 2)
+    facade = machine.restart()
+    (part,) = facade.pick().parts
+    over = NOW - WINDOW // 2 + WINDOW - MARGIN
+    assert facade.still(over - 1, part) and not facade.still(over, part)
+
+
+def test_the_window_counts_from_the_first_byte_of_a_call_not_from_its_last(tmp_path, monkeypatch):
+    platform = Platform(hosts=1)
+    platform.decide = lambda call: None  # no answer
+
+    async def steps(relay):
+        await handed_in(relay, "p", profile="marked")
+        await held_back(relay)
+        written_by = clock.to_wall(clock.steady())
+        await relay.until(lambda: platform.sent("p"))
+        (parcel,) = relay.desk._journal.owed.values()
+        assert [sent_at <= written_by for sent_at, _ in parcel.trips] == [True]
+
+    play(platform, tmp_path, monkeypatch, steps, hold=QUICK)
+
+
+def test_no_call_repeats_an_attempt_that_only_a_clock_set_back_makes_young(tmp_path, monkeypatch):
+    folder, set_back = tmp_path / "state", 800 * MILLISECOND
+    folder.mkdir()
+    wall_ahead = clock.wall_ahead()
+    monkeypatch.setattr(clock, "_WALL_AHEAD", wall_ahead + set_back)
+    journal = Journal(folder, 500_000, 400_000, print)
+    stop = clock.to_wall(clock.steady() + 15 * SECOND)
+    parcel = Parcel(b"p", b"marked", b"", b"", b"mark", 0, stop, b"body")
+    journal.taken(parcel)
+    journal.trip([parcel], clock.to_wall(clock.steady() - WINDOW))
+    journal.close()
+    monkeypatch.setattr(clock, "_WALL_AHEAD", wall_ahead)
+    grades = [dict(grade, **{"dedup-window-us": WINDOW // 1000}) for grade in CONFIG["grades"]]
+    platform = Platform(hosts=1)
+
+    async def steps(relay):
+        await relay.until(lambda: platform.noticed("p") or platform.sent("p"))
+        assert platform.noticed("p") == ["dead"] and not platform.sent("p")
+
+    play(platform, tmp_path, monkeypatch, steps, {"settings": CONFIG | {"grades": grades}})
