--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -84,6 +84,7 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(*gc.get_threshold()[:2], 1000)
+    gc.enable()
     await desk.stopped
     server.close()
     await desk.clients.finish(bounds.parting)
@@ -96,6 +97,7 @@
 
 def main() -> None:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is heeded: what it tells of is read below anyway
+    gc.disable()  # until the journal is read: all that it holds stays, so there is nothing to collect
     operator = None
     try:
         if len(sys.argv) > 1:  # without arguments nothing beyond the platform's protocol is loaded
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -6,6 +6,7 @@
 import json
 import os
 import traceback
+from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
@@ -53,6 +54,7 @@
         self._unlisted: int | None = None  # number of the profile that stands in for those listed no more
         self._discovery = config.discovery
         self._owed: dict[bytes, Parcel] = {}
+        self._backlog: deque[Parcel] = deque()  # owed, and not handed in yet; in the order taken
         self._ended: dict[bytes, int] = {}  # ids no longer owed, the one that ended first at the front
         self._scheduled = self._listed = self._leaving = self._lingered = self._quiet = False
         self._replies: dict[bytes, list[int]] = {}  # success, overload, error, a profile each
@@ -289,20 +291,37 @@
         self.wake()
 
     def _restore(self, parcel: Parcel) -> None:
-        """What an earlier life took on is owed its end."""
+        """What an earlier life took on is owed its end; known at once, handed in by the turns to come."""
         self._owed[parcel.id] = parcel
         self._counters.add("packets_restored")
         if parcel.given_up:
             self._notices.add(parcel)
-            return
+        else:
+            self._backlog.append(parcel)
+
+    def _work_off_backlog(self) -> None:
+        """Hand in a part of the backlog.
+
+        Guards a start on a short processor: with thousands of packets owed, clients and discovery are heard
+        between the parts.
+        """
+        for _ in range(min(len(self._backlog), self._bounds.turn_reads)):
+            self._hand_in(self._backlog.popleft())
+        if self._backlog:
+            self.wake()
+
+    @property
+    def _room(self) -> int:
+        """How large a packet may be taken on; the module does not count the backlog as open yet."""
+        full = self._backlog and 0 < self._settings.max_open <= len(self._owed)
+        return 0 if full else self._journal.room
+
+    def _hand_in(self, parcel: Parcel) -> None:
         if parcel.profile not in self._profiles and self._unlisted is None:
             # Guards what an earlier settings file took on: it is still tried, as what may run only once.
             stand_in = unlisted_profile(self._settings)
             self._unlisted = self._facade.settings_told(replace(self._settings, profiles=(stand_in,)))
             self._known.append(stand_in)
-        self._hand_in(parcel)
-
-    def _hand_in(self, parcel: Parcel) -> None:
         tenant, now = self._tenants.get(parcel.account, len(self._tenants)), clock.to_wall(clock.steady())
         # Guards rule 2 where the wall clock was set back: a trip out at a time to come may be of any age.
         trips = tuple((clock.from_wall(at if at <= now else 0), bool(void)) for at, void in parcel.trips)
@@ -350,6 +369,7 @@
             except Exception:
                 link.end("fault")
                 raise
+        self._work_off_backlog()
         due = self._facade.tick(clock.steady())
         while ending := self._facade.ended():
             self._give_up(ending.item, ending.again, ending.wait)
@@ -426,7 +446,7 @@
             request.body,
         )
         wait = self._facade.refusal(
-            parcel.destination, parcel.size, self._journal.room, stop - now, self._lag.at(now)
+            parcel.destination, parcel.size, self._room, stop - now, self._lag.at(now)
         )
         if not wait:
             try:
@@ -442,7 +462,10 @@
         self._owed[parcel.id] = parcel
         self._counters.add("packets_taken")
         link.answer(request, 202)
-        self._hand_in(parcel)
+        if self._backlog:
+            self._backlog.append(parcel)  # behind those taken before it, so that keys keep their order
+        else:
+            self._hand_in(parcel)
 
     def _report(self, part: Part[Parcel], outcome: Outcome, finished: bool, wait: int, load: bytes) -> None:
         if wait > 0:
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from millweir.interface import MILLISECOND
 from millweir.net import clock
 
 FRAME = struct.Struct("<II")
@@ -292,6 +293,8 @@
             if body[0] == CLOCK_KIND:
                 _, _, ahead, boot = CLOCK.unpack(body)
                 self._set_back = _set_back_since(ahead) if boot == clock.boot_id() else None
+                if self._set_back is None or self._set_back >= MILLISECOND:
+                    self._say(f"clock-set-back ns={'unknown' if self._set_back is None else self._set_back}")
                 return True
             parcel = self.owed.get(struct.unpack_from("<Q", body, 1)[0])
             if body[0] == OVER_KIND:
--- a/tests/net/test_repeat_window.py
+++ b/tests/net/test_repeat_window.py
@@ -1,5 +1,6 @@
 """The window of repeats at its shortest (1 s), over a restart and by the clocks of both lives."""
 
+from collections import deque
 from dataclasses import replace
 
 import pytest
@@ -56,10 +57,12 @@
             host = replace(entry(0, 0, kind=1), host=b"h0")
             facade.told(self.steady, Change.CACHED, (host,))
         desk = Desk.__new__(Desk)
-        desk._facade, desk._counters, desk._owed = facade, Counters(), {}
+        desk._facade, desk._bounds, desk._counters = facade, facade.bounds, Counters()
+        desk._owed, desk._backlog, desk._settings = {}, deque(), SETTINGS
         desk._profiles, desk._tenants, desk._unlisted = {b"marked": REFERENCED}, {}, None
         for parcel in journal.owed.values():
             desk._restore(parcel)
+        desk._work_off_backlog()
         journal.close()
         facade.tick(self.steady)
         return facade
