--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -112,6 +112,11 @@
     return max(0, wall_ahead - clock.wall_ahead())
 
 
+def _clock_record() -> bytes:
+    """By which clocks the times in the records behind it are told."""
+    return CLOCK.pack(CLOCK_KIND, 0, clock.wall_ahead(), clock.boot_id())
+
+
 class Journal:
     """Every parcel that is still owed its end, in memory and on disk alike."""
 
@@ -127,7 +132,8 @@
         if (folder / named(self.slot)).exists():
             self._read((folder / named(self.slot)).read_bytes())
         self._file = -1
-        self._compact()
+        if not self._resume():
+            self._compact()
         self.orphans()
 
     def _lock(self, slot: int) -> bool:
@@ -246,11 +252,20 @@
             self._size -= done
             raise OSError("the journal took only a part of a record")
 
+    def _resume(self) -> bool:
+        """Go on with the file of the process before this one, if it is whole and mostly of what is owed."""
+        path = self.folder / named(self.slot)
+        size = path.stat().st_size if path.exists() else 0
+        if self.torn or not 0 < size <= min(2 * self._live, self._file_most // 2):
+            return False
+        self._file, self._size = os.open(path, os.O_WRONLY | os.O_APPEND), size
+        self._write([_clock_record()])
+        return True
+
     def _compact(self) -> None:
         """A new file with what is owed replaces the old one at once: a crash leaves either of them whole."""
-        clock_record = CLOCK.pack(CLOCK_KIND, 0, clock.wall_ahead(), clock.boot_id())
         bodies = [body for parcel in self.owed.values() for body in parcel.records()]
-        raw = framed([clock_record, *bodies])
+        raw = framed([_clock_record(), *bodies])
         new, name = self.folder / named(self.slot, ".new"), self.folder / named(self.slot)
         fresh = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         try:
--- a/tests/net/test_ready.py
+++ b/tests/net/test_ready.py
@@ -12,7 +12,7 @@
 from millweir.net import clock
 from millweir.net.counters import Counters
 from millweir.net.desk import Desk
-from millweir.net.journal import Journal, Parcel
+from millweir.net.journal import FILE, Journal, Parcel
 from net.inside import play, request
 from net.test_calls import handed_in
 
@@ -153,3 +153,42 @@
     platform = Platform(hosts=1)
     platform.decide = lambda call: None  # all of it stays open
     play(platform, tmp_path, monkeypatch, steps)
+
+
+def inode(folder):
+    return (folder / FILE).stat().st_ino
+
+
+def test_a_start_does_not_rewrite_a_file_that_is_whole_and_mostly_of_what_is_owed(tmp_path):
+    leave_owed(tmp_path, 100)
+    before = inode(tmp_path)
+    journal = Journal(tmp_path, 1 << 20, 1 << 19, print)
+    assert inode(tmp_path) == before and len(journal.owed) == 100
+    journal.over(journal.owed[1])
+    journal.close()
+    again = Journal(tmp_path, 1 << 20, 1 << 19, print)
+    assert inode(tmp_path) == before and min(again.owed) == 2 and not again.torn
+    again.close()
+
+
+@pytest.mark.parametrize("fault", ["torn", "mostly-over", "too-large"])
+def test_a_start_rewrites_a_file_that_it_can_not_go_on_with(tmp_path, fault):
+    leave_owed(tmp_path, 100)
+    journal = Journal(tmp_path, 1 << 20, 1 << 19, print)
+    for parcel in list(journal.owed.values())[: 95 if fault == "mostly-over" else 0]:
+        journal.over(parcel)
+    left = list(journal.owed)
+    journal.close()
+    path, most = tmp_path / FILE, 1 << 20
+    if fault == "torn":
+        path.write_bytes(path.read_bytes() + b"half a record")
+    if fault == "too-large":
+        most = path.stat().st_size * 3 // 2  # a limit lowered since
+    before = inode(tmp_path)
+    again = Journal(tmp_path, most, most, print)
+    assert inode(tmp_path) != before and list(again.owed) == left
+    again.taken(Parcel(b"new", b"again", b"", b"", b"", 0, 0, b""))
+    again.close()
+    last = Journal(tmp_path, most, most, print)
+    assert list(last.owed) == [*left, max(left) + 1] and not last.torn
+    last.close()
--- a/tests/net/test_repeat_window.py
+++ b/tests/net/test_repeat_window.py
@@ -126,6 +126,21 @@
     assert decision(machine.restart()) == end
 
 
+def test_each_life_that_goes_on_with_a_file_tells_times_by_its_own_clocks(machine):
+    machine.leave_attempt(WINDOW // 2)
+    machine.set(NOW, WALL_AHEAD - SECOND // 4, BOOT)
+    journal = machine.journal()
+    stop = clock.to_wall(NOW + 15 * SECOND)
+    parcel = Parcel(b"q", b"marked", b"", b"", b"mark", 0, stop, b"body")
+    journal.taken(parcel)
+    journal.trip([parcel], clock.to_wall(NOW - WINDOW // 2))
+    journal.close()
+    machine.set(NOW, WALL_AHEAD - SECOND // 2, BOOT)
+    journal = machine.journal()
+    assert [clock.from_wall(p.trips[0][0]) for p in journal.owed.values()] == [NOW - WINDOW // 2] * 2
+    journal.close()
+
+
 @pytest.mark.parametrize("boot", [OTHER_BOOT, b""], ids=["rebooted", "boot-untold"])
 def test_an_attempt_from_before_a_boot_is_of_any_age(machine, boot):
     machine.leave_attempt(WINDOW // 2)
