Calls: whether a call may go is asked once more after its record is written

With a window of 1 s the repeat then went out after it. Found by reading (Call.released), forced with a clock handed in.

Change: the check is made again after the write; a call withheld then has its record marked as never run.

--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -105,22 +105,27 @@
         """Journal the trips, then let the call go, if all that was written is still to go."""
         hosts, parts = self._hosts, list(self.waiting)
         try:
-            now = clock.steady()
-            still = all(hosts.still(now, part) for part in parts)
-            if not still or parts != self._written or link.reader.begun:
-                raise OSError("given up in part, answered already, or its host told to wait or left")
+            self._check_still(parts)
             # Guards rule 2 over a restart: repeats are known for a time that begins with the first byte.
             hosts.journal.trip([part.item for part in parts], clock.to_wall(self._written_at))
+            self._trips = {part: len(part.item.trips) - 1 for part in parts}
+            self._check_still(parts)  # writing may take long: a slow disk, or the whole file written anew
         except OSError as fault:
             hosts.log.say(f"call-withheld {fault}")
             link.close("withheld", abort=True)
             self.all_over(Outcome.MOOT)
             return False
-        self._trips = {part: len(part.item.trips) - 1 for part in parts}
         hosts.counters.add("calls_sent")
         hosts.counters.add("trips_sent", len(parts))
         return True
 
+    def _check_still(self, parts: list[Part[Parcel]]) -> None:
+        """OSError unless all that was written may still go."""
+        now = clock.steady()
+        still = all(self._hosts.still(now, part) for part in parts)
+        if not still or parts != self._written or self.link.reader.begun:
+            raise OSError("given up in part, answered already, or its host told to wait or left")
+
     def over(
         self, part: Part[Parcel], outcome: Outcome, finished: bool = False, wait: int = 0, load: bytes = b""
     ) -> None:
--- a/tests/net/test_repeat_window.py
+++ b/tests/net/test_repeat_window.py
@@ -13,7 +13,7 @@
 from millweir.net.desk import Desk
 from millweir.net.journal import FILE, FRAME, OVER, OVER_KIND, Journal, Parcel
 from net.inside import play
-from net.test_calls import QUICK, handed_in, held_back
+from net.test_calls import QUICK, handed_in, held_back, jump
 
 WINDOW = SECOND
 MARGIN = 2 * STEP
@@ -209,6 +209,49 @@
     play(platform, tmp_path, monkeypatch, steps, hold=QUICK)
 
 
+def test_a_repeat_that_is_known_no_more_once_its_attempt_is_journalled_does_not_go(tmp_path, monkeypatch):
+    platform, journal_trip = Platform(hosts=1), Journal.trip
+    platform.decide = lambda call: "reset"
+
+    def slow_trip(journal, parcels, at):
+        journal_trip(journal, parcels, at)
+        if parcels[0].trips[1:]:
+            jump(monkeypatch, 7 * SECOND)  # known for 6 s
+
+    monkeypatch.setattr(Journal, "trip", slow_trip)
+
+    async def steps(relay):
+        await handed_in(relay, "p", profile="marked")
+        await relay.until(lambda: platform.noticed("p"))
+        assert platform.noticed("p") == ["dead"] and len(platform.calls) == 1
+
+    play(platform, tmp_path, monkeypatch, steps)
+
+
+def test_a_call_withheld_after_it_was_journalled_is_journalled_as_never_run(tmp_path, monkeypatch):
+    platform, journal_trip, seen = Platform(hosts=1), Journal.trip, []
+
+    def slow_trip(journal, parcels, at):
+        journal_trip(journal, parcels, at)
+        if not seen:
+            until = clock.steady() + SECOND // 2
+            seen.append((parcels[0], until))
+            relays[0].desk._facade.wait_told(clock.steady(), b"h0", until)
+
+    monkeypatch.setattr(Journal, "trip", slow_trip)
+    relays = []
+
+    async def steps(relay):
+        relays.append(relay)
+        await handed_in(relay, "p", profile="once")
+        await relay.until(lambda: platform.sent("p"))
+        parcel, until = seen[0]
+        assert [void for _, void in parcel.trips] == [1, 0] and len(platform.calls) == 1
+        assert platform.calls[0].at * SECOND >= until
+
+    play(platform, tmp_path, monkeypatch, steps)
+
+
 def test_no_call_repeats_an_attempt_that_only_a_clock_set_back_makes_young(tmp_path, monkeypatch):
     folder, set_back = tmp_path / "state", 800 * MILLISECOND
     folder.mkdir()
