--- a/millweir/control.py
+++ b/millweir/control.py
@@ -8,7 +8,7 @@
 from collections import defaultdict
 from functools import partial
 from heapq import heappop, heappush
-from itertools import count, takewhile
+from itertools import count, filterfalse, takewhile
 
 from millweir.interface import SECOND, Bounds, Change, Effect, Entry, Limits, Outcome, Phase, Port, Settings
 from millweir.order import Curve, Order
@@ -86,15 +86,15 @@
             self._enter(now + min(self._ask_every, SECOND << min(self._failed_asks, 8) >> 2), None)
             return
         self._failed_asks *= change is Change.CACHED
-        gone = ({entry.host for entry in entries if entry.phase is Phase.GONE} if change is Change.DELTA
-                else self._hosts.keys() - {entry.host for entry in entries})
-        for ident, host in list(self._hosts.items()):
-            listed = host in host.destination.hosts  # kept, lest a list that flaps lose its wait or its doubt
-            if ident in gone and listed:
+        for host in self._departed.take_idle(now - FORGOTTEN_AFTER):
+            del self._hosts[host.id]
+        gone = ([entry.host for entry in entries if entry.phase is Phase.GONE] if change is Change.DELTA
+                else filterfalse({entry.host for entry in entries}.__contains__, self._hosts))
+        for host in filter(None, map(self._hosts.get, gone)):
+            if host in host.destination.hosts:  # kept, lest a list that flaps lose its wait or its doubt
                 host.left_at, self._stirred[host.destination] = host.left_at or now, None
                 del host.destination.hosts[host]
-            elif not listed and now - host.left_at > FORGOTTEN_AFTER and not host.out:
-                del self._hosts[ident]
+                self._departed.add(host)
         for entry in entries:
             if entry.phase is not Phase.GONE:
                 host = self._hosts.get(entry.host) or self._meet(entry)
@@ -103,6 +103,7 @@
                 out = self._cordoned.get(entry.host, 0)
                 host.left_at = 0 if host.ready and not out else host.left_at or out or told
                 self._stirred[host.destination] = host.destination.hosts[host] = None
+                self._departed.discard(host)
                 if self._known_rates and entry.rate > 0 and entry.rate != host.route.listed:
                     host.route.listed = host.route.top = entry.rate  # a listed rate may change in the day
                     host.route.share = entry.rate / self._relays
@@ -346,8 +347,7 @@
             route.raised_at = min(route.raised_at, self._now)
             if call.idle >= STALE_LEAST:
                 host.lost = 0
-                recent = [pair for pair in self._idle_answered if pair[0] > self._now - STALE_PROOF]
-                self._idle_answered = [*recent, (self._now, call.idle)]
+                self._idle_answered.add(self._now, call.idle)
         elif outcome is Outcome.FULL:
             left = report[self._left_field] if report and self._left_field is not None else 0.0
             if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
@@ -405,10 +405,10 @@
             return
         host.idle_lost = min(host.idle_lost, call.idle) if host.lost else call.idle
         self._swallowed_at = self._swallowed_at if self._copies else self._now
-        host.lost, host.idle_lost_at = host.lost + (2 if reset else 1), self._now
+        host.lost += 2 if reset else 1
+        self._idle_losses.add(host, self._now, host.idle_lost)
         recent = self._now - STALE_PROOF
-        longest = max((idle for at, idle in self._idle_answered if at > recent), default=0)
-        lost = sum(h.idle_lost_at > recent and h.idle_lost > longest for h in self._hosts.values())
+        lost = self._idle_losses.count_above(self._idle_answered.greatest(recent), recent)
         self._stale_at = self._now if lost >= STALE_HOSTS else self._stale_at
         if host.lost > 1 or lost >= STALE_HOSTS:
             known = self._span if self._now - self._span_at <= STALE_KEPT else NEVER
@@ -416,7 +416,7 @@
 
     def _refresh_links(self, host: Host, call: Call, packets: list[Packet]) -> None:
         call.idle = self._now - host.used_at if host.used_at > host.freed_at else 0
-        longest = max((idle for at, idle in self._idle_answered if at > self._now - STALE_PROOF), default=0)
+        longest = self._idle_answered.greatest(self._now - STALE_PROOF)
         # Guards what can't go again: once a link swallowed one, those idle longer than was answered may too.
         careful = self._swallowed_at > self._now - STALE_KEPT and call.idle > max(STALE_LEAST, 2 * longest)
         careful |= call.idle >= STALE_LEAST and any(packet.last for packet in packets)
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
+from heapq import heappop, heappush
+from itertools import count
 from typing import TYPE_CHECKING
 
+from sortedcontainers import SortedList
+
 if TYPE_CHECKING:
     from millweir.interface import Entry, Profile
     from millweir.order import Curve, Order
@@ -60,7 +64,6 @@
         "freed_at",
         "id",
         "idle_lost",
-        "idle_lost_at",
         "kind",
         "latency",
         "left_at",
@@ -105,7 +108,6 @@
         self.freed_at = 0
         self.stale_at = -NEVER
         self.idle_lost = 0
-        self.idle_lost_at = 0
         self.lingering: list[Packet] = []  # whose trips here were given up and may run on
 
     def set_aside_as(self, other: Host) -> None:
@@ -261,6 +263,101 @@
 Due = Packet | Call | Host | Key | Destination | None  # what an agenda holds; None asks for the list
 
 
+class DepartedHosts:
+    """Hosts that the list names no more, until they are forgotten; the one that left first is found first.
+
+    Growth: `add` and `discard` take log n steps at most; `take_idle` looks at those that left before the
+    given time alone, of which those with calls out stay (no more than there are slots).
+    """
+
+    __slots__ = ("_heap", "_numbers", "_next_number")
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[int, int, Host]] = []  # also entries of hosts discarded or added again since
+        self._numbers: dict[Host, int] = {}  # of the entry that holds for each host
+        self._next_number = count().__next__
+
+    def __len__(self) -> int:
+        return len(self._numbers)
+
+    def add(self, host: Host) -> None:
+        """It left the list; `host.left_at` says since when nothing new is for it."""
+        number = self._numbers[host] = self._next_number()
+        heappush(self._heap, (host.left_at, number, host))
+
+    def discard(self, host: Host) -> None:
+        """It is in the list again."""
+        self._numbers.pop(host, None)
+
+    def take_idle(self, before: int) -> list[Host]:
+        """Those that left before that time and have no call out; they are kept here no longer."""
+        idle = []
+        busy = []
+        while self._heap and self._heap[0][0] < before:
+            _, number, host = heappop(self._heap)
+            if self._numbers.get(host) != number:
+                continue
+            del self._numbers[host]
+            (busy if host.out else idle).append(host)
+        for host in busy:
+            self.add(host)
+        return idle
+
+
+class SlidingMaximum:
+    """The greatest of the values added within a window of time (a monotonic queue).
+
+    Growth: constant, amortized, in the number of values within the window.
+    """
+
+    __slots__ = ("_queue",)
+
+    def __init__(self) -> None:
+        self._queue: deque[tuple[int, int]] = deque()  # times rise, values fall
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def add(self, at: int, value: int) -> None:
+        """A value at that time, which is no earlier than any before."""
+        while self._queue and self._queue[-1][1] <= value:
+            self._queue.pop()
+        self._queue.append((at, value))
+
+    def greatest(self, after: int) -> int:
+        """The greatest value from after that time, 0 where there is none; what is older is dropped."""
+        while self._queue and self._queue[0][0] <= after:
+            self._queue.popleft()
+        return self._queue[0][1] if self._queue else 0
+
+
+class IdleLosses:
+    """Hosts that lost calls on idle links of late, and for how long the link had been idle.
+
+    Growth: each step takes log n steps, amortized, in the number of these hosts.
+    """
+
+    __slots__ = ("_idle_times", "_latest")
+
+    def __init__(self) -> None:
+        self._latest: OrderedDict[Host, tuple[int, int]] = OrderedDict()  # when and how long, earliest first
+        self._idle_times: SortedList[int] = SortedList()
+
+    def add(self, host: Host, at: int, idle: int) -> None:
+        """Its latest loss, which takes the place of an earlier one."""
+        if host in self._latest:
+            self._idle_times.remove(self._latest.pop(host)[1])
+        self._latest[host] = at, idle
+        self._idle_times.add(idle)
+
+    def count_above(self, idle: int, after: int) -> int:
+        """How many lost a call after that time on links idle for longer; what is older is dropped."""
+        while self._latest and next(iter(self._latest.values()))[0] <= after:
+            _, (_, old) = self._latest.popitem(last=False)
+            self._idle_times.remove(old)
+        return len(self._idle_times) - self._idle_times.bisect_right(idle)
+
+
 class Books:
     """All that a relay keeps, empty as yet."""
 
@@ -277,4 +374,6 @@
         self._loads: list[tuple[float, int, Load]] = []  # and outdated ones
         self._ready: dict[Destination, None] = {}  # the one weighed longest ago first
         self._tight_kinds: set[int] = set()  # of hosts whose connection tables were full
-        self._idle_answered: list[tuple[int, int]] = []  # when, and on a link idle for how long
+        self._idle_answered = SlidingMaximum()  # on links idle for how long
+        self._idle_losses = IdleLosses()
+        self._departed = DepartedHosts()
