--- /dev/null
+++ b/millweir/lab/scale/cores.py
@@ -0,0 +1,129 @@
+"""A deciding core with a clock and a port of its own, and an engine round one, for the scale tests."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import replace
+
+from millweir.control import Relay
+from millweir.facade import Facade, Job, Part
+from millweir.interface import MILLISECOND, SECOND, Change, Entry, Limits, Outcome, Phase, Settings
+from millweir.lab.standins import SETTINGS
+from millweir.records import Host, Packet
+from millweir.settings import read_settings
+
+START = 1000 * SECOND
+RATE = 1000.0  # calls a second that each destination takes
+LIMITS = Limits(descriptors=1024, disk=1 << 30, memory=1 << 30)
+CHUNK = 10_000  # entries told at once where it does not matter how many
+KIND, ZONE, TENANT = 0, 0, 0
+SERVICE_CLASS = 0  # idempotent, without order
+
+
+def settings(slots: int = 64, most_open: int = 0) -> Settings:
+    """Those of the lab's real relays, for one relay; no limit of open messages unless one is given."""
+    return replace(read_settings(SETTINGS), relays=1, slots=slots, max_open=most_open)
+
+
+def host_name(number: int) -> bytes:
+    return b"host-%07d" % number
+
+
+def entry(number: int, phase: Phase = Phase.READY, rate: float = RATE) -> Entry:
+    """The list's line of a destination's one host."""
+    return Entry(host_name(number), ZONE, KIND, number, phase, rate)
+
+
+def chunks(size: int) -> Iterator[tuple[Entry, ...]]:
+    """The lines of so many destinations, some at a time."""
+    for first in range(0, size, CHUNK):
+        yield tuple(entry(number) for number in range(first, min(first + CHUNK, size)))
+
+
+class Core:
+    """A deciding core and what it has sent; the port's other acts are taken as done."""
+
+    def __init__(self, given: Settings, seed: int) -> None:
+        self.now = START
+        self.chance = random.Random(seed)
+        self.sent: deque[tuple[Packet, int]] = deque()
+        self.ended = 0
+        self.relay = Relay(self, given, seed, self.now)
+        self._idents = 0
+
+    # The port.
+
+    def send(self, packet: Packet, host: Host, time_out: int) -> None:
+        self.sent.append((packet, len(packet.trips) - 1))
+
+    def cancel(self, packet: Packet, number: int) -> None:
+        """Nothing is waited for."""
+
+    def dismiss(self, packet: Packet, wait: int) -> None:
+        self.ended += 1
+
+    def error(self, packet: Packet) -> None:
+        self.ended += 1
+
+    def free_links(self, host: Host) -> None:
+        """There are none."""
+
+    def alarm(self, delay: int) -> None:
+        """The clock is the caller's."""
+
+    def watch(self) -> None:
+        """The list is told by the caller."""
+
+    # What happens.
+
+    def list_all(self, size: int) -> None:
+        """So many destinations are listed."""
+        for some in chunks(size):
+            self.relay.list_told(self.now, Change.DELTA, some)
+        self.relay.round_over(self.now)
+
+    def take(self, destination: int, life: int = 6 * SECOND) -> None:
+        """A message is handed in for that destination."""
+        self._idents += 1
+        stop = self.now + life
+        self.relay.packet_taken(self.now, self._idents, SERVICE_CLASS, TENANT, 0, stop, destination)
+
+    def answer(self, outcome: Outcome = Outcome.FULFILLED, wait: int = 0) -> None:
+        """The call that was sent first has ended."""
+        packet, number = self.sent.popleft()
+        delivered = outcome is Outcome.FULFILLED
+        latency = 10 * MILLISECOND
+        self.relay.trip_ended(self.now, packet.id, number, outcome, delivered, latency, wait, ())
+
+    def turn(self) -> None:
+        self.relay.round_over(self.now)
+
+
+class Engine:
+    """A deciding core in its engine, as the network code uses it; items are plain objects."""
+
+    def __init__(self, given: Settings, seed: int) -> None:
+        self.now = START
+        self.chance = random.Random(seed)
+        self.facade: Facade[object] = Facade(given, LIMITS, seed, self.now)
+
+    def list_all(self, size: int) -> None:
+        """So many destinations are listed."""
+        for some in chunks(size):
+            self.facade.told(self.now, Change.DELTA, some)
+        self.facade.tick(self.now)
+
+    def take(self, destination: int, life: int = 6 * SECOND) -> None:
+        """A message is handed in for that destination."""
+        self.facade.take(self.now, object(), SERVICE_CLASS, TENANT, 0, self.now + life, destination)
+
+    def tick(self) -> Job[object] | None:
+        """A turn, and the call that it makes."""
+        self.facade.tick(self.now)
+        return self.facade.pick()
+
+    def answer(self, part: Part[object]) -> None:
+        """That call delivered its message."""
+        self.facade.report(self.now, part, Outcome.FULFILLED, finished=True)
--- a/millweir/lab/scale/steps.py
+++ b/millweir/lab/scale/steps.py
@@ -47,27 +47,43 @@
 
 def walk_in_python(owner: object) -> None:
     """Replace the dicts that are attributes of an object by their walked counterparts."""
-    for name, value in list(vars(owner).items()):
+    slots = [name for kind in type(owner).__mro__ for name in getattr(kind, "__slots__", ())]
+    for name in (*getattr(owner, "__dict__", ()), *slots):
+        value = getattr(owner, name, None)
         if type(value) in WALKED:
             setattr(owner, name, WALKED[type(value)](value))
 
 
-def count_instructions(call: Callable[[], object]) -> int:
-    """How many bytecode instructions a call executes, in all functions that it enters."""
-    counted = 0
+class InstructionMeter:
+    """Counts the instructions of all functions that are entered within its `with` blocks."""
+
+    __slots__ = ("_before", "counted")
+
+    def __init__(self) -> None:
+        self.counted = 0
+        self._before: Any = None
+
+    def __enter__(self) -> InstructionMeter:
+        self._before = sys.gettrace()
+        sys.settrace(self._trace)
+        return self
 
-    def trace(frame: FrameType, event: str, _: object) -> Any:
-        nonlocal counted
+    def __exit__(self, *_: object) -> None:
+        sys.settrace(self._before)
+
+    def _trace(self, frame: FrameType, event: str, _: object) -> Any:
+        if frame.f_code is InstructionMeter.__exit__.__code__:
+            return None
         if event == "call":
             frame.f_trace_opcodes, frame.f_trace_lines = True, False
         elif event == "opcode":
-            counted += 1
-        return trace
+            self.counted += 1
+        return self._trace
+
 
-    before = sys.gettrace()
-    sys.settrace(trace)
-    try:
+def count_instructions(call: Callable[[], object]) -> int:
+    """How many instructions a call executes."""
+    meter = InstructionMeter()
+    with meter:
         call()
-    finally:
-        sys.settrace(before)
-    return counted
+    return meter.counted
