A change of the list binds the waits and cordons of the hosts that it names, no others

Change: both are given the hosts that the list names and bind these.

Found and not mended here: a slot that comes free while many destinations could use it, and a message taken at the full table, each walk all of these destinations (millweir/lab/scale/held.py). test_waits_outlast_a_chain_of_processes is as strict: it now also says that a host which told nothing gets no wait.

--- a/millweir/lab/scale/decisions.py
+++ b/millweir/lab/scale/decisions.py
@@ -247,17 +247,23 @@
 async def measure_relay(size: int, seed: int) -> list[Figure]:
     """Network code on a loop of its own, where discovery is silent; nothing else runs meanwhile."""
     figures = []
-    calm, waits = Subject(PART, size), Subject(PART, size, "waits")
-    with tempfile.TemporaryDirectory() as folder:
-        async with ListedRelay(Path(folder), size, seed) as relay:
-            figures += [calm.timed(quantity, step) for quantity, step in relay_steps(relay).items()]
-            relay.walk_in_python()
-            figures += [calm.counted(quantity, step) for quantity, step in relay_steps(relay).items()]
+    for trouble, waiting in (("calm", 0), ("waits", max(1, int(size * WAITING)))):
+        subject = Subject(PART, size, trouble)
+        with tempfile.TemporaryDirectory() as folder:
+            async with ListedRelay(Path(folder), size, seed) as relay:
+                relay.fill_waits(waiting)
+                for quantity, step in relay_steps(relay).items():
+                    figures.append(subject.timed(quantity, step))
+                if waiting:
+                    figures.append(subject.timed("relay-told-wait", relay.told_wait))
+        figures += await count_relay(subject, seed, waiting)
+    return figures
+
+
+async def count_relay(subject: Subject, seed: int, waiting: int) -> list[Figure]:
+    """The instructions of a fresh relay's steps, where so many hosts have told it to wait."""
     with tempfile.TemporaryDirectory() as folder:
-        async with ListedRelay(Path(folder), size, seed) as relay:
-            relay.fill_waits(max(1, int(size * WAITING)))
-            figures += [waits.timed(quantity, step) for quantity, step in relay_steps(relay).items()]
-            figures.append(waits.timed("relay-told-wait", relay.told_wait))
+        async with ListedRelay(Path(folder), subject.size, seed) as relay:
+            relay.fill_waits(waiting)
             relay.walk_in_python()
-            figures += [waits.counted(quantity, step) for quantity, step in relay_steps(relay).items()]
-    return figures
+            return [subject.counted(quantity, step) for quantity, step in relay_steps(relay).items()]
--- a/millweir/lab/scale/held.py
+++ b/millweir/lab/scale/held.py
@@ -25,7 +25,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager
 
 from millweir.interface import MILLISECOND, SECOND, Change
@@ -48,6 +48,8 @@
 SLOTS = 16  # where they are all out: each is answered well within the target latency
 SATURATED_STEP = 40 * MILLISECOND  # by which a destination that might be sent to is weighed again
 
+Steps = Callable[[Core, int], dict[str, Step]]
+
 
 def measure(size: int, seed: int, guard: Guard) -> Iterator[Figure]:
     """All quantities with so many messages held."""
@@ -66,10 +68,10 @@
         for quantity, step in steps(core, size).items():
             yield subject.timed(quantity, step)
         del core
-        yield from counts(subject, build(size, seed), steps)
+        yield from count_steps(subject, build(size, seed), steps)
 
 
-def counts(subject: Subject, core: Core, steps) -> Iterator[Figure]:
+def count_steps(subject: Subject, core: Core, steps: Steps) -> Iterator[Figure]:
     """The instructions of a fresh core's steps: the same in each run."""
     walk_in_python(core.relay)
     for quantity, step in steps(core, subject.size).items():
--- a/millweir/lab/scale/timing.py
+++ b/millweir/lab/scale/timing.py
@@ -63,9 +63,9 @@
             repeats=spread.repeats,
         )
 
-    def timed(self, quantity: str, step: Step, batches: int = BATCHES) -> Figure:
+    def timed(self, quantity: str, step: Step) -> Figure:
         """Processor seconds that a step takes."""
-        return self.figure(quantity, "s", time_step(step, batches))
+        return self.figure(quantity, "s", time_step(step))
 
     def counted(self, quantity: str, step: Step) -> Figure:
         """Instructions that a step takes."""
@@ -94,7 +94,7 @@
         self.seconds += time.process_time() - self._began
 
 
-def time_step(step: Step, batches: int = BATCHES) -> Spread:
+def time_step(step: Step) -> Spread:
     """Processor seconds of one step; the garbage collector waits meanwhile."""
     gc.collect()
     gc.disable()
@@ -103,7 +103,7 @@
         step(first)  # not counted: caches are cold
         batch = max(1, min(BATCH_MOST, int(BATCH_TIME / max(first.seconds, 1e-9))))
         means = []
-        for _ in range(batches):
+        for _ in range(BATCHES):
             watch = Stopwatch()
             for _ in range(batch):
                 step(watch)
@@ -113,10 +113,10 @@
     return Spread.of(means)
 
 
-def count_step(step: Step, repeats: int = COUNTED) -> Spread:
+def count_step(step: Step) -> Spread:
     """Instructions of one step."""
     counts = []
-    for _ in range(repeats):
+    for _ in range(COUNTED):
         meter = InstructionMeter()
         step(meter)
         counts.append(meter.counted)
--- a/millweir/net/cordons.py
+++ b/millweir/net/cordons.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -40,13 +40,17 @@
         for host in self._since.keys() - since.keys():  # let back by the process beside this one
             self._facade.cordon(clock.steady(), host.encode(), False)
         self._since = since
-        self.bind()
+        self.bind(since)
         self._wake()
 
-    def bind(self) -> None:
-        """Tell the decisions of all cordons: hosts may be listed now that were unknown when it was read."""
-        for host, since in self._since.items():
-            self._facade.cordon(clock.steady(), host.encode(), True, clock.from_wall(since))
+    def bind(self, hosts: Iterable[str]) -> None:
+        """Tell the decisions of these hosts' cordons: they may be listed now, and unknown when it was read.
+
+        Growth: with the hosts given, not with the hosts or cordons known.
+        """
+        for host in hosts:
+            if host in self._since:
+                self._facade.cordon(clock.steady(), host.encode(), True, clock.from_wall(self._since[host]))
 
     def change(self, host: bytes, out: bool) -> str:
         """By hand: the host out or back.  Written before it is answered; '' or why it can't be done."""
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -176,8 +176,8 @@
         gone = news.gone if change is Change.DELTA else self._hosts.all_but(news.addresses)
         self._hosts.listed(news.addresses, gone)
         self._facade.told(clock.steady(), change, news.entries)
-        self._cordons.bind()
-        self._waits.bind()
+        self._cordons.bind(news.addresses)
+        self._waits.bind(news.addresses)
         self.wake()
 
     def _restore(self, parcel: Parcel) -> None:
--- a/millweir/net/retry_after.py
+++ b/millweir/net/retry_after.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -47,11 +47,15 @@
         """Read what is there, this slot's earlier life included, and go on reading what others write."""
         self._read_all(first=True)
 
-    def bind(self) -> None:
-        """Tell the decisions of all waits: hosts may be listed now that were unknown when they were read."""
+    def bind(self, hosts: Iterable[str]) -> None:
+        """Tell the decisions of these hosts' waits: they may be listed now, and unknown when it was read.
+
+        Growth: with the hosts given, not with the hosts or waits known.
+        """
         now = clock.steady()
         wall = clock.to_wall(now)
-        for host, until in self._until.items():
+        for host in hosts:
+            until = self._until.get(host, 0)
             if until > wall:
                 self._facade.wait_told(now, host.encode(), clock.from_wall(until))
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -336,5 +336,7 @@
     third.start()
     assert told == [b"h1"]  # from the second's file, which carries what it read
     told.clear()
-    third.bind()
+    third.bind(["h2"])
+    assert not told  # nobody told it to wait
+    third.bind(["h2", "h1"])
     assert told == [b"h1"]
