--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -16,6 +16,7 @@
 from millweir.net.cordons import Cordons
 from millweir.net.counters import Counters
 from millweir.net.discovery import Garbled, News, Watch, read_list
+from millweir.net.ended import EndedIds
 from millweir.net.heads import Request, read_number
 from millweir.net.hosts import Hosts
 from millweir.net.journal import Journal, Parcel
@@ -49,7 +50,7 @@
         self._unlisted: int | None = None  # number of the profile that stands in for those listed no more
         self._discovery = config.discovery
         self._owed: dict[bytes, Parcel] = {}
-        self._ended: dict[bytes, int] = {}  # ids no longer owed, the one that ended first at the front
+        self._ended = EndedIds(bounds.ids_known)
         self._scheduled = self._listed = self._leaving = self._lingered = self._quiet = False
         self._replies = Replies()
         self._cordons = Cordons(config.state, facade, self.wake, log)
@@ -366,10 +367,7 @@
     def _over(self, parcel: Parcel) -> None:
         if self._owed.pop(parcel.id, None):
             self._journal.over(parcel)
-            self._ended[parcel.id] = clock.from_wall(parcel.hard_stop)
-            now, most = clock.steady(), self._bounds.ids_known
-            while self._ended and (len(self._ended) > most or now > self._ended[next(iter(self._ended))]):
-                del self._ended[next(iter(self._ended))]
+            self._ended.add(parcel.id, clock.from_wall(parcel.hard_stop), clock.steady())
 
     def reload(self, config: Config) -> None:
         """SIGHUP: discovery and notices move to the address given now; profiles new or changed are used from
