Scale of the register: partitions as placement has them

Cause: the assignment entry was sized for 16,384 partitions, placement takes 32,768. Change: the constant.

--- a/millweir/lab/scale/register.py
+++ b/millweir/lab/scale/register.py
@@ -69,7 +69,7 @@
 RELAYS_PER_RACK = 40
 ZONES = 11
 REGIONS = 4
-PARTITIONS = 16_384
+PARTITIONS = 32_768  # as millweir/placement has them
 REPLICAS = 3
 BYTES_PER_OWNER = 20_000  # expected of a run, for its plan
 
