Capacity worked out from measured slopes: millweir lab capacity

Change: assumptions in TOML, slopes fitted with numpy over the committed measurements, rows by role and trouble with budget and mechanism, a ranking by fleet size, the page written by the command.

--- a/millweir/cli/lab.py
+++ b/millweir/cli/lab.py
@@ -131,3 +131,27 @@
                 append_measurements(out, [measurement])
     except LimitExceeded as fault:
         raise click.ClickException(f"stopped: {fault}") from None
+
+
+@lab.command()
+@click.option("--write", is_flag=True, help="write docs/CAPACITY.md in place of printing it")
+@click.option("--plot", type=click.Path(dir_okay=False, path_type=Path), help="draw the slopes (matplotlib)")
+def capacity(write: bool, plot: Path | None) -> None:
+    """Work out the page of capacity from the committed measurements and assumptions (needs numpy)."""
+    from millweir.lab.capacity import page
+    from millweir.lab.capacity.assumptions import UnreadableAssumptions
+    from millweir.lab.scale.measurement import UnreadableMeasurements
+
+    try:
+        model = page.read_model()
+    except (UnreadableAssumptions, UnreadableMeasurements) as fault:
+        raise click.ClickException(str(fault)) from None
+    text = page.render(model)
+    if write:
+        page.PAGE.write_text(text)
+    else:
+        click.echo(text, nl=False)
+    if plot:
+        from millweir.lab.capacity.plot import draw_ranking
+
+        draw_ranking(model, plot)
--- /dev/null
+++ b/millweir/lab/capacity/keys.py
@@ -0,0 +1,64 @@
+"""Names of the slopes that the rows rest on, as the scale tests write them (`millweir/lab/scale/`)."""
+
+from __future__ import annotations
+
+from millweir.lab.capacity.model import SlopeKey, Trouble
+
+# Decisions: size is destinations.
+DESTINATION_MEMORY = SlopeKey("decisions", "memory-per-destination")  # bytes, with one host each
+FIRST_LIST_TIME = SlopeKey("decisions", "first-list-time")  # seconds, the whole list
+CHANGE_TIME = SlopeKey("decisions", "change-time")  # seconds, one change of the list
+TURN_TIME = SlopeKey("decisions", "turn-time")  # seconds, one event in and out
+IDLE_TICK_TIME = SlopeKey("decisions", "idle-tick-time")  # seconds, a tick that finds nothing due
+
+# Held events: size is events held by one relay.
+HELD_MEMORY = SlopeKey("held", "memory-per-message")  # bytes, without the body
+HELD_TICK_TIME = SlopeKey("held", "idle-tick-time")
+
+# Journal: size is events owed.
+JOURNAL_START_TIME = SlopeKey("journal", "start-to-ready")  # seconds
+JOURNAL_BYTES = SlopeKey("journal", "bytes-per-message")
+JOURNAL_PAUSE = SlopeKey("journal", "compaction-longest-pause")  # seconds
+
+# Membership: size is members.
+TABLE_MEMORY = SlopeKey("membership", "memory-table-unshared")
+FULL_STATE_BYTES = SlopeKey("membership", "full-state-bytes")
+
+# Register: size is owners.
+LEASED_ENTRIES = SlopeKey("register", "leased-entries-second")
+LEASED_OWNER_BYTES = SlopeKey("register", "leased-owner-bytes-second")
+STATE_MEMORY = SlopeKey("register", "state-memory")
+SNAPSHOT_BYTES = SlopeKey("register", "snapshot-bytes")
+ASSIGNMENT_BYTES = SlopeKey("register", "assignment-bytes")
+
+# Placement: size is relays.
+PLACEMENT_MEMORY = SlopeKey("placement", "memory")
+PLACEMENT_TIME = SlopeKey("placement", "assign-time")
+
+# Configuration: size is relays.
+IN_FORCE_LAST = SlopeKey("configuration", "in-force-max")
+CONFIGURATION_RELAY_BYTES = SlopeKey("configuration", "relay-bytes-second")
+CONFIGURATION_DISTRIBUTOR_PROCESSOR = SlopeKey("configuration", "distributor-processor")
+
+REGISTER_TROUBLES = {
+    Trouble.MACHINE: "machine",
+    Trouble.RACK: "rack",
+    Trouble.ZONE: "zone",
+    Trouble.REGION: "region",
+}
+MEMBERSHIP_TROUBLES = {
+    Trouble.CALM: ("calm",),
+    Trouble.RESTARTS: ("restart",),
+    Trouble.RACK: ("rack",),
+    Trouble.ZONE: ("zone",),
+    Trouble.REGION: ("region-cut", "region-healed"),
+}
+
+
+def renewals(design: str, quantity: str) -> SlopeKey:
+    """A quantity of one of the register's two designs of renewal."""
+    return SlopeKey("register", f"{design}-{quantity}")
+
+
+def register_trouble(quantity: str, trouble: Trouble) -> SlopeKey:
+    return SlopeKey("register", quantity, REGISTER_TROUBLES[trouble])
--- /dev/null
+++ b/millweir/lab/capacity/rows_relay.py
@@ -0,0 +1,729 @@
+"""Rows of the relay: its data path, what it spends on control, and what it takes on after a loss."""
+
+from __future__ import annotations
+
+import functools
+
+from millweir.lab.capacity import keys, mechanisms
+from millweir.lab.capacity.model import (
+    DAY,
+    MINUTE,
+    Budget,
+    Calculation,
+    Resource,
+    Role,
+    Row,
+    SlopeKey,
+    Stage,
+    Trouble,
+)
+
+MICROSECOND = 1e-6
+
+_data = functools.partial(Row, Role.DATA)
+_control = functools.partial(Row, Role.CONTROL)
+_taker = functools.partial(Row, Role.TAKER)
+
+
+def _event_memory(calculation: Calculation) -> float:
+    """Bytes of one held event in memory."""
+    held = calculation.fleet.held_relay
+    return calculation.measured(keys.HELD_MEMORY, held) + calculation.fleet.assumptions.message_bytes.value
+
+
+def _destination_memory(calculation: Calculation, destinations: float) -> float:
+    hosts = calculation.fleet.assumptions.hosts_destination.value
+    return destinations * hosts * calculation.measured(keys.DESTINATION_MEMORY, destinations)
+
+
+def _changes_processor(calculation: Calculation, destinations: float, changes_second: float) -> float:
+    return changes_second * calculation.measured(keys.CHANGE_TIME, destinations)
+
+
+def _own_part(calculation: Calculation) -> float:
+    """Share of all changes that concern one relay, with placement."""
+    return calculation.fleet.own_destinations / calculation.fleet.destinations
+
+
+def _ready_time(calculation: Calculation) -> float:
+    return calculation.measured(keys.JOURNAL_START_TIME, calculation.fleet.held_relay)
+
+
+def _list_time(calculation: Calculation, destinations: float) -> float:
+    """Seconds to be told of so many destinations within the budget of bytes."""
+    fleet = calculation.fleet
+    return destinations * fleet.assumptions.entry_bytes.value / fleet.targets.control_bytes.value
+
+
+def _membership_rows(trouble: Trouble, name: str) -> tuple[Row, ...]:
+    """Bytes, processor time and agreement of one trouble, by its name in the measurements."""
+    when = f" ({name})" if trouble is Trouble.REGION else ""
+    bytes_mean, bytes_p99, processor, agreed = (
+        SlopeKey("membership", quantity, name)
+        for quantity in (
+            "bytes-per-member-second",
+            "bytes-per-member-second-p99",
+            "processor-per-member-second",
+            "time-until-agreed",
+        )
+    )
+    rows = (
+        _control(
+            f"gossip sent, mean{when}",
+            Resource.BYTES,
+            "B/s",
+            lambda c: c.measured(bytes_mean, c.fleet.relays),
+            mechanisms.MEMBERSHIP,
+            trouble=trouble,
+            budget=mechanisms.CONTROL_BYTES,
+            remedy=mechanisms.MEMBERSHIP_BUDGET,
+            in_total=trouble is Trouble.CALM,
+        ),
+        _control(
+            f"gossip sent, 99th percentile of seconds{when}",
+            Resource.BYTES,
+            "B/s",
+            lambda c: c.measured(bytes_p99, c.fleet.relays),
+            mechanisms.MEMBERSHIP,
+            trouble=trouble,
+            budget=mechanisms.CONTROL_BYTES,
+            remedy=mechanisms.MEMBERSHIP_BUDGET,
+        ),
+        _control(
+            f"gossip{when}",
+            Resource.PROCESSOR,
+            "cores",
+            lambda c: c.measured(processor, c.fleet.relays) * MICROSECOND,
+            mechanisms.MEMBERSHIP,
+            trouble=trouble,
+            budget=mechanisms.CONTROL_PROCESSOR,
+            remedy=mechanisms.MEMBERSHIP_BUDGET,
+            in_total=trouble is Trouble.CALM,
+        ),
+    )
+    if trouble is Trouble.CALM:
+        return rows
+    return (
+        *rows,
+        _control(
+            f"until all living members agree{when}",
+            Resource.TIME,
+            "s",
+            lambda c: c.measured(agreed, c.fleet.relays),
+            mechanisms.MEMBERSHIP,
+            trouble=trouble,
+        ),
+    )
+
+
+def _wave_cost(calculation: Calculation, quantity: str) -> float:
+    """Membership's cost in a wave of restarts: the calm one, and each restart's more at the wave's pace."""
+    fleet = calculation.fleet
+    calm = calculation.measured(SlopeKey("membership", quantity), fleet.relays)
+    restart = calculation.measured(SlopeKey("membership", quantity, "restart"), fleet.relays)
+    starts_second = fleet.restarts_day / fleet.assumptions.restart_wave.value
+    return calm + max(0.0, restart - calm) * starts_second * fleet.assumptions.restart_interval.value
+
+
+DATA_CALM = (
+    _data(
+        "events taken in", Resource.MESSAGES, "messages/s", lambda c: c.fleet.events_relay, mechanisms.INTAKE
+    ),
+    _data(
+        "attempts sent",
+        Resource.MESSAGES,
+        "messages/s",
+        lambda c: c.fleet.events_relay * c.fleet.assumptions.attempts.value,
+        mechanisms.ATTEMPTS,
+    ),
+    _data(
+        "bytes in and out",
+        Resource.BYTES,
+        "B/s",
+        lambda c: (
+            c.fleet.events_relay
+            * c.fleet.assumptions.message_bytes.value
+            * (1 + c.fleet.assumptions.attempts.value)
+        ),
+        mechanisms.INTAKE,
+        budget=mechanisms.RELAY_NETWORK,
+    ),
+    _data(
+        "events of the busiest destination at one relay that may call it",
+        Resource.MESSAGES,
+        "messages/s",
+        lambda c: (c.fleet.events_second * c.fleet.assumptions.busiest_share.value / c.fleet.replicas),
+        mechanisms.FORWARDING,
+        stage=Stage.AFTER,
+    ),
+    _data(
+        "deciding: one turn for each event",
+        Resource.PROCESSOR,
+        "cores",
+        lambda c: c.fleet.events_relay * c.measured(keys.TURN_TIME, c.fleet.destinations),
+        mechanisms.DECISIONS,
+        stage=Stage.BEFORE,
+        budget=mechanisms.RELAY_CORES,
+        remedy=mechanisms.PLACEMENT,
+    ),
+    _data(
+        "deciding: one turn for each event",
+        Resource.PROCESSOR,
+        "cores",
+        lambda c: c.fleet.events_relay * c.measured(keys.TURN_TIME, c.fleet.own_destinations),
+        mechanisms.DECISIONS,
+        stage=Stage.AFTER,
+        budget=mechanisms.RELAY_CORES,
+    ),
+    _data(
+        "a tick that finds nothing due",
+        Resource.TIME,
+        "s",
+        lambda c: c.measured(keys.IDLE_TICK_TIME, c.fleet.destinations),
+        mechanisms.DECISIONS,
+        stage=Stage.BEFORE,
+        budget=mechanisms.PAUSE_LONGEST,
+        remedy=mechanisms.PLACEMENT,
+    ),
+    _data("events held", Resource.STATE, "events", lambda c: c.fleet.held_relay, mechanisms.DECISIONS),
+    _data(
+        "memory of the events held",
+        Resource.MEMORY,
+        "B",
+        lambda c: c.fleet.held_relay * _event_memory(c),
+        mechanisms.DECISIONS,
+        budget=mechanisms.RELAY_MEMORY,
+        remedy=mechanisms.JOURNAL_SEGMENTS,
+    ),
+    _data(
+        "journal of the events held",
+        Resource.DISK,
+        "B",
+        lambda c: (
+            c.fleet.held_relay
+            * (c.fleet.assumptions.message_bytes.value + c.fleet.assumptions.journal_overhead.value)
+        ),
+        mechanisms.JOURNAL,
+        budget=mechanisms.RELAY_DISK,
+    ),
+    _data(
+        "longest pause while the journal is compacted",
+        Resource.TIME,
+        "s",
+        lambda c: c.measured(keys.JOURNAL_PAUSE, c.fleet.held_relay),
+        mechanisms.JOURNAL,
+        budget=mechanisms.PAUSE_LONGEST,
+        remedy=mechanisms.JOURNAL_SEGMENTS,
+    ),
+    _data(
+        "time between one relay's calls to a small partner",
+        Resource.TIME,
+        "s",
+        lambda c: c.fleet.relays / c.fleet.assumptions.small_limit.value,
+        mechanisms.DECISIONS,
+        stage=Stage.BEFORE,
+        budget=mechanisms.CALLS_TO_LEARN,
+        remedy=mechanisms.PLACEMENT,
+    ),
+    _data(
+        "time between one relay's calls to a small partner",
+        Resource.TIME,
+        "s",
+        lambda c: c.fleet.replicas / c.fleet.assumptions.small_limit.value,
+        mechanisms.PLACEMENT,
+        stage=Stage.AFTER,
+        budget=mechanisms.CALLS_TO_LEARN,
+    ),
+    _data(
+        "destinations that are down, each found out by every relay",
+        Resource.STATE,
+        "findings",
+        lambda c: c.fleet.destinations * c.fleet.targets.destinations_down.value * c.fleet.relays,
+        mechanisms.SHARED_FACTS,
+        stage=Stage.BEFORE,
+    ),
+    _data(
+        "destinations that are down, each found out by its replicas",
+        Resource.STATE,
+        "findings",
+        lambda c: c.fleet.destinations * c.fleet.targets.destinations_down.value * c.fleet.replicas,
+        mechanisms.PLACEMENT,
+        stage=Stage.AFTER,
+    ),
+)
+
+DATA_IN_TROUBLE = (
+    _data(
+        "events out of reach until the relay is back",
+        Resource.STATE,
+        "events",
+        lambda c: c.fleet.held_relay,
+        mechanisms.TAKE_OVER,
+        trouble=Trouble.MACHINE,
+    ),
+    _data(
+        "start to ready, from the journal",
+        Resource.TIME,
+        "s",
+        _ready_time,
+        mechanisms.JOURNAL,
+        trouble=Trouble.RESTARTS,
+        budget=mechanisms.START_TIME,
+        remedy=mechanisms.JOURNAL_SEGMENTS,
+    ),
+    _data(
+        "relays that are starting at once",
+        Resource.STATE,
+        "relays",
+        lambda c: c.fleet.restarts_day / c.fleet.assumptions.restart_wave.value * _ready_time(c),
+        mechanisms.ROLLOUT,
+        trouble=Trouble.WAVE,
+    ),
+    _data(
+        "more events at each relay that is left",
+        Resource.MESSAGES,
+        "of a relay",
+        lambda c: c.fleet.rack / max(1.0, c.fleet.relays - c.fleet.rack),
+        mechanisms.INTAKE,
+        trouble=Trouble.RACK,
+    ),
+    _data(
+        "more events at each relay that is left",
+        Resource.MESSAGES,
+        "of a relay",
+        lambda c: 1 / (c.fleet.targets.zones.value - 1),
+        mechanisms.INTAKE,
+        trouble=Trouble.ZONE,
+        budget=mechanisms.SPARE_SHARE,
+    ),
+    _data(
+        "events held for the cut at each relay cut off, if all replicas are on the other side",
+        Resource.STATE,
+        "events",
+        lambda c: c.fleet.events_relay * c.fleet.assumptions.region_cut.value,
+        mechanisms.FORWARDING,
+        trouble=Trouble.REGION,
+        stage=Stage.AFTER,
+    ),
+)
+
+DESTINATION_TABLES = (
+    _control(
+        "table of destinations",
+        Resource.MEMORY,
+        "B",
+        lambda c: _destination_memory(c, c.fleet.destinations),
+        mechanisms.WHOLE_LIST,
+        stage=Stage.BEFORE,
+        budget=mechanisms.CONTROL_MEMORY,
+        remedy=mechanisms.PLACEMENT,
+    ),
+    _control(
+        "table of destinations",
+        Resource.MEMORY,
+        "B",
+        lambda c: _destination_memory(c, c.fleet.own_destinations),
+        mechanisms.PLACEMENT,
+        stage=Stage.AFTER,
+        budget=mechanisms.CONTROL_MEMORY,
+        in_total=True,
+    ),
+    _control(
+        "destinations known",
+        Resource.STATE,
+        "destinations",
+        lambda c: c.fleet.destinations,
+        mechanisms.WHOLE_LIST,
+        stage=Stage.BEFORE,
+    ),
+    _control(
+        "destinations known, at the fullest relay",
+        Resource.STATE,
+        "destinations",
+        lambda c: c.fleet.own_destinations,
+        mechanisms.PLACEMENT,
+        stage=Stage.AFTER,
+    ),
+)
+
+CHANGES = (
+    _control(
+        "changes of configuration taken in, mean of the day",
+        Resource.PROCESSOR,
+        "cores",
+        lambda c: _changes_processor(c, c.fleet.destinations, c.fleet.changes_day / DAY),
+        mechanisms.WHOLE_LIST,
+        stage=Stage.BEFORE,
+        budget=mechanisms.CONTROL_PROCESSOR,
+        remedy=mechanisms.PLACEMENT,
+    ),
+    _control(
+        "changes of configuration taken in, busiest minute",
+        Resource.PROCESSOR,
+        "cores",
+        lambda c: _changes_processor(c, c.fleet.destinations, c.fleet.changes_busiest_minute / MINUTE),
+        mechanisms.WHOLE_LIST,
+        stage=Stage.BEFORE,
+        budget=mechanisms.CONTROL_PROCESSOR,
+        remedy=mechanisms.PLACEMENT,
+    ),
+    _control(
+        "changes of configuration taken in, busiest minute",
+        Resource.PROCESSOR,
+        "cores",
+        lambda c: _changes_processor(
+            c, c.fleet.own_destinations, c.fleet.changes_busiest_minute / MINUTE * _own_part(c)
+        ),
+        mechanisms.CONFIGURATION,
+        stage=Stage.AFTER,
+        budget=mechanisms.CONTROL_PROCESSOR,
+        in_total=True,
+    ),
+    _control(
+        "changes of configuration, busiest minute",
+        Resource.MESSAGES,
+        "messages/s",
+        lambda c: c.fleet.changes_busiest_minute / MINUTE,
+        mechanisms.WHOLE_LIST,
+        stage=Stage.BEFORE,
+    ),
+    _control(
+        "changes of configuration, busiest minute",
+        Resource.MESSAGES,
+        "messages/s",
+        lambda c: c.fleet.changes_busiest_minute / MINUTE * _own_part(c),
+        mechanisms.CONFIGURATION,
+        stage=Stage.AFTER,
+    ),
+    _control(
+        "changes of configuration, busiest minute",
+        Resource.BYTES,
+        "B/s",
+        lambda c: c.fleet.changes_busiest_minute / MINUTE * c.fleet.assumptions.entry_bytes.value,
+        mechanisms.WHOLE_LIST,
+        stage=Stage.BEFORE,
+        budget=mechanisms.CONTROL_BYTES,
+        remedy=mechanisms.CONFIGURATION,
+    ),
+    _control(
+        "changes of configuration, busiest minute",
+        Resource.BYTES,
+        "B/s",
+        lambda c: (
+            c.fleet.changes_busiest_minute / MINUTE * _own_part(c) * c.fleet.assumptions.entry_bytes.value
+        ),
+        mechanisms.CONFIGURATION,
+        stage=Stage.AFTER,
+        budget=mechanisms.CONTROL_BYTES,
+    ),
+    _control(
+        "configuration as measured over links",
+        Resource.BYTES,
+        "B/s",
+        lambda c: c.measured(keys.CONFIGURATION_RELAY_BYTES, c.fleet.relays),
+        mechanisms.CONFIGURATION,
+        stage=Stage.AFTER,
+        budget=mechanisms.CONTROL_BYTES,
+        in_total=True,
+    ),
+    _control(
+        "a change in force at the last relay",
+        Resource.TIME,
+        "s",
+        lambda c: c.measured(keys.IN_FORCE_LAST, c.fleet.relays),
+        mechanisms.CONFIGURATION,
+        stage=Stage.AFTER,
+        budget=mechanisms.IN_FORCE,
+    ),
+)
+
+STARTS = (
+    _control(
+        "told of its destinations at a start, within the budget of bytes",
+        Resource.TIME,
+        "s",
+        lambda c: _list_time(c, c.fleet.destinations),
+        mechanisms.WHOLE_LIST,
+        trouble=Trouble.RESTARTS,
+        stage=Stage.BEFORE,
+        budget=mechanisms.START_TIME,
+        remedy=mechanisms.PLACEMENT,
+    ),
+    _control(
+        "told of its destinations at a start, within the budget of bytes",
+        Resource.TIME,
+        "s",
+        lambda c: _list_time(c, c.fleet.own_destinations),
+        mechanisms.CONFIGURATION,
+        trouble=Trouble.RESTARTS,
+        stage=Stage.AFTER,
+        budget=mechanisms.START_TIME,
+    ),
+    _control(
+        "first list taken in at a start",
+        Resource.TIME,
+        "s",
+        lambda c: c.measured(keys.FIRST_LIST_TIME, c.fleet.destinations),
+        mechanisms.WHOLE_LIST,
+        trouble=Trouble.RESTARTS,
+        stage=Stage.BEFORE,
+        budget=mechanisms.START_TIME,
+        remedy=mechanisms.PLACEMENT,
+    ),
+    _control(
+        "first list taken in at a start",
+        Resource.TIME,
+        "s",
+        lambda c: c.measured(keys.FIRST_LIST_TIME, c.fleet.own_destinations),
+        mechanisms.CONFIGURATION,
+        trouble=Trouble.RESTARTS,
+        stage=Stage.AFTER,
+        budget=mechanisms.START_TIME,
+    ),
+)
+
+ASSIGNMENT = (
+    _control(
+        "partitions told of, mean",
+        Resource.STATE,
+        "partitions",
+        lambda c: c.fleet.assumptions.partitions.value * c.fleet.replicas / c.fleet.relays,
+        mechanisms.PLACEMENT,
+        stage=Stage.AFTER,
+    ),
+    _control(
+        "table of the assignment",
+        Resource.MEMORY,
+        "B",
+        lambda c: c.measured(keys.PLACEMENT_MEMORY, c.fleet.relays),
+        mechanisms.PLACEMENT,
+        stage=Stage.AFTER,
+        budget=mechanisms.CONTROL_MEMORY,
+        in_total=True,
+    ),
+    _control(
+        "a whole assignment told at a start, within the budget of bytes",
+        Resource.TIME,
+        "s",
+        lambda c: c.measured(keys.ASSIGNMENT_BYTES, c.fleet.relays) / c.fleet.targets.control_bytes.value,
+        mechanisms.PLACEMENT,
+        trouble=Trouble.RESTARTS,
+        stage=Stage.AFTER,
+        budget=mechanisms.START_TIME,
+    ),
+    *(
+        _control(
+            "a change of the assignment told, within the budget of bytes",
+            Resource.TIME,
+            "s",
+            lambda c, trouble=trouble: (
+                c.measured(keys.register_trouble("assignment-change-bytes", trouble), c.fleet.relays)
+                / c.fleet.targets.control_bytes.value
+            ),
+            mechanisms.PLACEMENT,
+            trouble=trouble,
+            stage=Stage.AFTER,
+            budget=mechanisms.IN_FORCE,
+        )
+        for trouble in (Trouble.MACHINE, Trouble.RACK, Trouble.ZONE)
+    ),
+    _control(
+        "renewal of its lease at the register",
+        Resource.BYTES,
+        "B/s",
+        lambda c: c.measured(keys.LEASED_OWNER_BYTES, c.fleet.relays),
+        mechanisms.LEASES,
+        stage=Stage.AFTER,
+        budget=mechanisms.CONTROL_BYTES,
+        in_total=True,
+    ),
+)
+
+MEMBERSHIP = (
+    _control(
+        "table of members",
+        Resource.MEMORY,
+        "B",
+        lambda c: c.measured(keys.TABLE_MEMORY, c.fleet.relays),
+        mechanisms.MEMBERSHIP,
+        budget=mechanisms.CONTROL_MEMORY,
+        in_total=True,
+    ),
+    _control(
+        "a full state told at a start, within the budget of bytes",
+        Resource.TIME,
+        "s",
+        lambda c: c.measured(keys.FULL_STATE_BYTES, c.fleet.relays) / c.fleet.targets.control_bytes.value,
+        mechanisms.MEMBERSHIP,
+        trouble=Trouble.RESTARTS,
+        budget=mechanisms.START_TIME,
+        remedy=mechanisms.MEMBERSHIP_BUDGET,
+    ),
+    *(
+        row
+        for trouble, names in keys.MEMBERSHIP_TROUBLES.items()
+        for name in names
+        for row in _membership_rows(trouble, name)
+    ),
+)
+
+WAVE = (
+    _control(
+        "gossip sent, mean, scaled from one restart",
+        Resource.BYTES,
+        "B/s",
+        lambda c: _wave_cost(c, "bytes-per-member-second"),
+        mechanisms.MEMBERSHIP,
+        trouble=Trouble.WAVE,
+        budget=mechanisms.CONTROL_BYTES,
+        remedy=mechanisms.ROLLOUT,
+    ),
+    _control(
+        "gossip, scaled from one restart",
+        Resource.PROCESSOR,
+        "cores",
+        lambda c: _wave_cost(c, "processor-per-member-second") * MICROSECOND,
+        mechanisms.MEMBERSHIP,
+        trouble=Trouble.WAVE,
+        budget=mechanisms.CONTROL_PROCESSOR,
+        remedy=mechanisms.ROLLOUT,
+    ),
+)
+
+CONTROL_ROWS = (*DESTINATION_TABLES, *CHANGES, *ASSIGNMENT, *MEMBERSHIP)
+CONTROL_PARTS = tuple(row for row in CONTROL_ROWS if row.in_total)
+
+
+def _total(resource: Resource, unit: str, budget: Budget) -> Row:
+    """All that a relay spends on control when calm, with placement."""
+    parts = tuple(row for row in CONTROL_PARTS if row.resource is resource)
+    return _control(
+        "all control together",
+        resource,
+        unit,
+        lambda c: c.total(parts),
+        mechanisms.ALL_CONTROL,
+        stage=Stage.AFTER,
+        budget=budget,
+    )
+
+
+TOTALS = (
+    _total(Resource.PROCESSOR, "cores", mechanisms.CONTROL_PROCESSOR),
+    _total(Resource.MEMORY, "B", mechanisms.CONTROL_MEMORY),
+    _total(Resource.BYTES, "B/s", mechanisms.CONTROL_BYTES),
+)
+
+TAKER = (
+    _taker(
+        "memory of the events held, with copies of others'",
+        Resource.MEMORY,
+        "B",
+        lambda c: c.fleet.held_relay * (1 + c.fleet.assumptions.copies.value) * _event_memory(c),
+        mechanisms.TAKE_OVER,
+        budget=mechanisms.RELAY_MEMORY,
+        remedy=mechanisms.JOURNAL_SEGMENTS,
+    ),
+    _taker(
+        "copies sent and taken",
+        Resource.MESSAGES,
+        "messages/s",
+        lambda c: 2 * c.fleet.events_relay * c.fleet.assumptions.copies.value,
+        mechanisms.TAKE_OVER,
+    ),
+    _taker(
+        "bytes of copies, sent and taken",
+        Resource.BYTES,
+        "B/s",
+        lambda c: (
+            2
+            * c.fleet.events_relay
+            * c.fleet.assumptions.copies.value
+            * c.fleet.assumptions.message_bytes.value
+        ),
+        mechanisms.TAKE_OVER,
+        budget=mechanisms.RELAY_NETWORK,
+    ),
+    _taker(
+        "take-overs a day, of an ordinary one",
+        Resource.STATE,
+        "take-overs",
+        lambda c: c.fleet.machines_lost_day,
+        mechanisms.TAKE_OVER,
+        trouble=Trouble.MACHINE,
+    ),
+    _taker(
+        "owners' leases run out and go to others",
+        Resource.TIME,
+        "s",
+        lambda c: (
+            c.fleet.assumptions.lease.value
+            + c.measured(keys.register_trouble("change-commit-time", Trouble.MACHINE), c.fleet.relays)
+        ),
+        mechanisms.TAKE_OVER,
+        trouble=Trouble.MACHINE,
+    ),
+)
+
+
+def _taken_on(calculation: Calculation, lost: float) -> float:
+    """Events that each relay left takes on, if the lost relays' are spread over all."""
+    fleet = calculation.fleet
+    return fleet.held_relay * lost / max(1.0, fleet.relays - lost)
+
+
+def _taken_time(calculation: Calculation, lost: float) -> float:
+    """Seconds until these are sent, beside the relay's own."""
+    spare = calculation.fleet.events_relay * calculation.fleet.assumptions.spare_share.value
+    return _taken_on(calculation, lost) / spare
+
+
+LOST = {
+    Trouble.MACHINE: lambda c: min(1.0, c.fleet.relays / 2),
+    Trouble.RACK: lambda c: min(c.fleet.rack, c.fleet.relays / 2),
+    Trouble.ZONE: lambda c: c.fleet.zone,
+}
+
+TAKER_IN_TROUBLE = tuple(
+    row
+    for trouble, lost in LOST.items()
+    for row in (
+        _taker(
+            "events taken on by each relay that is left",
+            Resource.STATE,
+            "events",
+            lambda c, lost=lost: _taken_on(c, lost(c)),
+            mechanisms.TAKE_OVER,
+            trouble=trouble,
+        ),
+        _taker(
+            "time until these are sent",
+            Resource.TIME,
+            "s",
+            lambda c, lost=lost: _taken_time(c, lost(c)),
+            mechanisms.TAKE_OVER,
+            trouble=trouble,
+            budget=mechanisms.TAKEOVER_TIME if trouble is Trouble.MACHINE else None,
+        ),
+    )
+) + (
+    _taker(
+        "events taken on: none, a region that comes back has kept its own",
+        Resource.STATE,
+        "events",
+        lambda c: 0.0,
+        mechanisms.TAKE_OVER,
+        trouble=Trouble.REGION,
+    ),
+)
+
+ROWS = (
+    *DATA_CALM,
+    *DATA_IN_TROUBLE,
+    *CONTROL_ROWS,
+    *WAVE,
+    *STARTS,
+    *TOTALS,
+    *TAKER,
+    *TAKER_IN_TROUBLE,
+)
--- /dev/null
+++ b/tests/lab/test_capacity.py
@@ -0,0 +1,408 @@
+"""The capacity model: slopes from measurements, rows against budgets, the ranking and the page."""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import replace
+
+import pytest
+from click.testing import CliRunner
+
+from millweir.cli.lab import lab
+from millweir.lab.capacity import keys, mechanisms, page
+from millweir.lab.capacity.assumptions import PATH, UnreadableAssumptions, read_inputs, stated_by_name
+from millweir.lab.capacity.fits import (
+    FORM_RULES,
+    Form,
+    LargestMeasured,
+    Point,
+    TooFewSizes,
+    fit_slope,
+    slope_or_largest,
+)
+from millweir.lab.capacity.model import (
+    Budget,
+    Calculation,
+    Fleet,
+    Mechanism,
+    NotMeasured,
+    Resource,
+    Role,
+    Row,
+    SlopeKey,
+    Stage,
+    fit_measurements,
+    work_out,
+)
+from millweir.lab.capacity.ranking import LARGEST_TIMES, needs, rank, share_over_budget
+from millweir.lab.capacity.rows import ROWS
+from millweir.lab.capacity.rows_relay import CONTROL_PARTS
+from millweir.lab.capacity.units import rounded, with_unit
+from millweir.lab.scale.measurement import ROOT, Figure, Measurement
+
+SIZES = (100, 1_000, 10_000, 100_000)
+NOISE = 0.02
+SEEDS = range(20)
+TRUTHS = {
+    Form.CONSTANT: (700.0, 0.0),
+    Form.LOGARITHMIC: (100.0, 60.0),
+    Form.LINEAR: (2_000.0, 0.5),
+    Form.QUADRATIC: (5_000.0, 0.002),
+}
+KEY = SlopeKey("part", "quantity")
+PRESENT = Mechanism("present", ("millweir/control.py",))
+
+
+def value_of(form, size):
+    intercept, coefficient = TRUTHS[form]
+    return intercept + coefficient * FORM_RULES[form].growth(size)
+
+
+def noisy_points(form, seed, sizes=SIZES):
+    chance = random.Random(seed)
+    return [Point(size, value_of(form, size) * chance.gauss(1, NOISE)) for size in sizes]
+
+
+def measurement(size, value, key=KEY, unit="B"):
+    figure = Figure(
+        part=key.part,
+        quantity=key.quantity,
+        trouble=key.trouble,
+        unit=unit,
+        size=size,
+        value=value,
+        low=value,
+        high=value,
+    )
+    return Measurement(figure=figure, command="c", seed=1, commit="abc", machine="m")
+
+
+def slopes_of(values, key=KEY):
+    """A slope through values by size."""
+    return fit_measurements(measurement(size, value, key) for size, value in values.items())
+
+
+@pytest.fixture(scope="module")
+def inputs():
+    return read_inputs()
+
+
+@pytest.fixture(scope="module")
+def committed():
+    return page.read_model()
+
+
+def a_row(figure, budget=mechanisms.CONTROL_MEMORY, **fields):
+    return Row(Role.CONTROL, "a row", Resource.MEMORY, "B", figure, PRESENT, budget=budget, **fields)
+
+
+# Slopes.
+
+
+@pytest.mark.parametrize("form", Form)
+def test_a_known_form_is_found_again_in_noise(form):
+    found = [fit_slope(noisy_points(form, seed)) for seed in SEEDS]
+    assert sum(slope.form is form for slope in found) >= 0.9 * len(found)
+    right = [slope for slope in found if slope.form is form]
+    for slope in right:
+        assert slope.at(10 * SIZES[-1]) == pytest.approx(value_of(form, 10 * SIZES[-1]), rel=0.1)
+        assert slope.residual < 3 * NOISE
+        assert slope.largest == SIZES[-1]
+
+
+def test_small_sizes_count_as_much_as_large_ones():
+    slope = fit_slope([Point(size, 1_000.0 + size) for size in SIZES])
+    assert slope.at(SIZES[0]) == pytest.approx(1_000 + SIZES[0], rel=0.01)
+
+
+def test_what_falls_with_size_is_taken_as_constant():
+    slope = fit_slope([Point(size, 100.0 / size) for size in SIZES])
+    assert slope.form is Form.CONSTANT
+    assert slope.coefficient == 0
+
+
+def test_zeros_are_a_constant():
+    slope = fit_slope([Point(size, 0.0) for size in SIZES])
+    assert (slope.form, slope.at(1e6), slope.residual) == (Form.CONSTANT, 0.0, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("sizes", "reason"),
+    [
+        ((1, 10, 100), "3 of 4 sizes"),
+        ((1, 1, 10, 100), "3 of 4 sizes"),
+        ((10, 100, 200, 900), "sizes span 90 times"),
+    ],
+)
+def test_too_few_sizes_are_not_fitted(sizes, reason):
+    points = [Point(size, float(size)) for size in sizes]
+    with pytest.raises(TooFewSizes, match=reason):
+        fit_slope(points)
+    stand_in = slope_or_largest(points)
+    assert isinstance(stand_in, LargestMeasured)
+    assert reason in stand_in.reason
+    assert stand_in.at(1e9) == max(sizes)  # unscaled
+
+
+# Rows and budgets.
+
+
+def test_a_slope_that_is_not_measured_is_said_so(inputs):
+    result = work_out(a_row(lambda c: c.measured(KEY, 1.0)), Fleet(inputs), {})
+    assert result.figure is None
+    assert result.share_of_budget is None
+    assert not result.is_over
+    assert result.lacking == (KEY,)
+
+
+def test_the_greatest_size_of_a_slope_is_kept(inputs):
+    calculation = Calculation(Fleet(inputs), slopes_of(dict.fromkeys(SIZES, 5.0)))
+    for size in (10.0, 1e7, 3.0):
+        calculation.measured(KEY, size)
+    assert calculation.used == {KEY: 1e7}
+
+
+def test_a_sum_leaves_out_what_is_not_measured_and_says_so(inputs):
+    known = a_row(lambda c: 5.0)
+    unknown = a_row(lambda c: c.measured(KEY, 1.0))
+    result = work_out(a_row(lambda c: c.total((known, unknown, known))), Fleet(inputs), {})
+    assert result.figure == 10.0
+    assert result.lacking == (KEY,)
+    calculation = Calculation(Fleet(inputs), {})
+    with pytest.raises(NotMeasured):
+        calculation.total((unknown,))
+
+
+def test_the_totals_add_up_what_a_relay_spends_on_control():
+    for resource in (Resource.MEMORY, Resource.PROCESSOR, Resource.BYTES):
+        parts = [row for row in CONTROL_PARTS if row.resource is resource]
+        assert len(parts) >= 2
+        assert all(row.stage is not Stage.BEFORE and row.role is Role.CONTROL for row in parts)
+
+
+def test_placement_gives_a_relay_its_part_of_the_destinations(inputs):
+    fleet = Fleet(inputs)
+    assumed = inputs.assumptions
+    part = fleet.destinations * assumed.replicas.value / fleet.relays * assumed.imbalance.value
+    assert fleet.own_destinations == pytest.approx(part)
+    assert Fleet(inputs, 10 * fleet.share).own_destinations == pytest.approx(part)
+    tiny = Fleet(inputs, 1 / fleet.relays)
+    assert tiny.own_destinations <= tiny.destinations
+
+
+def test_every_row_has_a_mechanism_that_is_there_or_an_issue():
+    for row in ROWS:
+        for mechanism in filter(None, (row.mechanism, row.remedy)):
+            assert mechanism.files or mechanism.missing_issue or mechanism is mechanisms.ALL_CONTROL
+            for name in mechanism.files:
+                assert (ROOT / name).exists(), name
+
+
+def test_every_role_has_rows_calm_or_in_trouble_and_each_resource_that_the_letter_names():
+    resources = {(row.role, row.resource) for row in ROWS}
+    for role in (Role.DATA, Role.CONTROL, Role.VOTER, Role.DISTRIBUTOR, Role.TAKER):
+        for resource in (Resource.STATE, Resource.MESSAGES, Resource.BYTES):
+            assert (role, resource) in resources, (role, resource)
+    assert any(row.role is Role.MACHINES for row in ROWS)
+
+
+def test_every_assumption_bears_on_a_row(inputs):
+    slopes = {}
+    for row in ROWS:
+        lacking = work_out(row, Fleet(inputs), slopes).lacking
+        while lacking:
+            slopes |= slopes_of(dict.fromkeys(SIZES, 100.0), lacking[0])
+            if lacking[0].trouble == "restart":
+                slopes |= slopes_of(dict.fromkeys(SIZES, 200.0), lacking[0])
+            lacking = work_out(row, Fleet(inputs), slopes).lacking
+    before = results_of(inputs, slopes)
+    for name, stated in stated_by_name(inputs.assumptions):
+        changed = type(stated)(stated.value * 3, stated.unit, stated.note)
+        assumptions = type(inputs.assumptions)(
+            **{other: changed if other == name else one for other, one in stated_by_name(inputs.assumptions)}
+        )
+        assert results_of(type(inputs)(inputs.targets, assumptions), slopes) != before, name
+
+
+def results_of(inputs, slopes):
+    results = (work_out(row, Fleet(inputs), slopes) for row in ROWS)
+    return [(result.figure, result.budget) for result in results]
+
+
+# Ranking.
+
+
+def test_the_row_that_is_over_in_the_smallest_fleet_is_first(inputs):
+    shares = (0.5, 3.0, 0.02, 1.5)
+    rows = tuple(replace(a_row(by_share(share)), name=str(share)) for share in shares)
+    ranked = rank(rows, inputs, {})
+    assert [one.row.name for one in ranked] == ["0.02", "0.5", "1.5", "3.0"]
+    for one in ranked:
+        assert one.share == pytest.approx(float(one.row.name), rel=1e-6)
+
+
+def by_share(share):
+    return lambda c: c.fleet.share / share * c.fleet.targets.control_memory.value
+
+
+def test_what_is_never_over_comes_last_by_its_share(inputs):
+    budget = inputs.targets.control_memory.value
+    rows = (
+        replace(a_row(lambda c: 0.1 * budget), name="tenth"),
+        replace(a_row(lambda c: 0.9 * budget), name="nearly"),
+        replace(a_row(by_share(LARGEST_TIMES / 2)), name="late"),
+        replace(a_row(lambda c: 2 * budget), name="always"),
+    )
+    ranked = rank(rows, inputs, {})
+    assert [one.row.name for one in ranked] == ["always", "late", "nearly", "tenth"]
+    assert ranked[0].from_smallest
+    assert [one.share is None for one in ranked] == [False, False, True, True]
+
+
+def test_a_row_that_is_over_in_small_fleets_alone_is_not_over(inputs):
+    budget = inputs.targets.control_memory.value
+    row = a_row(lambda c: budget * 0.1 / c.fleet.share)
+    assert share_over_budget(row, inputs, {}) is None
+
+
+def test_rows_without_budget_or_figure_are_not_ranked(inputs):
+    rows = (a_row(lambda c: 1e12, budget=None), a_row(lambda c: c.measured(KEY, 1.0)))
+    assert rank(rows, inputs, {}) == []
+
+
+def test_the_mechanism_of_the_first_row_is_missing_first(inputs):
+    first, second = Mechanism("first", missing_issue=1), Mechanism("second", missing_issue=2)
+    rows = (
+        a_row(by_share(0.5), remedy=second),
+        a_row(by_share(0.1), remedy=first),
+        a_row(by_share(0.7), remedy=first),
+        a_row(by_share(2.0), remedy=Mechanism("beyond the target", missing_issue=3)),
+    )
+    found = needs(rank(rows, inputs, {}))
+    assert [(need.remedy, need.rows) for need in found] == [(first, 2), (second, 1)]
+
+
+# The page.
+
+
+def test_the_committed_page_is_what_the_command_prints():
+    printed = CliRunner().invoke(lab, ["capacity"])
+    assert printed.exit_code == 0, printed.output
+    assert printed.output == page.PAGE.read_text(), "run: millweir lab capacity --write"
+
+
+def test_the_command_writes_the_page(monkeypatch, tmp_path):
+    monkeypatch.setattr(page, "PAGE", tmp_path / "CAPACITY.md")
+    done = CliRunner().invoke(lab, ["capacity", "--write"])
+    assert (done.exit_code, done.output) == (0, "")
+    assert (tmp_path / "CAPACITY.md").read_text() == CliRunner().invoke(lab, ["capacity"]).output
+
+
+def test_a_changed_assumption_changes_the_page(committed, tmp_path):
+    text = PATH.read_text()
+    was = "[assumptions.replicas]\nvalue = 3\n"
+    assert was in text
+    changed = tmp_path / "assumptions.toml"
+    changed.write_text(text.replace(was, was.replace("3", "30")))
+    before = page.render(committed).splitlines()
+    after = page.render(page.read_model(assumptions=changed)).splitlines()
+    line = "destinations known, at the fullest relay"
+    (old,) = [one for one in before if line in one]
+    (new,) = [one for one in after if line in one]
+    assert old != new
+
+
+def test_assumptions_that_nobody_knows_are_refused(tmp_path):
+    wrong = tmp_path / "assumptions.toml"
+    wrong.write_text(PATH.read_text() + '\n[assumptions.surprise]\nvalue = 1\nunit = "B"\nnote = "?"\n')
+    with pytest.raises(UnreadableAssumptions, match="surprise"):
+        read_inputs(wrong)
+
+
+def test_a_row_over_its_budget_says_so(inputs):
+    budget = inputs.targets.control_memory.value
+    rows = (
+        replace(a_row(lambda c: 2.5 * budget), name="too much"),
+        replace(a_row(lambda c: budget), name="just enough"),
+    )
+    text = page.render(page.Model(inputs, {}, rows))
+    lines = {name: [one for one in text.splitlines() if name in one] for name in ("too much", "just enough")}
+    assert any("160 MB **OVER** 2.5 times" in line for line in lines["too much"])
+    assert not any("OVER" in line for line in lines["just enough"])
+    assert "Over it at the target: 1." in text
+
+
+def test_over_budget_rows_stand_in_order(inputs):
+    budget = inputs.targets.control_memory.value
+    rows = tuple(
+        replace(a_row(lambda c, times=times: times * budget), name=f"by {times}") for times in (2, 7, 3)
+    )
+    text = page.render(page.Model(inputs, {}, rows)).partition("## Over budget")[2].partition("\n## ")[0]
+    assert text.index("by 7") < text.index("by 3") < text.index("by 2")
+
+
+def test_the_page_says_how_far_a_slope_is_used_past_what_was_measured(inputs):
+    slopes = slopes_of(dict.fromkeys(SIZES, 5.0))
+    row = a_row(lambda c: c.measured(KEY, 20 * SIZES[-1]))
+    text = page.render(page.Model(inputs, slopes, (row,)))
+    (line,) = [one for one in text.splitlines() if one.startswith("| `part/quantity`")]
+    assert "constant" in line and "20 times" in line
+
+
+def test_the_page_says_what_was_not_fitted(inputs):
+    slopes = slopes_of({10: 4.0, 100: 5.0})
+    text = page.render(page.Model(inputs, slopes, (a_row(lambda c: c.measured(KEY, 50.0)),)))
+    (line,) = [one for one in text.splitlines() if one.startswith("| `part/quantity`")]
+    assert "too few sizes, not fitted: 2 of 4 sizes" in line
+    assert "5, as measured at 100" in line
+
+
+def test_the_page_names_what_is_not_measured(inputs):
+    text = page.render(page.Model(inputs, {}, (a_row(lambda c: c.measured(KEY, 1.0)),)))
+    assert "| `part/quantity` | Relay: control, calm: a row" in text.partition("## Not measured")[2]
+    assert "Not measured: 1," in text
+
+
+def test_our_budgets_look_other_than_the_operators(inputs):
+    ours = Budget("machine_memory", is_operators=False)
+    rows = (a_row(lambda c: 1.0, budget=ours), a_row(lambda c: 1.0))
+    text = page.render(page.Model(inputs, {}, rows)).partition("## Roles")[2]
+    assert "| *32 GB* |" in text
+    assert "| 64 MB |" in text
+
+
+@pytest.mark.parametrize(
+    ("value", "unit", "text"),
+    [
+        (0.0, "B", "0 B"),
+        (2_600_000_000.0, "B", "2.6 GB"),
+        (11e3, "B/s", "11 KB/s"),
+        (0.0422, "cores", "4.22% of a core"),
+        (2_450.0, "s", "40.8 min"),
+        (11_818.0, "s", "3.28 h"),
+        (0.000226, "s", "226 us"),
+        (21e9, "events", "21 billion events"),
+        (796.4, "destinations", "796 destinations"),
+    ],
+)
+def test_figures_have_units_that_can_be_compared(value, unit, text):
+    assert with_unit(value, unit) == text
+
+
+def test_rounding_keeps_three_digits():
+    assert [rounded(value) for value in (1_234.5, 0.012345, 9.996, 99.96, math.pi)] == [
+        "1,230",
+        "0.0123",
+        "10",
+        "100",
+        "3.14",
+    ]
+
+
+def test_each_key_names_a_part_of_the_scale_tests():
+    from millweir.lab.scale.parts import PARTS
+
+    found = [value for value in vars(keys).values() if isinstance(value, SlopeKey)]
+    assert found
+    assert all(key.part in PARTS for key in found)
