--- a/millweir/lab/capacity/fits.py
+++ b/millweir/lab/capacity/fits.py
@@ -5,6 +5,9 @@
 is not negative the one with the lowest Bayesian information criterion is taken; a form that grows faster
 pays for it as if it had more parameters, and residuals below `NOISE_FLOOR` count as equally good.
 
+Between measured sizes a slope gives the measured values, interpolated; past the largest size the form goes on
+from the value that was measured there, and likewise below the smallest.
+
 Fewer than `SIZES_LEAST` sizes, or sizes that span less than `SPAN_LEAST`, are not fitted: `LargestMeasured`
 stands in, the value at the largest size, unscaled.
 """
@@ -12,6 +15,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -62,22 +66,40 @@
 
 @dataclass(frozen=True, slots=True)
 class Slope:
-    """A fitted form: value = intercept + coefficient * growth(size)."""
+    """A fitted form, intercept + coefficient * growth(size), and the values that it was fitted to."""
 
     form: Form
     intercept: float
     coefficient: float
     residual: float  # root mean square of the relative errors
-    sizes: tuple[float, ...]
+    points: tuple[Point, ...]  # one for each size, rising
+
+    @property
+    def sizes(self) -> tuple[float, ...]:
+        return tuple(point.size for point in self.points)
 
     @property
     def largest(self) -> float:
-        return self.sizes[-1]
+        return self.points[-1].size
 
-    def at(self, size: float) -> float:
-        """The value at a size, never below 0."""
+    def by_form(self, size: float) -> float:
+        """What the form alone gives, never below 0."""
         return max(0.0, self.intercept + self.coefficient * FORM_RULES[self.form].growth(max(size, 1.0)))
 
+    def at(self, size: float) -> float:
+        """The value at a size: measured, interpolated or carried on by the form."""
+        if size > self.largest:
+            return self._carried_on(self.points[-1], size)
+        if size < self.points[0].size:
+            return self._carried_on(self.points[0], size)
+        values = [point.value for point in self.points]
+        return float(numpy.interp(math.log(size), numpy.log(self.sizes), values))
+
+    def _carried_on(self, measured: Point, size: float) -> float:
+        """From a measured value on as the form grows from there."""
+        there = self.by_form(measured.size)
+        return measured.value * self.by_form(size) / there if there else measured.value
+
 
 @dataclass(frozen=True, slots=True)
 class LargestMeasured:
@@ -143,7 +165,14 @@
         intercept=float(solved[0]),
         coefficient=float(solved[1]) if len(solved) > 1 else 0.0,
         residual=math.sqrt(float(numpy.mean(errors**2))),
-        sizes=sizes,
+        points=_means(points, sizes),
+    )
+
+
+def _means(points: list[Point], sizes: tuple[float, ...]) -> tuple[Point, ...]:
+    """One point for each size."""
+    return tuple(
+        Point(size, statistics.fmean(point.value for point in points if point.size == size)) for size in sizes
     )
 
 
--- a/millweir/lab/capacity/page.py
+++ b/millweir/lab/capacity/page.py
@@ -43,6 +43,9 @@
 assumptions; nothing here was run as a whole fleet. How far past the largest measured size a slope is used
 stands with it. "Not measured" means that no committed measurement is there."""
 
+POOR_RESIDUAL = 0.25
+NOTHING = 1e-9  # of a value: what rounding in the fit leaves
+
 BUDGET_NOTE = """\
 **OVER** marks a figure beyond its budget. Budgets in *italics* are ours (see the assumptions), the others
 are the operators'. "Before placement": every relay is told of every destination, as today. "With
@@ -57,8 +60,10 @@
 Fitted by least squares of relative errors over at least {SIZES_LEAST} sizes that span {SPAN_LEAST:g} times,
 in the forms {", ".join(form.value for form in Form)}. The form is chosen by the Bayesian information
 criterion, where faster growth costs more and residuals below {100 * NOISE_FLOOR:g}% count as equal. The
-residual is the root mean square of the relative errors. A quantity with too few sizes is not fitted: its
-value at the largest size measured is used as it stands, which is too low where it grows."""
+residual is the root mean square of the relative errors; from {100 * POOR_RESIDUAL:g}% on no form describes the growth
+well. Between measured sizes the measured values are interpolated; past the largest size the form goes on
+from the value measured there. A quantity with too few sizes is not fitted: its value at the largest size
+measured is used as it stands, which is too low where it grows."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -323,8 +328,10 @@
     if isinstance(slope, LargestMeasured):
         value = f"{_number(slope.value)}, as measured at {slope.largest:,.0f}"
         return f"too few sizes, not fitted: {slope.reason}", value, ""
-    formula = _formula(slope.form, slope.intercept, slope.coefficient)
-    return slope.form.value, formula, f"{rounded(100 * slope.residual)}%"
+    residual = f"{rounded(100 * slope.residual)}%" if slope.residual > NOTHING else "0%"
+    if slope.residual >= POOR_RESIDUAL:
+        residual += " (poor)"
+    return slope.form.value, _formula(slope), residual
 
 
 def _reach(largest: float, used_at: float | None) -> tuple[str, str]:
@@ -335,15 +342,18 @@
     return rounded(used_at), f"{rounded(past)} times" if past > 1 else "within"
 
 
-def _formula(form: Form, intercept: float, coefficient: float) -> str:
-    if form is Form.CONSTANT:
-        return _number(intercept)
-    sign = "+" if intercept >= 0 else "-"
-    return f"{_number(coefficient)} {form.value} {sign} {_number(abs(intercept))}"
+def _formula(slope: Slope) -> str:
+    if slope.form is Form.CONSTANT:
+        return _number(slope.intercept)
+    grown = f"{_number(slope.coefficient)} {slope.form.value}"
+    if abs(slope.intercept) <= NOTHING * slope.by_form(slope.largest):
+        return grown
+    sign = "+" if slope.intercept >= 0 else "-"
+    return f"{grown} {sign} {_number(abs(slope.intercept))}"
 
 
 def _number(value: float) -> str:
-    return f"{value:.3g}"
+    return f"{value or 0.0:.3g}"
 
 
 def _not_measured(results: list[Result]) -> str:
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -18,6 +18,7 @@
     LargestMeasured,
     Point,
     TooFewSizes,
+    distinct_sizes,
     fit_slope,
     slope_or_largest,
 )
@@ -116,6 +117,16 @@
     assert slope.at(SIZES[0]) == pytest.approx(1_000 + SIZES[0], rel=0.01)
 
 
+def test_between_measured_sizes_the_measured_values_are_used():
+    values = {100: 3.0, 1_000: 9.0, 10_000: 11.0, 100_000: 40.0}  # of no form
+    slope = fit_slope([Point(size, value) for size, value in values.items()])
+    for size, value in values.items():
+        assert slope.at(size) == pytest.approx(value)
+    assert 9.0 < slope.at(3_000) < 11.0
+    assert slope.at(1e6) / 40.0 == pytest.approx(slope.by_form(1e6) / slope.by_form(1e5))
+    assert slope.at(100_001) == pytest.approx(40.0, rel=1e-3)
+
+
 def test_what_falls_with_size_is_taken_as_constant():
     slope = fit_slope([Point(size, 100.0 / size) for size in SIZES])
     assert slope.form is Form.CONSTANT
@@ -137,6 +148,7 @@
 )
 def test_too_few_sizes_are_not_fitted(sizes, reason):
     points = [Point(size, float(size)) for size in sizes]
+    assert distinct_sizes(points) == tuple(sorted(set(sizes)))
     with pytest.raises(TooFewSizes, match=reason):
         fit_slope(points)
     stand_in = slope_or_largest(points)
