--- a/millweir/cli/lab.py
+++ b/millweir/cli/lab.py
@@ -135,7 +135,9 @@
 
 @lab.command()
 @click.option("--write", is_flag=True, help="write docs/CAPACITY.md in place of printing it")
-@click.option("--plot", type=click.Path(dir_okay=False, path_type=Path), help="draw the slopes (matplotlib)")
+@click.option(
+    "--plot", type=click.Path(dir_okay=False, path_type=Path), help="draw the ranking (needs matplotlib)"
+)
 def capacity(write: bool, plot: Path | None) -> None:
     """Work out the page of capacity from the committed measurements and assumptions (needs numpy)."""
     from millweir.lab.capacity import page
@@ -152,6 +154,8 @@
     else:
         click.echo(text, nl=False)
     if plot:
-        from millweir.lab.capacity.plot import draw_ranking
-
+        try:
+            from millweir.lab.capacity.plot import draw_ranking
+        except ImportError as missing:
+            raise click.ClickException(f"a plot needs matplotlib: {missing}") from None
         draw_ranking(model, plot)
--- a/millweir/lab/capacity/model.py
+++ b/millweir/lab/capacity/model.py
@@ -114,12 +114,40 @@
     unit: str
     simulated: bool
     slope: Slope | LargestMeasured
-    commits: tuple[str, ...]
+    spread: float  # at the largest size: greatest less least, over the value
 
 
 Slopes = dict[SlopeKey, Measured]
 
 
+@dataclass(frozen=True, slots=True)
+class Source:
+    """Where the measurements of a part come from."""
+
+    part: str
+    records: int
+    seeds: tuple[int, ...]
+    commits: tuple[str, ...]
+    machines: tuple[str, ...]
+
+
+def sources_of(measurements: Iterable[Measurement]) -> list[Source]:
+    """The sources of all parts, by name."""
+    groups: dict[str, list[Measurement]] = {}
+    for measurement in measurements:
+        groups.setdefault(measurement.figure.part, []).append(measurement)
+    return [
+        Source(
+            part=part,
+            records=len(group),
+            seeds=tuple(sorted({one.seed for one in group})),
+            commits=tuple(sorted({one.commit for one in group})),
+            machines=tuple(sorted({one.machine for one in group})),
+        )
+        for part, group in sorted(groups.items())
+    ]
+
+
 def fit_measurements(measurements: Iterable[Measurement]) -> Slopes:
     """A slope for each quantity and trouble."""
     groups: dict[SlopeKey, list[Measurement]] = {}
@@ -137,10 +165,19 @@
         unit=group[0].figure.unit,
         simulated=any(measurement.figure.simulated for measurement in group),
         slope=slope_or_largest(points),
-        commits=tuple(sorted({measurement.commit for measurement in group})),
+        spread=_spread(group),
     )
 
 
+def _spread(group: list[Measurement]) -> float:
+    """Between the repeats, or the members, at the largest size."""
+    largest = max(measurement.figure.size for measurement in group)
+    figures = [measurement.figure for measurement in group if measurement.figure.size == largest]
+    low, high = min(figure.low for figure in figures), max(figure.high for figure in figures)
+    value = abs(figures[-1].value)
+    return (high - low) / value if value else 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Fleet:
     """A fleet of a share of the target's size."""
--- a/millweir/lab/capacity/page.py
+++ b/millweir/lab/capacity/page.py
@@ -18,8 +18,10 @@
     Row,
     SlopeKey,
     Slopes,
+    Source,
     Stage,
     fit_measurements,
+    sources_of,
     work_out,
 )
 from millweir.lab.capacity.ranking import LARGEST_TIMES, SMALLEST_RELAYS, Ranked, needs, rank
@@ -60,10 +62,11 @@
 Fitted by least squares of relative errors over at least {SIZES_LEAST} sizes that span {SPAN_LEAST:g} times,
 in the forms {", ".join(form.value for form in Form)}. The form is chosen by the Bayesian information
 criterion, where faster growth costs more and residuals below {100 * NOISE_FLOOR:g}% count as equal. The
-residual is the root mean square of the relative errors; from {100 * POOR_RESIDUAL:g}% on no form describes the growth
-well. Between measured sizes the measured values are interpolated; past the largest size the form goes on
-from the value measured there. A quantity with too few sizes is not fitted: its value at the largest size
-measured is used as it stands, which is too low where it grows."""
+residual is the root mean square of the relative errors; from {100 * POOR_RESIDUAL:g}% on no form describes
+the growth well. Between measured sizes the measured values are interpolated; past the largest size the form
+goes on from the value measured there. A quantity with too few sizes is not fitted: its value at the largest
+size measured is used as it stands, which is too low where it grows. The spread is that of the repeats, or
+of the members, at the largest size, over the value there."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +76,7 @@
     inputs: Inputs
     slopes: Slopes
     rows: tuple[Row, ...] = ROWS
+    sources: tuple[Source, ...] = ()
 
     def results(self) -> list[Result]:
         """Every row at the target."""
@@ -81,7 +85,8 @@
 
 def read_model(assumptions: Path = ASSUMPTIONS, measurements: Path = MEASUREMENTS) -> Model:
     """The model of the files; UnreadableAssumptions, UnreadableMeasurements."""
-    return Model(read_inputs(assumptions), fit_measurements(read_measurements(measurements)))
+    found = list(read_measurements(measurements))
+    return Model(read_inputs(assumptions), fit_measurements(found), sources=tuple(sources_of(found)))
 
 
 def render(model: Model) -> str:
@@ -99,6 +104,7 @@
         _missing_mechanisms(results),
         _slopes(model.slopes, results),
         _not_measured(results),
+        _sources(model.sources),
     ]
     return "\n\n".join(sections) + "\n"
 
@@ -307,6 +313,7 @@
     "form",
     "value by size n",
     "residual",
+    "spread",
     "used at",
     "past the largest by",
 )
@@ -320,7 +327,8 @@
     slope = measured.slope
     name = f"`{measured.key}`" + (", simulated" if measured.simulated else "")
     sizes = f"{len(slope.sizes)}: {slope.sizes[0]:,.0f} to {slope.largest:,.0f}"
-    return (name, measured.unit, sizes, *_fitted(slope), *_reach(slope.largest, used_at))
+    spread = f"{rounded(100 * measured.spread, 2)}%"
+    return (name, measured.unit, sizes, *_fitted(slope), spread, *_reach(slope.largest, used_at))
 
 
 def _fitted(slope: Slope | LargestMeasured) -> tuple[str, str, str]:
@@ -367,3 +375,21 @@
     text = "Rows that lack measurements; no figure stands in for these.\n\n"
     lines = ((f"`{key}`", "<br>".join(dict.fromkeys(names))) for key, names in rows.items())
     return title + text + _table(("slope", "rows"), lines)
+
+
+def _sources(sources: tuple[Source, ...]) -> str:
+    lines = (
+        (
+            f"`docs/capacity/measurements/{source.part}.jsonl`",
+            str(source.records),
+            ", ".join(str(seed) for seed in source.seeds),
+            ", ".join(source.commits),
+            "; ".join(source.machines),
+        )
+        for source in sources
+    )
+    text = (
+        "Each record holds its command, which repeats it. A commit with + was measured on a changed tree.\n\n"
+    )
+    headings = ("file", "records", "seeds", "commits", "machine")
+    return "## Measurements\n\n" + text + _table(headings, lines)
