Capacity: tests that the surviving mutants asked for

Cause: six mutants of fits, ranking and page survived (growth of n squared, the penalty, first row of a mechanism, order of what is over, two texts). Change: truths that don't use the module's own forms, noise alone, order against ranking, two texts.

--- a/millweir/cli/lab.py
+++ b/millweir/cli/lab.py
@@ -135,9 +135,7 @@
 
 @lab.command()
 @click.option("--write", is_flag=True, help="write docs/CAPACITY.md in place of printing it")
-@click.option(
-    "--plot", type=click.Path(dir_okay=False, path_type=Path), help="draw the ranking (needs matplotlib)"
-)
+@click.option("--plot", type=click.Path(dir_okay=False, path_type=Path), help="draw the ranking (matplotlib)")
 def capacity(write: bool, plot: Path | None) -> None:
     """Work out the page of capacity from the committed measurements and assumptions (needs numpy)."""
     from millweir.lab.capacity import page
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -13,7 +13,6 @@
 from millweir.lab.capacity import keys, mechanisms, page
 from millweir.lab.capacity.assumptions import PATH, UnreadableAssumptions, read_inputs, stated_by_name
 from millweir.lab.capacity.fits import (
-    FORM_RULES,
     Form,
     LargestMeasured,
     Point,
@@ -46,23 +45,18 @@
 NOISE = 0.02
 SEEDS = range(20)
 TRUTHS = {
-    Form.CONSTANT: (700.0, 0.0),
-    Form.LOGARITHMIC: (100.0, 60.0),
-    Form.LINEAR: (2_000.0, 0.5),
-    Form.QUADRATIC: (5_000.0, 0.002),
+    Form.CONSTANT: lambda size: 700.0,
+    Form.LOGARITHMIC: lambda size: 100.0 + 60.0 * math.log2(size),
+    Form.LINEAR: lambda size: 2_000.0 + 0.5 * size,
+    Form.QUADRATIC: lambda size: 5_000.0 + 0.002 * size**2,
 }
 KEY = SlopeKey("part", "quantity")
 PRESENT = Mechanism("present", ("millweir/control.py",))
 
 
-def value_of(form, size):
-    intercept, coefficient = TRUTHS[form]
-    return intercept + coefficient * FORM_RULES[form].growth(size)
-
-
-def noisy_points(form, seed, sizes=SIZES):
+def noisy_points(form, seed, noise=NOISE):
     chance = random.Random(seed)
-    return [Point(size, value_of(form, size) * chance.gauss(1, NOISE)) for size in sizes]
+    return [Point(size, TRUTHS[form](size) * chance.gauss(1, noise)) for size in SIZES]
 
 
 def measurement(size, value, key=KEY, unit="B"):
@@ -107,11 +101,16 @@
     assert sum(slope.form is form for slope in found) >= 0.9 * len(found)
     right = [slope for slope in found if slope.form is form]
     for slope in right:
-        assert slope.at(10 * SIZES[-1]) == pytest.approx(value_of(form, 10 * SIZES[-1]), rel=0.1)
+        assert slope.at(10 * SIZES[-1]) == pytest.approx(TRUTHS[form](10 * SIZES[-1]), rel=0.1)
         assert slope.residual < 3 * NOISE
         assert slope.largest == SIZES[-1]
 
 
+def test_noise_alone_is_seldom_taken_for_growth():
+    forms = [fit_slope(noisy_points(Form.CONSTANT, seed, noise=0.1)).form for seed in range(200)]
+    assert forms.count(Form.CONSTANT) >= 150
+
+
 def test_small_sizes_count_as_much_as_large_ones():
     slope = fit_slope([Point(size, 1_000.0 + size) for size in SIZES])
     assert slope.at(SIZES[0]) == pytest.approx(1_000 + SIZES[0], rel=0.01)
@@ -293,6 +292,7 @@
     )
     found = needs(rank(rows, inputs, {}))
     assert [(need.remedy, need.rows) for need in found] == [(first, 2), (second, 1)]
+    assert found[0].first.share == pytest.approx(0.1, rel=1e-6)
 
 
 # The page.
@@ -345,13 +345,15 @@
     assert "Over it at the target: 1." in text
 
 
-def test_over_budget_rows_stand_in_order(inputs):
+def test_over_budget_rows_stand_in_order_of_how_far(inputs):
     budget = inputs.targets.control_memory.value
-    rows = tuple(
-        replace(a_row(lambda c, times=times: times * budget), name=f"by {times}") for times in (2, 7, 3)
+    rows = (
+        replace(a_row(lambda c: 2 * budget), name="by two, in any fleet"),
+        replace(a_row(by_share(1 / 7)), name="by seven"),
+        replace(a_row(by_share(1 / 3)), name="by three"),
     )
     text = page.render(page.Model(inputs, {}, rows)).partition("## Over budget")[2].partition("\n## ")[0]
-    assert text.index("by 7") < text.index("by 3") < text.index("by 2")
+    assert text.index("by seven") < text.index("by three") < text.index("by two")
 
 
 def test_the_page_says_how_far_a_slope_is_used_past_what_was_measured(inputs):
@@ -374,6 +376,14 @@
     text = page.render(page.Model(inputs, {}, (a_row(lambda c: c.measured(KEY, 1.0)),)))
     assert "| `part/quantity` | Relay: control, calm: a row" in text.partition("## Not measured")[2]
     assert "Not measured: 1," in text
+    (line,) = [one for one in text.splitlines() if one.startswith("| calm | a row |")]
+    assert "| not measured | 64 MB |" in line
+
+
+def test_the_page_says_that_a_sum_lacks_a_part(inputs):
+    parts = (a_row(lambda c: 5.0), a_row(lambda c: c.measured(KEY, 1.0)))
+    text = page.render(page.Model(inputs, {}, (a_row(lambda c: c.total(parts)),)))
+    assert "| 5 B and what is not measured |" in text
 
 
 def test_our_budgets_look_other_than_the_operators(inputs):
