Capacity: rows for placement as its scale test names them

Cause: the scale test of placement has its quantities' names now. Change: rows for a relay's part, the core's table, moves by trouble, what senders learn of a small partner.

--- a/millweir/lab/capacity/keys.py
+++ b/millweir/lab/capacity/keys.py
@@ -32,8 +32,11 @@
 ASSIGNMENT_BYTES = SlopeKey("register", "assignment-bytes")
 
 # Placement: size is relays.
-PLACEMENT_MEMORY = SlopeKey("placement", "memory")
-PLACEMENT_TIME = SlopeKey("placement", "assign-time")
+HOLDER_MEMORY = SlopeKey("placement", "holder-memory")  # at a relay
+PART_BYTES = SlopeKey("placement", "part-bytes")  # of a relay
+CORE_MEMORY = SlopeKey("placement", "core-memory")  # where assignments are made
+MOVED_BY_A_CUT = SlopeKey("placement", "replicas-moved", "region-cut")
+LOOKUP_TIME = SlopeKey("placement", "lookup-seconds")
 
 # Configuration: size is relays.
 IN_FORCE_LAST = SlopeKey("configuration", "in-force-max")
@@ -55,6 +58,18 @@
 }
 
 
+PLACEMENT_TROUBLES = {Trouble.MACHINE: "leave", Trouble.ZONE: "zone-lost"}
+
+
+def placement_trouble(quantity: str, trouble: Trouble) -> SlopeKey:
+    return SlopeKey("placement", quantity, PLACEMENT_TROUBLES[trouble])
+
+
+def senders_learn(quantity: str, is_placed: bool, trouble: str) -> SlopeKey:
+    """What senders learn of a small destination: as replicas of its partition, or as the whole fleet."""
+    return SlopeKey("placement", f"{quantity}-{'placed' if is_placed else 'unplaced'}", trouble)
+
+
 def renewals(design: str, quantity: str) -> SlopeKey:
     """A quantity of one of the register's two designs of renewal."""
     return SlopeKey("register", f"{design}-{quantity}")
--- a/millweir/lab/capacity/rows_machines.py
+++ b/millweir/lab/capacity/rows_machines.py
@@ -99,9 +99,53 @@
         mechanisms.PLACEMENT,
         stage=Stage.AFTER,
     ),
+    _voter(
+        "table of the assignment, where it is made",
+        Resource.MEMORY,
+        "B",
+        lambda c: c.measured(keys.CORE_MEMORY, c.fleet.relays),
+        mechanisms.PLACEMENT,
+        stage=Stage.AFTER,
+        budget=mechanisms.MACHINE_MEMORY,
+    ),
 )
 
 
+def _placement_rows(trouble: Trouble) -> tuple[Row, ...]:
+    """Relays lost: what the assignment's core does about it."""
+
+    def measured(quantity: str) -> FigureOf:
+        return lambda c: c.measured(keys.placement_trouble(quantity, trouble), c.fleet.relays)
+
+    row = functools.partial(_voter, mechanism=mechanisms.PLACEMENT, trouble=trouble, stage=Stage.AFTER)
+    return (
+        row(
+            name="replicas that move",
+            resource=Resource.STATE,
+            unit="replicas",
+            figure=measured("replicas-moved"),
+        ),
+        row(
+            name="processor time to move replicas",
+            resource=Resource.TIME,
+            unit="s",
+            figure=measured("member-change-seconds"),
+        ),
+        row(
+            name="until all replicas have moved, with hold and pace",
+            resource=Resource.TIME,
+            unit="s",
+            figure=measured("change-ends-after"),
+        ),
+        row(
+            name="largest entry of a moving assignment",
+            resource=Resource.STATE,
+            unit="B",
+            figure=measured("difference-bytes-most"),
+        ),
+    )
+
+
 def _change_rows(trouble: Trouble) -> tuple[Row, ...]:
     """Owners lost at once: what the register writes and sends for it."""
 
@@ -135,6 +179,16 @@
 
 VOTERS_IN_TROUBLE = (
     *(row for trouble in keys.REGISTER_TROUBLES for row in _change_rows(trouble)),
+    *(row for trouble in keys.PLACEMENT_TROUBLES for row in _placement_rows(trouble)),
+    _voter(
+        "replicas that move, two minutes and back",
+        Resource.STATE,
+        "replicas",
+        lambda c: c.measured(keys.MOVED_BY_A_CUT, c.fleet.relays),
+        mechanisms.PLACEMENT,
+        trouble=Trouble.REGION,
+        stage=Stage.AFTER,
+    ),
     _voter(
         "leases given again by a new leader, if the lost machine led",
         Resource.TIME,
--- a/millweir/lab/capacity/rows_relay.py
+++ b/millweir/lab/capacity/rows_relay.py
@@ -19,6 +19,7 @@
 )
 
 MICROSECOND = 1e-6
+COPY_PROCESSOR = SlopeKey("copies", "processor-per-copy")  # no scale test yet: comes with issue 32
 
 _data = functools.partial(Row, Role.DATA)
 _control = functools.partial(Row, Role.CONTROL)
@@ -252,6 +253,48 @@
     ),
 )
 
+SENDERS_LEARN = tuple(
+    row
+    for is_placed, stage, remedy in (
+        (False, Stage.BEFORE, mechanisms.PLACEMENT),
+        (True, Stage.AFTER, mechanisms.SHARED_FACTS),
+    )
+    for row in (
+        _data(
+            "calls that a small partner refuses, its limit being half of what is listed",
+            Resource.MESSAGES,
+            "of the calls",
+            lambda c, is_placed=is_placed: c.measured(
+                keys.senders_learn("calls-refused", is_placed, "limit"), c.fleet.relays
+            ),
+            mechanisms.DECISIONS,
+            stage=stage,
+        ),
+        _data(
+            "senders that did not notice a small partner's return while the test went on",
+            Resource.STATE,
+            "of the senders",
+            lambda c, is_placed=is_placed: c.measured(
+                keys.senders_learn("never-noticed", is_placed, "outage"), c.fleet.relays
+            ),
+            mechanisms.DECISIONS,
+            stage=stage,
+        ),
+        _data(
+            "return of a small partner noticed after, mean of the senders that noticed",
+            Resource.TIME,
+            "s",
+            lambda c, is_placed=is_placed: c.measured(
+                keys.senders_learn("return-noticed-after", is_placed, "outage"), c.fleet.relays
+            ),
+            mechanisms.DECISIONS,
+            stage=stage,
+            budget=mechanisms.CALLS_TO_LEARN,
+            remedy=remedy,
+        ),
+    )
+)
+
 DATA_IN_TROUBLE = (
     _data(
         "events out of reach until the relay is back",
@@ -492,20 +535,30 @@
         stage=Stage.AFTER,
     ),
     _control(
-        "table of the assignment",
+        "table of its part of the assignment",
         Resource.MEMORY,
         "B",
-        lambda c: c.measured(keys.PLACEMENT_MEMORY, c.fleet.relays),
+        lambda c: c.measured(keys.HOLDER_MEMORY, c.fleet.relays),
         mechanisms.PLACEMENT,
         stage=Stage.AFTER,
         budget=mechanisms.CONTROL_MEMORY,
         in_total=True,
     ),
     _control(
-        "a whole assignment told at a start, within the budget of bytes",
+        "whether an event's destination is its own",
+        Resource.PROCESSOR,
+        "cores",
+        lambda c: c.fleet.events_relay * c.measured(keys.LOOKUP_TIME, c.fleet.relays),
+        mechanisms.PLACEMENT,
+        stage=Stage.AFTER,
+        budget=mechanisms.CONTROL_PROCESSOR,
+        in_total=True,
+    ),
+    _control(
+        "its part of the assignment told at a start, within the budget of bytes",
         Resource.TIME,
         "s",
-        lambda c: c.measured(keys.ASSIGNMENT_BYTES, c.fleet.relays) / c.fleet.targets.control_bytes.value,
+        lambda c: c.measured(keys.PART_BYTES, c.fleet.relays) / c.fleet.targets.control_bytes.value,
         mechanisms.PLACEMENT,
         trouble=Trouble.RESTARTS,
         stage=Stage.AFTER,
@@ -513,19 +566,21 @@
     ),
     *(
         _control(
-            "a change of the assignment told, within the budget of bytes",
+            "a change of the assignment, if it is told whole within the budget of bytes",
             Resource.TIME,
             "s",
-            lambda c, trouble=trouble: (
-                c.measured(keys.register_trouble("assignment-change-bytes", trouble), c.fleet.relays)
-                / c.fleet.targets.control_bytes.value
-            ),
+            lambda c, key=key: c.measured(key, c.fleet.relays) / c.fleet.targets.control_bytes.value,
             mechanisms.PLACEMENT,
             trouble=trouble,
             stage=Stage.AFTER,
             budget=mechanisms.IN_FORCE,
+            remedy=mechanisms.CONFIGURATION,
+        )
+        for trouble, key in (
+            (Trouble.MACHINE, keys.placement_trouble("difference-bytes", Trouble.MACHINE)),
+            (Trouble.RACK, keys.register_trouble("assignment-change-bytes", Trouble.RACK)),
+            (Trouble.ZONE, keys.placement_trouble("difference-bytes", Trouble.ZONE)),
         )
-        for trouble in (Trouble.MACHINE, Trouble.RACK, Trouble.ZONE)
     ),
     _control(
         "renewal of its lease at the register",
@@ -631,6 +686,13 @@
         lambda c: 2 * c.fleet.events_relay * c.fleet.assumptions.copies.value,
         mechanisms.TAKE_OVER,
     ),
+    _taker(
+        "copies sent and taken",
+        Resource.PROCESSOR,
+        "cores",
+        lambda c: 2 * c.fleet.events_relay * c.measured(COPY_PROCESSOR, c.fleet.events_relay),
+        mechanisms.TAKE_OVER,
+    ),
     _taker(
         "bytes of copies, sent and taken",
         Resource.BYTES,
@@ -719,6 +781,7 @@
 
 ROWS = (
     *DATA_CALM,
+    *SENDERS_LEARN,
     *DATA_IN_TROUBLE,
     *CONTROL_ROWS,
     *WAVE,
