--- a/millweir/lab/capacity/rows_machines.py
+++ b/millweir/lab/capacity/rows_machines.py
@@ -153,8 +153,9 @@
         return lambda c: c.measured(keys.register_trouble(quantity, trouble), c.fleet.relays)
 
     row = functools.partial(_voter, mechanism=mechanisms.TAKE_OVER, trouble=trouble)
+    name = "owners that change" + (", if it stays away" if trouble is Trouble.REGION else "")
     return (
-        row(name="owners that change", resource=Resource.STATE, unit="owners", figure=measured("changes")),
+        row(name=name, resource=Resource.STATE, unit="owners", figure=measured("changes")),
         row(
             name="bytes out of the leader",
             resource=Resource.STATE,
