--- a/tests/lab/test_scale_register.py
+++ b/tests/lab/test_scale_register.py
@@ -10,12 +10,16 @@
 from millweir.lab.scale.register import (
     CHANGES_PER_ENTRY,
     RENEWAL_INTERVAL,
+    Ownership,
+    OwnershipChanges,
+    Quorum,
     assignment,
     assignment_change,
     change_values,
     encode,
     lost_by_trouble,
     measure,
+    owner_names,
     renewal_values,
 )
 from millweir.store.core import SECOND
@@ -89,8 +93,6 @@
 
 
 def test_the_committed_changes_are_applied_at_every_voter():
-    from millweir.lab.scale.register import Ownership, OwnershipChanges, Quorum, owner_names
-
     quorum = Quorum(SEED, owner_names(SMALL))
     leader = quorum.leader
     changes = OwnershipChanges((Ownership("relay-00003", "relay-00004", 2),))
