Capacity: rows for decisions as their scale test names them; power law between sizes

Cause: the scale test of decisions has its names now; values interpolated by the logarithm of the size alone were up to 1.8 times too high between decades of a linear quantity. Change: keys and rows; interpolation as a power law. Measured result: none of these yet.

--- a/millweir/lab/capacity/fits.py
+++ b/millweir/lab/capacity/fits.py
@@ -92,8 +92,14 @@
             return self._carried_on(self.points[-1], size)
         if size < self.points[0].size:
             return self._carried_on(self.points[0], size)
+        return self._interpolated(size)
+
+    def _interpolated(self, size: float) -> float:
+        """A power law between two sizes; a straight line where a value is 0."""
         values = [point.value for point in self.points]
-        return float(numpy.interp(math.log(size), numpy.log(self.sizes), values))
+        if min(values) <= 0:
+            return float(numpy.interp(size, self.sizes, values))
+        return math.exp(numpy.interp(math.log(size), numpy.log(self.sizes), numpy.log(values)))
 
     def _carried_on(self, measured: Point, size: float) -> float:
         """From a measured value on as the form grows from there."""
--- a/millweir/lab/capacity/keys.py
+++ b/millweir/lab/capacity/keys.py
@@ -5,15 +5,18 @@
 from millweir.lab.capacity.model import SlopeKey, Trouble
 
 # Decisions: size is destinations.
-DESTINATION_MEMORY = SlopeKey("decisions", "memory-per-destination")  # bytes, with one host each
-FIRST_LIST_TIME = SlopeKey("decisions", "first-list-time")  # seconds, the whole list
-CHANGE_TIME = SlopeKey("decisions", "change-time")  # seconds, one change of the list
-TURN_TIME = SlopeKey("decisions", "turn-time")  # seconds, one event in and out
-IDLE_TICK_TIME = SlopeKey("decisions", "idle-tick-time")  # seconds, a tick that finds nothing due
+DESTINATIONS_MEMORY = SlopeKey("decisions", "memory")  # bytes of all, with one host each
+FIRST_LIST_TIME = SlopeKey("decisions", "first-list")  # seconds, the whole list
+DECIDED_CHANGE_TIME = SlopeKey("decisions", "one-change")  # seconds, in the decisions alone
+RELAY_CHANGE_TIME = SlopeKey("decisions", "relay-change")  # seconds, from discovery's answer to the end
+TURN_TIME = SlopeKey("decisions", "turn")  # seconds, one event sent
+ANSWER_TIME = SlopeKey("decisions", "turn-after-answer")  # seconds, its answer
+IDLE_TICK_TIME = SlopeKey("decisions", "idle-tick")  # seconds, a tick that finds nothing due
+LOST_CALL_TIME = SlopeKey("decisions", "lost-call")  # seconds
 
 # Held events: size is events held by one relay.
-HELD_MEMORY = SlopeKey("held", "memory-per-message")  # bytes, without the body
-HELD_TICK_TIME = SlopeKey("held", "idle-tick-time")
+HELD_MEMORY = SlopeKey("held", "memory-each")  # bytes, without the body
+HELD_TURN_TIME = SlopeKey("held", "turn")
 
 # Journal: size is events owed.
 JOURNAL_START_TIME = SlopeKey("journal", "start-to-ready")  # seconds
--- a/millweir/lab/capacity/rows_relay.py
+++ b/millweir/lab/capacity/rows_relay.py
@@ -34,11 +34,19 @@
 
 def _destination_memory(calculation: Calculation, destinations: float) -> float:
     hosts = calculation.fleet.assumptions.hosts_destination.value
-    return destinations * hosts * calculation.measured(keys.DESTINATION_MEMORY, destinations)
+    return hosts * calculation.measured(keys.DESTINATIONS_MEMORY, destinations)
+
+
+def _event_processor(calculation: Calculation, destinations: float) -> float:
+    """Cores that deciding takes: a turn that sends each event, and one after its answer."""
+    sent = calculation.measured(keys.TURN_TIME, destinations)
+    answered = calculation.measured(keys.ANSWER_TIME, destinations)
+    attempts = calculation.fleet.events_relay * calculation.fleet.assumptions.attempts.value
+    return attempts * (sent + answered)
 
 
 def _changes_processor(calculation: Calculation, destinations: float, changes_second: float) -> float:
-    return changes_second * calculation.measured(keys.CHANGE_TIME, destinations)
+    return changes_second * calculation.measured(keys.RELAY_CHANGE_TIME, destinations)
 
 
 def _own_part(calculation: Calculation) -> float:
@@ -158,20 +166,20 @@
         stage=Stage.AFTER,
     ),
     _data(
-        "deciding: one turn for each event",
+        "deciding: a turn that sends each event, and one after its answer",
         Resource.PROCESSOR,
         "cores",
-        lambda c: c.fleet.events_relay * c.measured(keys.TURN_TIME, c.fleet.destinations),
+        lambda c: _event_processor(c, c.fleet.destinations),
         mechanisms.DECISIONS,
         stage=Stage.BEFORE,
         budget=mechanisms.RELAY_CORES,
         remedy=mechanisms.PLACEMENT,
     ),
     _data(
-        "deciding: one turn for each event",
+        "deciding: a turn that sends each event, and one after its answer",
         Resource.PROCESSOR,
         "cores",
-        lambda c: c.fleet.events_relay * c.measured(keys.TURN_TIME, c.fleet.own_destinations),
+        lambda c: _event_processor(c, c.fleet.own_destinations),
         mechanisms.DECISIONS,
         stage=Stage.AFTER,
         budget=mechanisms.RELAY_CORES,
@@ -186,6 +194,16 @@
         budget=mechanisms.PAUSE_LONGEST,
         remedy=mechanisms.PLACEMENT,
     ),
+    _data(
+        "a call lost on a link that was idle",
+        Resource.TIME,
+        "s",
+        lambda c: c.measured(keys.LOST_CALL_TIME, c.fleet.destinations),
+        mechanisms.DECISIONS,
+        stage=Stage.BEFORE,
+        budget=mechanisms.PAUSE_LONGEST,
+        remedy=mechanisms.PLACEMENT,
+    ),
     _data("events held", Resource.STATE, "events", lambda c: c.fleet.held_relay, mechanisms.DECISIONS),
     _data(
         "memory of the events held",
@@ -390,6 +408,20 @@
 )
 
 CHANGES = (
+    _control(
+        "changes of configuration told to the decisions, busiest minute",
+        Resource.PROCESSOR,
+        "cores",
+        lambda c: (
+            c.fleet.changes_busiest_minute
+            / MINUTE
+            * c.measured(keys.DECIDED_CHANGE_TIME, c.fleet.destinations)
+        ),
+        mechanisms.DECISIONS,
+        stage=Stage.BEFORE,
+        budget=mechanisms.CONTROL_PROCESSOR,
+        remedy=mechanisms.PLACEMENT,
+    ),
     _control(
         "changes of configuration taken in, mean of the day",
         Resource.PROCESSOR,
