--- a/millweir/lab/capacity/assumptions.py
+++ b/millweir/lab/capacity/assumptions.py
@@ -52,7 +52,6 @@
 
     message_bytes: Stated
     attempts: Stated
-    journal_overhead: Stated
     hosts_destination: Stated
     entry_bytes: Stated
     hold_bytes: Stated
--- a/millweir/lab/capacity/keys.py
+++ b/millweir/lab/capacity/keys.py
@@ -15,13 +15,20 @@
 LOST_CALL_TIME = SlopeKey("decisions", "lost-call")  # seconds
 
 # Held events: size is events held by one relay.
-HELD_MEMORY = SlopeKey("held", "memory-each")  # bytes, without the body
-HELD_TURN_TIME = SlopeKey("held", "turn")
+HELD_MEMORY = SlopeKey("held", "memory-each")  # bytes, without body, journal's record and network code
+HELD_FIRST_LIST_TIME = SlopeKey("held", "first-list")  # seconds, to a relay that holds them already
+HELD_IDLE_TICK_TIME = SlopeKey("held", "idle-tick")  # seconds
+SATURATED_TURN_TIME = SlopeKey("held", "turn-after-answer", "saturated")  # seconds
+FULL_TURN_TIME = SlopeKey("held", "held-turn", "full")  # seconds
 
 # Journal: size is events owed.
-JOURNAL_START_TIME = SlopeKey("journal", "start-to-ready")  # seconds
-JOURNAL_BYTES = SlopeKey("journal", "bytes-per-message")
-JOURNAL_PAUSE = SlopeKey("journal", "compaction-longest-pause")  # seconds
+JOURNAL_BODY = 200.0  # bytes of each event's body in the scale test
+JOURNAL_BYTES = SlopeKey("journal", "bytes-each")  # on disk, with the body
+JOURNAL_MEMORY = SlopeKey("journal", "memory-each")  # of an event's record, with the body
+JOURNAL_START_TIME = SlopeKey("journal", "start-wall")  # seconds
+JOURNAL_HAND_IN_TIME = SlopeKey("journal", "hand-in")  # seconds
+JOURNAL_PAUSE = SlopeKey("journal", "compaction-wall")  # seconds
+JOURNAL_PEAK = SlopeKey("journal", "compaction-peak")  # bytes
 
 # Membership: size is members.
 TABLE_MEMORY = SlopeKey("membership", "memory-table-unshared")
--- a/millweir/lab/capacity/rows_relay.py
+++ b/millweir/lab/capacity/rows_relay.py
@@ -27,9 +27,16 @@
 
 
 def _event_memory(calculation: Calculation) -> float:
-    """Bytes of one held event in memory."""
+    """Bytes of one held event in memory: what the decisions and the journal hold of it, with its body."""
     held = calculation.fleet.held_relay
-    return calculation.measured(keys.HELD_MEMORY, held) + calculation.fleet.assumptions.message_bytes.value
+    decided = calculation.measured(keys.HELD_MEMORY, held)
+    return decided + _with_body(calculation, keys.JOURNAL_MEMORY)
+
+
+def _with_body(calculation: Calculation, key: SlopeKey) -> float:
+    """Bytes of one event's record, with a body of the assumed size in place of the scale test's."""
+    measured = calculation.measured(key, calculation.fleet.held_relay)
+    return measured - keys.JOURNAL_BODY + calculation.fleet.assumptions.message_bytes.value
 
 
 def _destination_memory(calculation: Calculation, destinations: float) -> float:
@@ -55,7 +62,9 @@
 
 
 def _ready_time(calculation: Calculation) -> float:
-    return calculation.measured(keys.JOURNAL_START_TIME, calculation.fleet.held_relay)
+    held = calculation.fleet.held_relay
+    read = calculation.measured(keys.JOURNAL_START_TIME, held)
+    return read + calculation.measured(keys.JOURNAL_HAND_IN_TIME, held)
 
 
 def _list_time(calculation: Calculation, destinations: float) -> float:
@@ -218,12 +227,45 @@
         "journal of the events held",
         Resource.DISK,
         "B",
-        lambda c: (
-            c.fleet.held_relay
-            * (c.fleet.assumptions.message_bytes.value + c.fleet.assumptions.journal_overhead.value)
-        ),
+        lambda c: c.fleet.held_relay * _with_body(c, keys.JOURNAL_BYTES),
         mechanisms.JOURNAL,
         budget=mechanisms.RELAY_DISK,
+        remedy=mechanisms.JOURNAL_SEGMENTS,
+    ),
+    _data(
+        "a tick that finds nothing due, with the events held",
+        Resource.TIME,
+        "s",
+        lambda c: c.measured(keys.HELD_IDLE_TICK_TIME, c.fleet.held_relay),
+        mechanisms.DECISIONS,
+        budget=mechanisms.PAUSE_LONGEST,
+    ),
+    _data(
+        "a turn after each answer, all slots out and every destination waiting for one",
+        Resource.PROCESSOR,
+        "cores",
+        lambda c: c.fleet.events_relay * c.measured(keys.SATURATED_TURN_TIME, c.fleet.held_relay),
+        mechanisms.DECISIONS,
+        budget=mechanisms.RELAY_CORES,
+        remedy=mechanisms.DECISIONS_FLAT,
+    ),
+    _data(
+        "a turn for each event, as many held as are allowed",
+        Resource.PROCESSOR,
+        "cores",
+        lambda c: c.fleet.events_relay * c.measured(keys.FULL_TURN_TIME, c.fleet.held_relay),
+        mechanisms.DECISIONS,
+        budget=mechanisms.RELAY_CORES,
+        remedy=mechanisms.DECISIONS_FLAT,
+    ),
+    _data(
+        "most that compacting the journal takes beyond what is held, with bodies of 200 B",
+        Resource.MEMORY,
+        "B",
+        lambda c: c.measured(keys.JOURNAL_PEAK, c.fleet.held_relay),
+        mechanisms.JOURNAL,
+        budget=mechanisms.RELAY_MEMORY,
+        remedy=mechanisms.JOURNAL_SEGMENTS,
     ),
     _data(
         "longest pause while the journal is compacted",
@@ -314,6 +356,16 @@
 )
 
 DATA_IN_TROUBLE = (
+    _data(
+        "first list to a relay that holds its events already",
+        Resource.TIME,
+        "s",
+        lambda c: c.measured(keys.HELD_FIRST_LIST_TIME, c.fleet.held_relay),
+        mechanisms.DECISIONS,
+        trouble=Trouble.RESTARTS,
+        budget=mechanisms.START_TIME,
+        remedy=mechanisms.DECISIONS_FLAT,
+    ),
     _data(
         "events out of reach until the relay is back",
         Resource.STATE,
@@ -323,7 +375,7 @@
         trouble=Trouble.MACHINE,
     ),
     _data(
-        "start to ready, from the journal",
+        "start to ready: journal read, events handed in",
         Resource.TIME,
         "s",
         _ready_time,
