Capacity: figures on sockets and simulated ones of the same quantity kept apart

Cause: membership measures the same quantities both ways; both would have been fitted as one slope. Change: the key holds which; sockets first, unless only the simulated ones have sizes enough.

--- a/millweir/lab/capacity/model.py
+++ b/millweir/lab/capacity/model.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from millweir.lab.capacity.assumptions import Assumptions, Inputs, Stated, Targets
@@ -92,10 +92,12 @@
     part: str
     quantity: str
     trouble: str = "calm"
+    is_simulated: bool = False  # in simulated time, not on sockets
 
     def __str__(self) -> str:
         trouble = "" if self.trouble == "calm" else f" ({self.trouble})"
-        return f"{self.part}/{self.quantity}{trouble}"
+        simulated = " simulated" if self.is_simulated else ""
+        return f"{self.part}/{self.quantity}{trouble}{simulated}"
 
 
 class NotMeasured(LookupError):
@@ -112,7 +114,6 @@
 
     key: SlopeKey
     unit: str
-    simulated: bool
     slope: Slope | LargestMeasured
     spread: float  # at the largest size: greatest less least, over the value
 
@@ -153,17 +154,24 @@
     groups: dict[SlopeKey, list[Measurement]] = {}
     for measurement in measurements:
         figure = measurement.figure
-        key = SlopeKey(figure.part, figure.quantity, figure.trouble)
+        key = SlopeKey(figure.part, figure.quantity, figure.trouble, figure.simulated)
         groups.setdefault(key, []).append(measurement)
     return {key: _fit_group(key, group) for key, group in groups.items()}
 
 
+def choose_slope(key: SlopeKey, slopes: Slopes) -> Measured | None:
+    """What was measured on sockets, if that is fitted; else what was simulated, if that is; else either."""
+    either = [slopes.get(replace(key, is_simulated=simulated)) for simulated in (False, True)]
+    there = [measured for measured in either if measured]
+    fitted = [measured for measured in there if isinstance(measured.slope, Slope)]
+    return next(iter(fitted or there), None)
+
+
 def _fit_group(key: SlopeKey, group: list[Measurement]) -> Measured:
     points = [Point(measurement.figure.size, measurement.figure.value) for measurement in group]
     return Measured(
         key=key,
         unit=group[0].figure.unit,
-        simulated=any(measurement.figure.simulated for measurement in group),
         slope=slope_or_largest(points),
         spread=_spread(group),
     )
@@ -278,11 +286,11 @@
 
     def measured(self, key: SlopeKey, size: float) -> float:
         """A slope's value at a size; NotMeasured."""
-        found = self.slopes.get(key)
+        found = choose_slope(key, self.slopes)
         if found is None:
             self.lacking.append(key)
             raise NotMeasured(key)
-        self.used[key] = max(size, self.used.get(key, 0.0))
+        self.used[found.key] = max(size, self.used.get(found.key, 0.0))
         return found.slope.at(size)
 
     def total(self, rows: Iterable[Row]) -> float:
--- a/millweir/lab/capacity/page.py
+++ b/millweir/lab/capacity/page.py
@@ -69,7 +69,8 @@
 the growth well. Between measured sizes the measured values are interpolated; past the largest size the form
 goes on from the value measured there. A quantity with too few sizes is not fitted: its value at the largest
 size measured is used as it stands, which is too low where it grows. The spread is that of the repeats, or
-of the members, at the largest size, over the value there."""
+of the members, at the largest size, over the value there. What was measured both on sockets and simulated
+is used as measured on sockets, unless only the simulated figures have sizes enough."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -336,10 +337,16 @@
 
 def _slope_line(measured: Measured, used_at: float | None) -> tuple[str, ...]:
     slope = measured.slope
-    name = f"`{measured.key}`" + (", simulated" if measured.simulated else "")
     sizes = f"{len(slope.sizes)}: {slope.sizes[0]:,.0f} to {slope.largest:,.0f}"
     spread = f"{rounded(100 * measured.spread, 2)}%"
-    return (name, measured.unit, sizes, *_fitted(slope), spread, *_reach(slope.largest, used_at))
+    return (
+        f"`{measured.key}`",
+        measured.unit,
+        sizes,
+        *_fitted(slope),
+        spread,
+        *_reach(slope.largest, used_at),
+    )
 
 
 def _fitted(slope: Slope | LargestMeasured) -> tuple[str, str, str]:
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -60,6 +60,7 @@
 
 
 def measurement(size, value, key=KEY, unit="B"):
+    """A record of one figure."""
     figure = Figure(
         part=key.part,
         quantity=key.quantity,
@@ -69,6 +70,7 @@
         value=value,
         low=value,
         high=value,
+        simulated=key.is_simulated,
     )
     return Measurement(figure=figure, command="c", seed=1, commit="abc", machine="m")
 
@@ -177,6 +179,23 @@
     assert calculation.used == {KEY: 1e7}
 
 
+def test_sockets_go_before_simulation_unless_they_have_too_few_sizes(inputs):
+    simulated = replace(KEY, is_simulated=True)
+    by_simulation = slopes_of(dict.fromkeys(SIZES, 7.0), simulated)
+    on_sockets = slopes_of(dict.fromkeys(SIZES, 5.0))
+    on_few_sockets = slopes_of(dict.fromkeys(SIZES[:2], 4.0))
+    row = a_row(lambda c: c.measured(KEY, 1_000.0))
+    for slopes, figure, used in (
+        (on_sockets | by_simulation, 5.0, KEY),
+        (on_few_sockets | by_simulation, 7.0, simulated),
+        (by_simulation, 7.0, simulated),
+        (on_few_sockets, 4.0, KEY),
+    ):
+        result = work_out(row, Fleet(inputs), slopes)
+        assert result.figure == pytest.approx(figure)
+        assert list(result.used) == [used]
+
+
 def test_a_sum_leaves_out_what_is_not_measured_and_says_so(inputs):
     known = a_row(lambda c: 5.0)
     unknown = a_row(lambda c: c.measured(KEY, 1.0))
