--- a/millweir/lab/capacity/rows_relay.py
+++ b/millweir/lab/capacity/rows_relay.py
@@ -76,13 +76,14 @@
 def _membership_rows(trouble: Trouble, name: str) -> tuple[Row, ...]:
     """Bytes, processor time and agreement of one trouble, by its name in the measurements."""
     when = f" ({name})" if trouble is Trouble.REGION else ""
-    bytes_mean, bytes_p99, processor, agreed = (
+    bytes_mean, bytes_p99, processor, agreed, false_deaths = (
         SlopeKey("membership", quantity, name)
         for quantity in (
             "bytes-per-member-second",
             "bytes-per-member-second-p99",
             "processor-per-member-second",
             "time-until-agreed",
+            "false-deaths",
         )
     )
     rows = (
@@ -131,6 +132,14 @@
             mechanisms.MEMBERSHIP,
             trouble=trouble,
         ),
+        _control(
+            f"relays told gone that are not, by all together{when}",
+            Resource.STATE,
+            "tellings",
+            lambda c: c.measured(false_deaths, c.fleet.relays),
+            mechanisms.MEMBERSHIP,
+            trouble=trouble,
+        ),
     )
 
 
