--- a/millweir/lab/capacity/keys.py
+++ b/millweir/lab/capacity/keys.py
@@ -48,10 +48,19 @@
 MOVED_BY_A_CUT = SlopeKey("placement", "replicas-moved", "region-cut")
 LOOKUP_TIME = SlopeKey("placement", "lookup-seconds")
 
-# Configuration: size is relays.
-IN_FORCE_LAST = SlopeKey("configuration", "in-force-max")
-CONFIGURATION_RELAY_BYTES = SlopeKey("configuration", "relay-bytes-second")
-CONFIGURATION_DISTRIBUTOR_PROCESSOR = SlopeKey("configuration", "distributor-processor")
+# Configuration: size is relays, destinations grow with them; troubles are what the scale test does.
+CHANGES_AT_MEAN = "changes-at-mean"
+FIFTY_IN_A_SECOND = "fifty-in-a-second"
+COMMON_CHANGE = "common-change"  # of what all relays hold
+FIFTY_COMMON = "fifty-common"
+START_WITH_FOLDER = "start-with-folder"  # all relays at once
+START_WITHOUT_FOLDER = "start-without-folder"  # one in fifty
+
+
+def configuration(quantity: str, doing: str) -> SlopeKey:
+    """A quantity of the distribution of configuration."""
+    return SlopeKey("configuration", quantity, doing)
+
 
 REGISTER_TROUBLES = {
     Trouble.MACHINE: "machine",
--- a/millweir/lab/capacity/rows_machines.py
+++ b/millweir/lab/capacity/rows_machines.py
@@ -317,14 +317,33 @@
         trouble=Trouble.MACHINE,
         stage=Stage.AFTER,
     ),
+    *(
+        _distributor(
+            name,
+            Resource.PROCESSOR,
+            "cores",
+            lambda c, key=keys.configuration("processor-per-distributor", doing): c.measured(
+                key, c.fleet.relays
+            ),
+            mechanisms.CONFIGURATION,
+            stage=Stage.AFTER,
+            budget=mechanisms.MACHINE_CORES,
+        )
+        for name, doing in (
+            ("distributor over links, changes at their mean", keys.CHANGES_AT_MEAN),
+            ("distributor over links, fifty changes that concern every relay", keys.FIFTY_COMMON),
+        )
+    ),
     _distributor(
-        "distributor, as measured over links",
-        Resource.PROCESSOR,
-        "cores",
-        lambda c: c.measured(keys.CONFIGURATION_DISTRIBUTOR_PROCESSOR, c.fleet.relays),
+        "distributor as measured, entries shared with those beside it",
+        Resource.MEMORY,
+        "B",
+        lambda c: c.measured(
+            keys.configuration("memory-per-distributor", keys.START_WITH_FOLDER), c.fleet.relays
+        ),
         mechanisms.CONFIGURATION,
         stage=Stage.AFTER,
-        budget=mechanisms.MACHINE_CORES,
+        budget=mechanisms.MACHINE_MEMORY,
     ),
     *_distributor_rows(Stage.BEFORE),
     *_distributor_rows(Stage.AFTER),
