--- a/millweir/lab/capacity/model.py
+++ b/millweir/lab/capacity/model.py
@@ -306,6 +306,14 @@
         return sum(found)
 
 
+FigureOf = Callable[[Calculation], float]
+
+
+def by_relays(key: SlopeKey) -> FigureOf:
+    """The figure of a slope whose size is the relays."""
+    return lambda calculation: calculation.measured(key, calculation.fleet.relays)
+
+
 @dataclass(frozen=True, slots=True)
 class Row:
     """One line of the model."""
@@ -314,7 +322,7 @@
     name: str
     resource: Resource
     unit: str
-    figure: Callable[[Calculation], float]
+    figure: FigureOf
     mechanism: Mechanism
     trouble: Trouble = Trouble.CALM
     stage: Stage = Stage.BOTH
--- a/millweir/lab/capacity/rows.py
+++ b/millweir/lab/capacity/rows.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from millweir.lab.capacity import rows_machines, rows_relay
+from millweir.lab.capacity import rows_control, rows_data, rows_machines, rows_taker
 
-ROWS = (*rows_relay.ROWS, *rows_machines.ROWS)
+ROWS = (*rows_data.ROWS, *rows_control.ROWS, *rows_taker.ROWS, *rows_machines.ROWS)
--- a/millweir/lab/capacity/rows_machines.py
+++ b/millweir/lab/capacity/rows_machines.py
@@ -4,17 +4,24 @@
 
 import functools
 import math
-from collections.abc import Callable
 
 from millweir.lab.capacity import keys, mechanisms
-from millweir.lab.capacity.model import Calculation, Mechanism, Resource, Role, Row, Stage, Trouble
+from millweir.lab.capacity.model import (
+    Calculation,
+    FigureOf,
+    Mechanism,
+    Resource,
+    Role,
+    Row,
+    Stage,
+    Trouble,
+    by_relays,
+)
 
 _voter = functools.partial(Row, Role.VOTER)
 _distributor = functools.partial(Row, Role.DISTRIBUTOR)
 _machines = functools.partial(Row, Role.MACHINES)
 
-FigureOf = Callable[[Calculation], float]
-
 DISTRIBUTORS_LEAST = 2.0
 DESIGNS = {
     "logged": ("each renewal an entry", Stage.ALTERNATIVE, mechanisms.CONSENSUS),
@@ -26,7 +33,7 @@
     """What one of the register's two designs of renewal costs its voters when calm."""
 
     def measured(quantity: str) -> FigureOf:
-        return lambda c: c.measured(keys.renewals(design, quantity), c.fleet.relays)
+        return by_relays(keys.renewals(design, quantity))
 
     row = functools.partial(_voter, mechanism=mechanism, stage=stage)
     return (
@@ -80,7 +87,7 @@
         "table of ownership",
         Resource.MEMORY,
         "B",
-        lambda c: c.measured(keys.STATE_MEMORY, c.fleet.relays),
+        by_relays(keys.STATE_MEMORY),
         mechanisms.TAKE_OVER,
         budget=mechanisms.MACHINE_MEMORY,
     ),
@@ -88,14 +95,14 @@
         "snapshot",
         Resource.STATE,
         "B",
-        lambda c: c.measured(keys.SNAPSHOT_BYTES, c.fleet.relays),
+        by_relays(keys.SNAPSHOT_BYTES),
         mechanisms.CONSENSUS,
     ),
     _voter(
         "a whole assignment, as an entry",
         Resource.STATE,
         "B",
-        lambda c: c.measured(keys.ASSIGNMENT_BYTES, c.fleet.relays),
+        by_relays(keys.ASSIGNMENT_BYTES),
         mechanisms.PLACEMENT,
         stage=Stage.AFTER,
     ),
@@ -103,7 +110,7 @@
         "table of the assignment, where it is made",
         Resource.MEMORY,
         "B",
-        lambda c: c.measured(keys.CORE_MEMORY, c.fleet.relays),
+        by_relays(keys.CORE_MEMORY),
         mechanisms.PLACEMENT,
         stage=Stage.AFTER,
         budget=mechanisms.MACHINE_MEMORY,
@@ -115,7 +122,7 @@
     """Relays lost: what the assignment's core does about it."""
 
     def measured(quantity: str) -> FigureOf:
-        return lambda c: c.measured(keys.placement_trouble(quantity, trouble), c.fleet.relays)
+        return by_relays(keys.placement_trouble(quantity, trouble))
 
     row = functools.partial(_voter, mechanism=mechanisms.PLACEMENT, trouble=trouble, stage=Stage.AFTER)
     return (
@@ -150,7 +157,7 @@
     """Owners lost at once: what the register writes and sends for it."""
 
     def measured(quantity: str) -> FigureOf:
-        return lambda c: c.measured(keys.register_trouble(quantity, trouble), c.fleet.relays)
+        return by_relays(keys.register_trouble(quantity, trouble))
 
     row = functools.partial(_voter, mechanism=mechanisms.TAKE_OVER, trouble=trouble)
     name = "owners that change" + (", if it stays away" if trouble is Trouble.REGION else "")
@@ -185,7 +192,7 @@
         "replicas that move, two minutes and back",
         Resource.STATE,
         "replicas",
-        lambda c: c.measured(keys.MOVED_BY_A_CUT, c.fleet.relays),
+        by_relays(keys.MOVED_BY_A_CUT),
         mechanisms.PLACEMENT,
         trouble=Trouble.REGION,
         stage=Stage.AFTER,
@@ -322,9 +329,7 @@
             name,
             Resource.PROCESSOR,
             "cores",
-            lambda c, key=keys.configuration("processor-per-distributor", doing): c.measured(
-                key, c.fleet.relays
-            ),
+            by_relays(keys.configuration("processor-per-distributor", doing)),
             mechanisms.CONFIGURATION,
             stage=Stage.AFTER,
             budget=mechanisms.MACHINE_CORES,
@@ -338,9 +343,7 @@
         "distributor as measured, entries shared with those beside it",
         Resource.MEMORY,
         "B",
-        lambda c: c.measured(
-            keys.configuration("memory-per-distributor", keys.START_WITH_FOLDER), c.fleet.relays
-        ),
+        by_relays(keys.configuration("memory-per-distributor", keys.START_WITH_FOLDER)),
         mechanisms.CONFIGURATION,
         stage=Stage.AFTER,
         budget=mechanisms.MACHINE_MEMORY,
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -37,7 +37,7 @@
 )
 from millweir.lab.capacity.ranking import LARGEST_TIMES, needs, rank, share_over_budget
 from millweir.lab.capacity.rows import ROWS
-from millweir.lab.capacity.rows_relay import CONTROL_PARTS
+from millweir.lab.capacity.rows_control import CONTROL_PARTS
 from millweir.lab.capacity.units import rounded, with_unit
 from millweir.lab.scale.measurement import ROOT, Figure, Measurement
 
