Members count the bytes of full states; a simulated datagram has the seal's whole size

Cause: sent_bytes left out full states over TCP, and the simulated fleet took 35 bytes for a seal of 44. Change: whole_bytes_sent and whole_bytes_received beside the datagrams' counts; the digest that a member tells is a property; membership_steps.py counts the core's steps on a simulated fleet.

--- a/millweir/lab/fleet.py
+++ b/millweir/lab/fleet.py
@@ -11,8 +11,9 @@
 
 from millweir.members.core import SECOND, Address, Change, Core, Degree, Rules
 from millweir.members.messages import Claim, Datagram, Rank, Told, Whole, encode, read_datagram
+from millweir.members.seal import HEAD
 
-OVERHEAD = 35 + 28  # bytes of the seal, and of the headers below it
+OVERHEAD = HEAD.size + 28  # bytes of the seal, and of the headers below it
 PORT = 7946
 Make = Callable[..., Core]
 
--- /dev/null
+++ b/millweir/lab/scale/membership_steps.py
@@ -0,0 +1,90 @@
+"""Counts the deciding core's steps on a simulated fleet: the same figure on each run of a seed.
+
+A step is one bytecode instruction executed in `millweir/members` or in the interpreter's `random`, which
+shuffles for the core.  What the interpreter does inside one instruction (an insertion into a list) is not
+counted.  The same interpreter gives the same count; another one gives another, of the same form of growth.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from types import FrameType, TracebackType
+
+import millweir.members
+from millweir.lab.fleet import Fleet
+from millweir.members.core import SECOND, Core, Rules
+
+COUNTED = (str(Path(millweir.members.__file__).parent), random.__file__)
+SETTLING = 10  # simulated seconds until what the start stirs up is over
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """What a stretch of simulated time cost, for each member and second."""
+
+    steps: float
+    datagrams: float
+    bytes: float
+
+
+class StepCounter:
+    """Counts steps while it is entered."""
+
+    def __init__(self) -> None:
+        self.steps = 0
+        self._before: object = None
+
+    def __enter__(self) -> StepCounter:
+        self._before = sys.gettrace()
+        sys.settrace(self._called)
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, fault: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        sys.settrace(self._before)
+
+    def _called(self, frame: FrameType, event: str, argument: object) -> Callable | None:
+        if not frame.f_code.co_filename.startswith(COUNTED):
+            return None
+        frame.f_trace_lines = False
+        frame.f_trace_opcodes = True
+        return self._executed
+
+    def _executed(self, frame: FrameType, event: str, argument: object) -> Callable:
+        if event == "opcode":
+            self.steps += 1
+        return self._executed
+
+
+def settled_fleet(size: int, seed: int, make: Callable[..., Core] = Core) -> Fleet:
+    """A simulated fleet whose members all know each other, some seconds after its start."""
+    fleet = Fleet(size, seed, Rules(members_most=max(size, 64)), make=make)
+    fleet.run(SETTLING * SECOND)
+    return fleet
+
+
+def cost_of(fleet: Fleet, seconds: int) -> Cost:
+    """Runs a fleet on for so many simulated seconds and counts."""
+    datagrams, sent = _sent(fleet)
+    with StepCounter() as counter:
+        fleet.run(fleet.now + seconds * SECOND)
+    datagrams_after, sent_after = _sent(fleet)
+    member_seconds = len(fleet.living) * seconds
+    return Cost(
+        counter.steps / member_seconds,
+        (datagrams_after - datagrams) / member_seconds,
+        (sent_after - sent) / member_seconds,
+    )
+
+
+def _sent(fleet: Fleet) -> tuple[int, int]:
+    living = fleet.living
+    return (
+        sum(node.counts["datagrams"] for node in living),
+        sum(node.counts["bytes"] for node in living),
+    )
--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -349,6 +349,11 @@
         """How many others are held for there."""
         return len(self._ring)
 
+    @property
+    def digest(self) -> int:
+        """Of all who are held for there, this member with them; the same where two agree on them."""
+        return self._digest ^ mark(self.me.name, self.me.incarnation, self.me.birth)
+
     @property
     def slow(self) -> int:
         return self._slow
@@ -823,9 +828,8 @@
         """Views that have stood still and differ: one whole state mends what gossip lost."""
         if not told.digest or self.standing is not Standing.IN or told.kind is Kind.NEWS:
             return
-        mine = self._digest ^ mark(self.me.name, self.me.incarnation, self.me.birth)
         settled = min(now - self._changed_at, told.settled * MILLISECOND) >= self.rules.settle
-        if told.digest != mine and (settled or not self._ring):
+        if told.digest != self.digest and (settled or not self._ring):
             self._want_whole(now, told.me)
 
     def _want_whole(self, now: int, other: Claim) -> None:
@@ -873,7 +877,6 @@
             room -= len(claims[0])
         if self._news and self.standing is not Standing.OUT:
             room = self._pack(room, to, claims, cuts)
-        digest = self._digest ^ mark(self.me.name, self.me.incarnation, self.me.birth)
         settled = min((now - self._changed_at) // MILLISECOND, 1 << 30)
         version = min(to.high, self.me.high)
         self._port.send(
@@ -884,7 +887,7 @@
                 seq,
                 self.me,
                 late=self._lateness,
-                digest=digest if self.standing is Standing.IN else 0,
+                digest=self.digest if self.standing is Standing.IN else 0,
                 settled=settled,
                 claims=tuple(claims),
                 cuts=tuple(cuts),
--- a/millweir/members/links.py
+++ b/millweir/members/links.py
@@ -173,13 +173,23 @@
                 writer.close()
 
     async def _write(self, writer: asyncio.StreamWriter, high: int) -> None:
-        raw = self._seal.sign(1, encode(self._whole(high)))
-        writer.write(len(raw).to_bytes(4) + raw)
+        writer.write(self._encode_whole(high))
         await writer.drain()
 
     async def _take(self, reader: asyncio.StreamReader) -> Whole:
         size = int.from_bytes(await reader.readexactly(4))
         if size > self._most:
             raise Refused("garbled")
-        _, birth, body = self._seal.open(await reader.readexactly(size))
+        return self._decode_whole(await reader.readexactly(size))
+
+    def _encode_whole(self, high: int) -> bytes:
+        """This member's full state as it goes onto a stream: sealed, its length in front."""
+        raw = self._seal.sign(1, encode(self._whole(high)))
+        self.counts["whole_bytes_sent"] += 4 + len(raw)
+        return len(raw).to_bytes(4) + raw
+
+    def _decode_whole(self, raw: bytes) -> Whole:
+        """Another member's full state; Refused where it is not for us."""
+        self.counts["whole_bytes_received"] += 4 + len(raw)
+        _, birth, body = self._seal.open(raw)
         return self._read(read_whole, birth, body)
