Members: a suspicion costs the logarithm of those running, not all of them

Cause: each datagram walked all running suspicions for the next verdict, and each new one set all verdicts again: n squared when a zone or region is lost. Change: verdicts stand in a heap; all are set again only when the findings wanted or the least time (by over 1 %) have changed. What a late waking or a doubt added to a suspicion is no longer undone by the next one that begins.

--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -23,6 +23,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
 from collections import OrderedDict
@@ -186,6 +187,51 @@
         self.wanted = self.nacks = 0
 
 
+class VerdictTimers:
+    """When each suspicion runs out, the earliest first; log n of the suspicions to set or take one."""
+
+    __slots__ = ("_number", "_suspects", "_timers")
+
+    def __init__(self, suspects: dict[str, Member]) -> None:
+        """`suspects`: those under suspicion, by name, as the core keeps them."""
+        self._suspects = suspects
+        self._timers: list[tuple[int, int, Member]] = []  # a heap; one that was set again stays till its time
+        self._number = 0
+
+    def set(self, member: Member, at: int) -> None:
+        member.verdict_at = at
+        self._number += 1
+        heapq.heappush(self._timers, (at, self._number, member))
+        if len(self._timers) > 2 * len(self._suspects) + 64:
+            self._rebuild()
+
+    def next_at(self) -> int:
+        """The earliest of all; NEVER where nobody is suspected."""
+        timers = self._timers
+        while timers and not self._holds(timers[0]):
+            heapq.heappop(timers)
+        return timers[0][0] if timers else NEVER
+
+    def due(self, now: int) -> list[Member]:
+        """Whose suspicion has run out; each is to be set again or held for gone."""
+        found: dict[str, Member] = {}
+        while self.next_at() <= now:
+            _, _, member = heapq.heappop(self._timers)
+            found[member.claim.name] = member
+        return list(found.values())
+
+    def _holds(self, timer: tuple[int, int, Member]) -> bool:
+        at, _, member = timer
+        return member.verdict_at == at and self._suspects.get(member.claim.name) is member
+
+    def _rebuild(self) -> None:
+        self._timers = [
+            (member.verdict_at, number, member) for number, member in enumerate(self._suspects.values())
+        ]
+        self._number = len(self._timers)
+        heapq.heapify(self._timers)
+
+
 class Core:
     """One member."""
 
@@ -218,6 +264,8 @@
         self._relays: OrderedDict[int, tuple[Claim, int, str, int]] = OrderedDict()
         self._news: OrderedDict[object, list] = OrderedDict()  # key: item, its bytes, times told
         self._suspects: dict[str, Member] = {}
+        self._verdicts = VerdictTimers(self._suspects)
+        self._spans = 0, 0  # least time and findings wanted, when all verdicts were set last
         self._digest = 0
         self._changed_at = now
         self._slow = 0  # Lifeguard's awareness: how much slower than planned this member probes
@@ -384,7 +432,8 @@
                 self._probe = None
             self._probe_at = max(self._probe_at, now + self.rules.timeout)
             for member in self._suspects.values():
-                member.verdict_at = max(member.verdict_at, now + min(late, 3 * self.rules.interval))
+                later = now + min(late, 3 * self.rules.interval)
+                self._verdicts.set(member, max(member.verdict_at, later))
             self._vain = 0
             self._heard_at = max(self._heard_at, min(now, self._heard_at + late))
             self._port.say("members.woke-late", late_ms=late // MILLISECOND)
@@ -402,8 +451,7 @@
             due = min(due, self._news_at)
         else:
             self._news_at = NEVER
-        for member in self._suspects.values():
-            due = min(due, member.verdict_at)
+        due = min(due, self._verdicts.next_at())
         for relay in self._relays.values():
             due = min(due, relay[3])
             break  # the oldest ends first
@@ -693,8 +741,11 @@
         member.degree = Degree.SUSPECTED
         member.accusers, member.suspected_at = {by}, now
         self._suspects[member.claim.name] = member
-        for suspect in self._suspects.values():
-            self._set_verdict(suspect)
+        if self._spans_changed():
+            for suspect in self._suspects.values():
+                self._set_verdict(suspect)
+        else:
+            self._set_verdict(member)
 
     def _found_too(self, now: int, member: Member, claim: Claim) -> None:
         """One more member finds the same: sooner gone, and told on as often as the first time."""
@@ -704,24 +755,36 @@
         self._set_verdict(member)
         self._tell(claim.name, claim)
 
+    def _spans_changed(self) -> bool:
+        """Whether verdicts set earlier would be set otherwise now, by more than a hundredth."""
+        least, wanted = self.rules.least(len(self._ring) + 1), self._findings_wanted()
+        least_before, wanted_before = self._spans
+        if wanted == wanted_before and abs(least - least_before) * 100 <= least_before:
+            return False
+        self._spans = least, wanted
+        return True
+
+    def _findings_wanted(self) -> int:
+        """As many more as can find it: where several died at once, those say nothing of each other."""
+        return min(self.rules.helpers, len(self._ring) - len(self._suspects))
+
     def _set_verdict(self, member: Member) -> None:
         least = self.rules.least(len(self._ring) + 1)
         if member.claim.rank is Rank.GONE:
             span = least  # somebody has waited already
         else:
             most = least * self.rules.patience
-            # As many more as can find it: where several died at once, those say nothing of each other.
-            wanted = min(self.rules.helpers, len(self._ring) - len(self._suspects))
+            wanted = self._findings_wanted()
             found = min(len(member.accusers) - 1, wanted)
             share = math.log(found + 1) / math.log(wanted + 1) if wanted else 1.0
             span = round(max(least, most - (most - least) * share))
-        member.verdict_at = member.suspected_at + span
+        self._verdicts.set(member, member.suspected_at + span)
 
     def _judge(self, now: int) -> None:
         """Suspicions that have run out."""
-        for member in [member for member in self._suspects.values() if member.verdict_at <= now]:
+        for member in self._verdicts.due(now):
             if self.in_doubt(now):
-                member.verdict_at = now + self.rules.interval
+                self._verdicts.set(member, now + self.rules.interval)
                 continue
             claim = member.claim.ranked(Rank.GONE, self.me.name)
             self._hold(now, member, claim, Degree.GONE)
--- a/tests/lab/test_scale_membership.py
+++ b/tests/lab/test_scale_membership.py
@@ -82,3 +82,23 @@
         costs.append(cost_of(fleet, 20, steps=False))
     assert all(after.bytes <= 1.35 * before.bytes for before, after in pairwise(costs)), costs
     assert costs[-1].bytes <= 1.8 * costs[0].bytes, costs
+
+
+def with_suspects(count):
+    """A core of a large table that suspects so many."""
+    core = lone_core(TABLES[-1], SEED)
+    for number in range(100, 100 + count):
+        told = claim_of(number).ranked(Rank.SUSPECTED, "m1")
+        core.heard(MILLISECOND, Told(Kind.NEWS, 0, claim_of(1), claims=(told,)))
+    return core
+
+
+@pytest.mark.parametrize("event", [event for event in EVENTS if event is not ping])
+def test_one_event_costs_the_same_beside_any_number_of_suspects(event):
+    steps = [steps_of(event, with_suspects(count)) for count in (1, 10, 100)]
+    assert max(steps) <= 1.25 * min(steps), steps  # the logarithm of a heap
+
+
+def test_an_answer_costs_no_more_than_a_full_datagram_of_news():
+    steps = [steps_of(ping, with_suspects(count)) for count in (100, 200, 400)]
+    assert is_flat(steps), steps
--- a/tests/members/mutants.py
+++ b/tests/members/mutants.py
@@ -59,7 +59,7 @@
         "two-of-one-name",
     ),
     "a suspicion never runs out": (
-        "[member for member in self._suspects.values() if member.verdict_at <= now]",
+        "self._verdicts.due(now)",
         "[]",
         "kill-is-found",
     ),
--- a/tests/members/test_sequences.py
+++ b/tests/members/test_sequences.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from millweir.members.core import SECOND, Core, Degree, Rules, Standing
+from millweir.members.core import NEVER, SECOND, Core, Degree, Rules, Standing
 from millweir.members.messages import Claim, Cut, Kind, Rank, Told, Whole
 
 NAMES = ("a", "b", "c", "me")
@@ -145,6 +145,8 @@
         assert core._contacts == {address: there.count(address) for address in core._contacts}
         assert "me" not in core.members and len(core.members) <= 8 and len(core.cuts) <= core.rules.cuts_most
         assert set(core._suspects) == {name for name, m in core.members.items() if m.accusers is not None}
+        verdicts = [member.verdict_at for member in core._suspects.values()]
+        assert core._verdicts.next_at() == min(verdicts, default=NEVER)
         assert self.port.due is None or core._due == self.port.due
 
     def teardown(self):
