Membership at scale: the losses and a region in simulated time beside the real ones

Cause: the machine is shared and its processors are stolen for a quarter of the time; at 490 members turns run late by over 250 ms, so real time alone shows no clean time until all agree and no false deaths. Change: membership_simulated.py plays a rack, a zone and a region on the simulated fleet and yields the same quantities, marked simulated.

--- a/millweir/lab/scale/membership.py
+++ b/millweir/lab/scale/membership.py
@@ -45,6 +45,8 @@
 import tracemalloc
 from collections.abc import AsyncIterator, Iterable, Iterator
 
+import msgspec
+
 from millweir.lab.scale.guard import Guard
 from millweir.lab.scale.measurement import Figure
 from millweir.lab.scale.membership_fleet import HollowFleet, Window
@@ -57,6 +59,7 @@
     rack_members,
     zone_members,
 )
+from millweir.lab.scale.membership_simulated import REGION_CUT, Course, losses, region
 from millweir.lab.scale.membership_steps import SilentPort, claim_of, cost_of, settled_fleet
 from millweir.members.core import Core, Rules
 from millweir.members.messages import encode
@@ -69,7 +72,8 @@
 LOSS = 40.0
 CUT = 120.0
 AGREE_MOST = 90.0
-SIMULATED_MOST = 500  # members: steps are counted up to here
+SIMULATED_MOST = 1_600  # members: beyond, a simulated rack and zone take too long
+STEPS_MOST = 500  # members: steps are counted and a region is simulated up to here
 SIMULATED_SECONDS = 5
 REGION_MOST = 1_600  # members: beyond, eight cores don't carry the troubles with a region in real time
 
@@ -251,6 +255,28 @@
 
 
 def _simulated(size: int, seed: int) -> Iterator[Figure]:
+    for course in losses(size, seed):
+        yield from _simulated_course(size, course)
+    if size <= STEPS_MOST:
+        yield from _simulated_calm(size, seed)
+        for course in region(size, seed):
+            yield from _simulated_course(size, course)
+
+
+def _simulated_course(size: int, course: Course) -> Iterator[Figure]:
+    trouble = course.trouble
+    for figure in _spread(size, trouble, "bytes-per-member-second", "B/s", course.members, course.samples):
+        yield msgspec.structs.replace(figure, simulated=True)
+    for quantity in ("false-deaths", "false-suspicions"):
+        yield _single(size, trouble, quantity, "count", float(course.counts[quantity]), simulated=True)
+    if trouble != REGION_CUT:
+        agreed = course.agreed_after is not None
+        yield _single(size, trouble, "agreed", "yes=1", float(agreed), simulated=True)
+        if agreed:
+            yield _single(size, trouble, "time-until-agreed", "s", course.agreed_after, simulated=True)
+
+
+def _simulated_calm(size: int, seed: int) -> Iterator[Figure]:
     fleet = settled_fleet(size, seed)
     calm = cost_of(fleet, SIMULATED_SECONDS)
     yield _single(size, "calm", "steps-per-member-second", "steps/s", calm.steps, simulated=True)
