Members: gossip keeps to a budget of bytes, the living and suspected before the gone

Cause: where a zone or region is lost, gossip went out as fast as datagrams could carry it, over the 11 KB/s allowed for control. Change: 8,000 bytes a second at an interval of one second; gossip waits for it, probes and answers overdraw it with little news. News of the living and suspected goes before that of the gone and of paths.

--- a/millweir/lab/scale/membership_steps.py
+++ b/millweir/lab/scale/membership_steps.py
@@ -17,7 +17,7 @@
 
 import millweir.members
 from millweir.lab.fleet import Fleet
-from millweir.members.core import SECOND, Core, Rules
+from millweir.members.core import SECOND, Core, Port, Rules
 from millweir.members.messages import VERSIONS, Claim, Rank
 
 COUNTED = (str(Path(millweir.members.__file__).parent), random.__file__)
@@ -88,10 +88,10 @@
     return Claim(name, number + 1, 1, Rank.ALIVE, host, PORT, name, *VERSIONS)
 
 
-def lone_core(size: int, seed: int, make: Callable[..., Core] = Core) -> Core:
+def lone_core(size: int, seed: int, port: Port | None = None) -> Core:
     """Member 0 of a fleet, at time 0, that knows all others."""
     rules = Rules(members_most=max(4096, 2 * size))
-    core = make(SilentPort(), rules, random.Random(seed), 0, claim_of(0))
+    core = Core(port or SilentPort(), rules, random.Random(seed), 0, claim_of(0))
     for number in range(1, size):
         core.introduce(0, claim_of(number))
     core.settle(0, [claim_of(number).address for number in range(2)])
--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -50,6 +50,9 @@
 SECOND = 1_000_000_000
 MILLISECOND = 1_000_000
 NEVER = 1 << 62
+BYTES_SECOND = 8000  # at an interval of one second
+ENVELOPE = 230  # bytes of a datagram without its news, the headers below it with it, about
+URGENT_ROOM = 240  # bytes of news that an answer or a probe carries also where the budget is spent
 Address = tuple[str, int]
 
 
@@ -94,6 +97,7 @@
     cuts_most: int = 256
     relays_most: int = 64  # probes for others under way
     datagram_most: int = 1200  # bytes
+    bytes_second: int = BYTES_SECOND  # sent; gossip waits for it, probes and their answers never do
 
     def least(self, members: int) -> int:
         """The shortest time from a suspicion to gone."""
@@ -187,6 +191,25 @@
         self.wanted = self.nacks = 0
 
 
+class ByteBudget:
+    """So many bytes a second, two datagrams at once; what has to be sent may overdraw it."""
+
+    __slots__ = ("_at", "_left", "_most", "_rate")
+
+    def __init__(self, rate: int, datagram_most: int, now: int) -> None:
+        self._rate, self._most, self._at = rate, 2 * datagram_most * SECOND, now
+        self._left = self._most  # bytes, times nanoseconds a second
+
+    def left(self, now: int) -> int:
+        """Bytes that may be sent now; negative while it is overdrawn."""
+        self._left = min(self._most, self._left + max(now - self._at, 0) * self._rate)
+        self._at = max(self._at, now)
+        return self._left // SECOND
+
+    def spend(self, size: int) -> None:
+        self._left -= size * SECOND
+
+
 class VerdictTimers:
     """When each suspicion runs out, the earliest first; log n of the suspicions to set or take one."""
 
@@ -263,6 +286,8 @@
         # Probes for others, by our seq: who asked, its seq, the target, when we give up.
         self._relays: OrderedDict[int, tuple[Claim, int, str, int]] = OrderedDict()
         self._news: OrderedDict[object, list] = OrderedDict()  # key: item, its bytes, times told
+        self._late_news: OrderedDict[object, list] = OrderedDict()  # of those gone, left, and of paths
+        self._budget = ByteBudget(rules.bytes_second, rules.datagram_most, now)
         self._suspects: dict[str, Member] = {}
         self._verdicts = VerdictTimers(self._suspects)
         self._spans = 0, 0  # least time and findings wanted, when all verdicts were set last
@@ -355,7 +380,7 @@
         if was is Standing.IN:
             for member in self._some(max(self.rules.news_to, 2 * self.rules.helpers)):
                 self._send(now, member.claim, Kind.NEWS, 0)
-            self._news[self.me.name] = [self.me, encode(self.me), 0]
+            self._tell(self.me.name, self.me)
             self._news_at = now
         self._arm(now)
 
@@ -374,6 +399,7 @@
         for member in self._ring:
             self._count_contact(member.claim, 1)
         self._news.clear()
+        self._late_news.clear()
         self._arm(now)
 
     # What may be asked.
@@ -446,7 +472,7 @@
 
     def _arm(self, now: int) -> None:
         due = min(self._probe_at, self._contact_at)
-        if self._news:
+        if self._has_news():
             self._news_at = min(self._news_at, now + self.rules.news_every)
             due = min(due, self._news_at)
         else:
@@ -858,6 +884,7 @@
         self.standing = Standing.OUT
         self._probe = None
         self._news.pop(self.me.name, None)
+        self._late_news.pop(self.me.name, None)
         self._contact_at = min(self._contact_at, now + self.rules.contact_every)
 
     def _enter(self, now: int) -> None:
@@ -932,17 +959,24 @@
                 yield member
 
     def _tell(self, key: object, item: Claim | Cut) -> None:
-        """Put into the news, first to be told."""
-        self._news[key] = [item, encode(item), 0]
-        self._news.move_to_end(key, last=False)
+        """Put into the news, first to be told of its kind."""
+        urgent = isinstance(item, Claim) and (item.rank < Rank.GONE or item.name == self.me.name)
+        queue, other = (self._news, self._late_news) if urgent else (self._late_news, self._news)
+        other.pop(key, None)
+        queue[key] = [item, encode(item), 0]
+        queue.move_to_end(key, last=False)
+
+    def _has_news(self) -> bool:
+        return bool(self._news or self._late_news)
 
     def _tell_news(self, now: int) -> None:
         self._news_at = now + self.rules.news_every
         if self.standing is Standing.OUT:
             self._news.clear()
+            self._late_news.clear()
             return
         for member in list(self._some(self.rules.news_to)):
-            if self._news:
+            if self._has_news() and self._budget.left(now) >= self.rules.datagram_most:
                 self._send(now, member.claim, Kind.NEWS, 0)
 
     def _send(self, now: int, to: Claim, kind: Kind, seq: int, **fields: object) -> None:
@@ -950,13 +984,18 @@
         claims: list[msgspec.Raw] = []
         cuts: list[Cut] = []
         room = self.rules.datagram_most - 360  # what the rest takes at most
+        if kind is not Kind.NEWS:
+            room = max(min(room, self._budget.left(now) - ENVELOPE), URGENT_ROOM)
+        room_before = room
         held = self.members.get(to.name)
         if held and (held.claim.key > to.key or held.claim.rank is not Rank.ALIVE):
             # Who is thought gone hears it first, and can refute it.
             claims.append(msgspec.Raw(encode(held.claim)))
             room -= len(claims[0])
-        if self._news and self.standing is not Standing.OUT:
-            room = self._pack(room, to, claims, cuts)
+        if self.standing is not Standing.OUT:
+            for news in (self._news, self._late_news):
+                room = self._pack(news, room, to, claims, cuts)
+        self._budget.spend(ENVELOPE + room_before - room)
         settled = min((now - self._changed_at) // MILLISECOND, 1 << 30)
         version = min(to.high, self.me.high)
         self._port.send(
@@ -975,16 +1014,16 @@
             ),
         )
 
-    def _pack(self, room: int, to: Claim, claims: list, cuts: list) -> int:
+    def _pack(self, news: OrderedDict, room: int, to: Claim, claims: list, cuts: list) -> int:
         """The news told least often first; what has been told often enough is dropped."""
         most = self.rules.told(len(self._ring) + 1)
         again = []
-        while self._news and len(claims) + len(cuts) < 64:
-            key, entry = next(iter(self._news.items()))
+        while news and len(claims) + len(cuts) < 64:
+            key, entry = next(iter(news.items()))
             item, raw, _ = entry
             if len(raw) > room:
                 break
-            del self._news[key]
+            del news[key]
             if isinstance(item, Cut):
                 if to.high >= CUTS_SINCE:
                     cuts.append(item)
@@ -996,5 +1035,5 @@
             if entry[2] < most:
                 again.append((key, entry))
         for key, entry in again:
-            self._news[key] = entry
+            news[key] = entry
         return room
--- a/millweir/members/section.py
+++ b/millweir/members/section.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import ClassVar
 
-from millweir.members.core import Rules
+from millweir.members.core import BYTES_SECOND, Rules
 from millweir.members.messages import NAME_MOST, VERSIONS
 from millweir.operator.file import Section
 from millweir.operator.units import Place, Size, Span, address
@@ -89,6 +89,7 @@
             doubt_most=self.doubt_most,
             members_most=self.members_most,
             datagram_most=self.datagram_most,
+            bytes_second=max(BYTES_SECOND, BYTES_SECOND * SECOND // self.interval),  # probes take their part
             news_every=min(SECOND // 5, self.interval // 5),
             settle=3 * self.interval,
             whole_rest=10 * self.interval,
--- a/tests/lab/test_scale_membership.py
+++ b/tests/lab/test_scale_membership.py
@@ -7,9 +7,17 @@
 import msgspec
 import pytest
 
-from millweir.lab.scale.membership_steps import claim_of, cost_of, lone_core, settled_fleet, steps_of
+from millweir.lab.fleet import OVERHEAD
+from millweir.lab.scale.membership_steps import (
+    SilentPort,
+    claim_of,
+    cost_of,
+    lone_core,
+    settled_fleet,
+    steps_of,
+)
 from millweir.members.core import MILLISECOND, SECOND
-from millweir.members.messages import Kind, Rank, Told
+from millweir.members.messages import Claim, Kind, Rank, Told, encode
 
 FLEETS = (10, 20, 40, 80)
 TABLES = (10, 100, 1000)
@@ -102,3 +110,69 @@
 def test_an_answer_costs_no_more_than_a_full_datagram_of_news():
     steps = [steps_of(ping, with_suspects(count)) for count in (100, 200, 400)]
     assert is_flat(steps), steps
+
+
+class RecordingPort(SilentPort):
+    """Keeps what the core sends."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, to, version, datagram):
+        self.sent.append(datagram)
+
+    @property
+    def bytes(self):
+        return sum(len(encode(datagram)) + OVERHEAD for datagram in self.sent)
+
+
+def full_of_news(port, ranks):
+    """A core of a large table that was told of so many members each; the last told is the newest."""
+    core = lone_core(TABLES[-1], SEED, port=port)
+    number = 10
+    for rank, count in ranks:
+        for _ in range(count):
+            told = claim_of(number).ranked(rank, "m1")
+            core.heard(MILLISECOND, Told(Kind.NEWS, 0, claim_of(1), claims=(told,)))
+            number += 1
+    port.sent.clear()
+    return core
+
+
+def test_gossip_keeps_to_its_bytes_a_second_however_much_there_is_to_tell():
+    port = RecordingPort()
+    core = full_of_news(port, [(Rank.SUSPECTED, 400)])
+    seconds = 4
+    for step in range(1, 5 * seconds + 1):
+        core.time_passed(step * SECOND // 5)
+    most = core.rules.bytes_second * seconds + 2 * core.rules.datagram_most
+    assert most // 2 < port.bytes <= most
+
+
+def test_an_answer_tells_the_most_urgent_where_the_bytes_are_spent():
+    port = RecordingPort()
+    core = full_of_news(port, [(Rank.SUSPECTED, 400)])
+    for number in range(100):
+        core.heard(MILLISECOND, Told(Kind.PING, number, claim_of(1), core.me.name))
+    assert [datagram.kind for datagram in port.sent] == [Kind.ACK] * 100
+    assert all(datagram.claims for datagram in port.sent)
+    assert len(encode(port.sent[-1])) < 500 < len(encode(port.sent[0]))
+
+
+def test_a_refutation_and_suspicions_are_told_before_deaths():
+    port = RecordingPort()
+    core = full_of_news(port, [(Rank.SUSPECTED, 2)])
+    for number in (500, 501, 502):
+        left = claim_of(number).ranked(Rank.LEFT, f"m{number}")
+        core.heard(MILLISECOND, Told(Kind.NEWS, 0, left))
+    accused = core.me.ranked(Rank.SUSPECTED, "m1")
+    core.heard(2 * MILLISECOND, Told(Kind.NEWS, 0, claim_of(1), claims=(accused,)))
+    for number in (503, 504):
+        left = claim_of(number).ranked(Rank.LEFT, f"m{number}")
+        core.heard(3 * MILLISECOND, Told(Kind.NEWS, 0, left))
+    port.sent.clear()
+    core.heard(4 * MILLISECOND, Told(Kind.PING, 1, claim_of(5), core.me.name))
+    told = [msgspec.msgpack.decode(raw, type=Claim) for raw in port.sent[0].claims]
+    assert told[0].name == core.me.name and told[0].incarnation > accused.incarnation
+    assert [claim.rank for claim in told[1:3]] == [Rank.SUSPECTED] * 2
+    assert {claim.rank for claim in told[3:]} == {Rank.LEFT}
