Members: a verdict's time is set by one rule and put on the timers by another

Change: the rule sets the time, the callers put it on the timers. A test on the baseline, which fails without this.

--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -221,10 +221,10 @@
         self._timers: list[tuple[int, int, Member]] = []  # a heap; one that was set again stays till its time
         self._number = 0
 
-    def set(self, member: Member, at: int) -> None:
-        member.verdict_at = at
+    def add(self, member: Member) -> None:
+        """The member's `verdict_at` has been set."""
         self._number += 1
-        heapq.heappush(self._timers, (at, self._number, member))
+        heapq.heappush(self._timers, (member.verdict_at, self._number, member))
         if len(self._timers) > 2 * len(self._suspects) + 64:
             self._rebuild()
 
@@ -459,7 +459,8 @@
             self._probe_at = max(self._probe_at, now + self.rules.timeout)
             for member in self._suspects.values():
                 later = now + min(late, 3 * self.rules.interval)
-                self._verdicts.set(member, max(member.verdict_at, later))
+                member.verdict_at = max(member.verdict_at, later)
+                self._verdicts.add(member)
             self._vain = 0
             self._heard_at = max(self._heard_at, min(now, self._heard_at + late))
             self._port.say("members.woke-late", late_ms=late // MILLISECOND)
@@ -769,16 +770,16 @@
         self._suspects[member.claim.name] = member
         if self._spans_changed():
             for suspect in self._suspects.values():
-                self._set_verdict(suspect)
+                self._time_verdict(suspect)
         else:
-            self._set_verdict(member)
+            self._time_verdict(member)
 
     def _found_too(self, now: int, member: Member, claim: Claim) -> None:
         """One more member finds the same: sooner gone, and told on as often as the first time."""
         if claim.by in member.accusers or len(member.accusers) > self.rules.helpers:
             return
         member.accusers.add(claim.by)
-        self._set_verdict(member)
+        self._time_verdict(member)
         self._tell(claim.name, claim)
 
     def _spans_changed(self) -> bool:
@@ -794,6 +795,10 @@
         """As many more as can find it: where several died at once, those say nothing of each other."""
         return min(self.rules.helpers, len(self._ring) - len(self._suspects))
 
+    def _time_verdict(self, member: Member) -> None:
+        self._set_verdict(member)
+        self._verdicts.add(member)
+
     def _set_verdict(self, member: Member) -> None:
         least = self.rules.least(len(self._ring) + 1)
         if member.claim.rank is Rank.GONE:
@@ -804,13 +809,14 @@
             found = min(len(member.accusers) - 1, wanted)
             share = math.log(found + 1) / math.log(wanted + 1) if wanted else 1.0
             span = round(max(least, most - (most - least) * share))
-        self._verdicts.set(member, member.suspected_at + span)
+        member.verdict_at = member.suspected_at + span
 
     def _judge(self, now: int) -> None:
         """Suspicions that have run out."""
         for member in self._verdicts.due(now):
             if self.in_doubt(now):
-                self._verdicts.set(member, now + self.rules.interval)
+                member.verdict_at = now + self.rules.interval
+                self._verdicts.add(member)
                 continue
             claim = member.claim.ranked(Rank.GONE, self.me.name)
             self._hold(now, member, claim, Degree.GONE)
--- a/tests/lab/test_scale_membership.py
+++ b/tests/lab/test_scale_membership.py
@@ -7,7 +7,8 @@
 import msgspec
 import pytest
 
-from millweir.lab.fleet import OVERHEAD
+from millweir.lab.baselines import PlainSwim
+from millweir.lab.fleet import OVERHEAD, Fleet
 from millweir.lab.scale.membership_steps import (
     SilentPort,
     claim_of,
@@ -16,7 +17,7 @@
     settled_fleet,
     steps_of,
 )
-from millweir.members.core import MILLISECOND, SECOND
+from millweir.members.core import MILLISECOND, SECOND, Degree
 from millweir.members.messages import Claim, Kind, Rank, Told, encode
 
 FLEETS = (10, 20, 40, 80)
@@ -176,3 +177,12 @@
     assert told[0].name == core.me.name and told[0].incarnation > accused.incarnation
     assert [claim.rank for claim in told[1:3]] == [Rank.SUSPECTED] * 2
     assert {claim.rank for claim in told[3:]} == {Rank.LEFT}
+
+
+def test_the_plain_swim_baseline_holds_the_dead_for_gone():
+    """It sets its verdicts by a rule of its own; the core's timers go by them."""
+    fleet = Fleet(10, SEED, make=PlainSwim)
+    fleet.run(3 * SECOND)
+    fleet.nodes[3].kill()
+    fleet.run(30 * SECOND)
+    assert {node.core.members["m3"].degree for node in fleet.living} == {Degree.GONE}
