Members: the core split by job: rules, view, port, probing, suspicion, gossip

Cause: core.py had grown to 1,044 lines with the records, tables and queues in one file. Change: moved without a change of behaviour; the ring of members to probe and the queue of updates are classes of their own. Two mutants of the tests stand in gossip.py now and are built from there, as strict as before.

--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -23,17 +23,14 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 import random
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
-from enum import Enum
-from typing import Protocol
+from collections.abc import Iterable
 
 import msgspec
 
+from millweir.members.gossip import ByteBudget, Gossip, Load
 from millweir.members.messages import (
     CUTS_SINCE,
     Claim,
@@ -46,213 +43,29 @@
     encode,
     mark,
 )
+from millweir.members.port import Port
+from millweir.members.probing import Probe, Ring
+from millweir.members.rules import MILLISECOND, NEVER, SECOND, Address, Rules
+from millweir.members.suspicion import VerdictTimers
+from millweir.members.view import Change, Degree, Member, Standing
+
+__all__ = [
+    "MILLISECOND",
+    "NEVER",
+    "SECOND",
+    "Address",
+    "Change",
+    "Core",
+    "Degree",
+    "Member",
+    "Port",
+    "Probe",
+    "Rules",
+    "Standing",
+]
 
-SECOND = 1_000_000_000
-MILLISECOND = 1_000_000
-NEVER = 1 << 62
-BYTES_SECOND = 8000  # at an interval of one second
 ENVELOPE = 230  # bytes of a datagram without its news, the headers below it with it, about
 URGENT_ROOM = 240  # bytes of news that an answer or a probe carries also where the budget is spent
-Address = tuple[str, int]
-
-
-class Degree(Enum):
-    """How a member stands in this view."""
-
-    ALIVE = "alive"
-    LATE = "late"  # it answers late, or says so itself
-    CUT = "cut"  # it lives, but a path between it and us is down
-    SUSPECTED = "suspected"
-    GONE = "gone"
-    LEFT = "left"
-
-
-class Standing(Enum):
-    """How this member stands itself."""
-
-    OUT = "out"  # not yet in, or its name is another's
-    IN = "in"
-    LEAVING = "leaving"
-
-
-@dataclass(frozen=True, slots=True)
-class Rules:
-    """Times in nanoseconds; counts as named."""
-
-    interval: int = SECOND  # between probes
-    timeout: int = SECOND // 2  # until helpers are asked; less than the interval
-    helpers: int = 3
-    suspicion: float = 5.0  # intervals from suspicion to gone at ten members or fewer, at the least
-    patience: float = 6.0  # times as long when nobody else finds the same
-    late_most: int = 8  # how many times slower a member that is late probes
-    news_every: int = SECOND // 5
-    news_to: int = 3
-    retell: int = 4  # times the logarithm of the fleet that a claim is told by each member
-    contact_every: int = 5 * SECOND  # a word to a seed, or to one held gone: heals cuts
-    settle: int = 3 * SECOND  # an unchanged view that differs from another's for so long asks for it whole
-    whole_rest: int = 10 * SECOND  # between whole states asked for
-    doubt_most: int = 120 * SECOND  # how long a member whom nobody answers holds its verdicts back
-    forget: int = 24 * 3600 * SECOND  # records of gone members
-    members_most: int = 4096
-    cuts_most: int = 256
-    relays_most: int = 64  # probes for others under way
-    datagram_most: int = 1200  # bytes
-    bytes_second: int = BYTES_SECOND  # sent; gossip waits for it, probes and their answers never do
-
-    def least(self, members: int) -> int:
-        """The shortest time from a suspicion to gone."""
-        return round(self.suspicion * max(1.0, math.log10(max(members, 1))) * self.interval)
-
-    def told(self, members: int) -> int:
-        """How often one claim is told by each member."""
-        return self.retell * math.ceil(math.log10(members + 1) or 1)
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    """A member's degree in this view is another one now."""
-
-    at: int
-    name: str
-    before: Degree | None
-    after: Degree
-    by: str
-    incarnation: int
-
-
-class Port(Protocol):
-    """What the core does to the world."""
-
-    def send(self, to: Address, version: int, datagram: Datagram) -> None: ...
-    def ask_whole(self, to: Address) -> None: ...
-    def wake(self, at: int) -> None: ...
-    def changed(self, change: Change) -> None: ...
-    def keep(self, incarnation: int) -> None: ...  # to outlast this process, before it is told
-    def say(self, event: str, **fields: object) -> None: ...
-
-
-class Member:
-    """One other member, as held here."""
-
-    __slots__ = (
-        "accusers",
-        "ask_in_vain",
-        "claim",
-        "cut_in",
-        "cut_out",
-        "degree",
-        "heard_at",
-        "late",
-        "since",
-        "suspected_at",
-        "vain_since",
-        "verdict_at",
-        "word",
-    )
-
-    def __init__(self, claim: Claim, now: int) -> None:
-        self.claim = claim
-        self.degree = Degree.ALIVE  # never CUT or LATE: those show on top of it
-        self.since = now
-        self.word = claim.by
-        self.heard_at = -NEVER  # by its own datagram
-        self.late = 0  # ms, by its own word
-        self.accusers: set[str] | None = None
-        self.suspected_at = 0
-        self.verdict_at = NEVER
-        self.ask_in_vain = 0  # probes in a row answered through helpers only
-        self.vain_since = 0
-        self.cut_out = self.cut_in = 0  # since when from us to it, from it to us; 0 for not
-
-    @property
-    def active(self) -> bool:
-        return self.degree is Degree.ALIVE or self.degree is Degree.SUSPECTED
-
-
-class Probe:
-    """The one probe under way."""
-
-    __slots__ = (
-        "answered",
-        "asked",
-        "asks_at",
-        "began",
-        "direct",
-        "ends",
-        "nacks",
-        "seq",
-        "target",
-        "wanted",
-    )
-
-    def __init__(self, target: Member, seq: int, began: int, asks_at: int, ends: int) -> None:
-        self.target, self.seq, self.began, self.asks_at, self.ends = target, seq, began, asks_at, ends
-        self.answered = self.direct = self.asked = False
-        self.wanted = self.nacks = 0
-
-
-class ByteBudget:
-    """So many bytes a second, two datagrams at once; what has to be sent may overdraw it."""
-
-    __slots__ = ("_at", "_left", "_most", "_rate")
-
-    def __init__(self, rate: int, datagram_most: int, now: int) -> None:
-        self._rate, self._most, self._at = rate, 2 * datagram_most * SECOND, now
-        self._left = self._most  # bytes, times nanoseconds a second
-
-    def left(self, now: int) -> int:
-        """Bytes that may be sent now; negative while it is overdrawn."""
-        self._left = min(self._most, self._left + max(now - self._at, 0) * self._rate)
-        self._at = max(self._at, now)
-        return self._left // SECOND
-
-    def spend(self, size: int) -> None:
-        self._left -= size * SECOND
-
-
-class VerdictTimers:
-    """When each suspicion runs out, the earliest first; log n of the suspicions to set or take one."""
-
-    __slots__ = ("_number", "_suspects", "_timers")
-
-    def __init__(self, suspects: dict[str, Member]) -> None:
-        """`suspects`: those under suspicion, by name, as the core keeps them."""
-        self._suspects = suspects
-        self._timers: list[tuple[int, int, Member]] = []  # a heap; one that was set again stays till its time
-        self._number = 0
-
-    def add(self, member: Member) -> None:
-        """The member's `verdict_at` has been set."""
-        self._number += 1
-        heapq.heappush(self._timers, (member.verdict_at, self._number, member))
-        if len(self._timers) > 2 * len(self._suspects) + 64:
-            self._rebuild()
-
-    def next_at(self) -> int:
-        """The earliest of all; NEVER where nobody is suspected."""
-        timers = self._timers
-        while timers and not self._holds(timers[0]):
-            heapq.heappop(timers)
-        return timers[0][0] if timers else NEVER
-
-    def due(self, now: int) -> list[Member]:
-        """Whose suspicion has run out; each is to be set again or held for gone."""
-        found: dict[str, Member] = {}
-        while self.next_at() <= now:
-            _, _, member = heapq.heappop(self._timers)
-            found[member.claim.name] = member
-        return list(found.values())
-
-    def _holds(self, timer: tuple[int, int, Member]) -> bool:
-        at, _, member = timer
-        return member.verdict_at == at and self._suspects.get(member.claim.name) is member
-
-    def _rebuild(self) -> None:
-        self._timers = [
-            (member.verdict_at, number, member) for number, member in enumerate(self._suspects.values())
-        ]
-        self._number = len(self._timers)
-        heapq.heapify(self._timers)
 
 
 class Core:
@@ -278,15 +91,13 @@
         self.cuts: dict[tuple[str, str, str], Cut] = {}
         self.full = False  # more members than the table holds were heard of
         self._contacts: dict[Address, int] = dict.fromkeys(contacts, 0)  # how many active members are there
-        self._ring: list[Member] = []  # the active ones, in the order of this round
+        self._ring = Ring(chance)  # the active ones
         self._gone: list[Member] = []  # those held gone, the one gone longest first
-        self._at = 0  # next of the ring
         self._probe: Probe | None = None
         self._past: OrderedDict[int, tuple[Member, int]] = OrderedDict()  # probes over: answers may come late
         # Probes for others, by our seq: who asked, its seq, the target, when we give up.
         self._relays: OrderedDict[int, tuple[Claim, int, str, int]] = OrderedDict()
-        self._news: OrderedDict[object, list] = OrderedDict()  # key: item, its bytes, times told
-        self._late_news: OrderedDict[object, list] = OrderedDict()  # of those gone, left, and of paths
+        self._gossip = Gossip(me.name)
         self._budget = ByteBudget(rules.bytes_second, rules.datagram_most, now)
         self._suspects: dict[str, Member] = {}
         self._verdicts = VerdictTimers(self._suspects)
@@ -378,9 +189,9 @@
         self.me = self.me.ranked(Rank.LEFT, self.me.name)
         self._probe = None
         if was is Standing.IN:
-            for member in self._some(max(self.rules.news_to, 2 * self.rules.helpers)):
+            for member in self._ring.some(max(self.rules.news_to, 2 * self.rules.helpers)):
                 self._send(now, member.claim, Kind.NEWS, 0)
-            self._tell(self.me.name, self.me)
+            self._gossip.tell(self.me.name, self.me)
             self._news_at = now
         self._arm(now)
 
@@ -398,8 +209,7 @@
         self._contacts = dict.fromkeys(contacts, 0)
         for member in self._ring:
             self._count_contact(member.claim, 1)
-        self._news.clear()
-        self._late_news.clear()
+        self._gossip.clear()
         self._arm(now)
 
     # What may be asked.
@@ -473,7 +283,7 @@
 
     def _arm(self, now: int) -> None:
         due = min(self._probe_at, self._contact_at)
-        if self._has_news():
+        if self._gossip:
             self._news_at = min(self._news_at, now + self.rules.news_every)
             due = min(due, self._news_at)
         else:
@@ -515,22 +325,16 @@
         self._probe_at = probe.asks_at
 
     def _next(self) -> Member | None:
-        last = self._ring[self._at - 1] if 0 < self._at <= len(self._ring) else None
+        last = self._ring.current
         if last and 0 < last.ask_in_vain < 3:
             return last  # is its path down, or was that chance? A large fleet would not be back here for long
-        if self._at >= len(self._ring):
-            self._chance.shuffle(self._ring)
-            self._at = 0
-        if not self._ring:
-            return None
-        self._at += 1
-        return self._ring[self._at - 1]
+        return self._ring.advance()
 
     def _ask_helpers(self, now: int, probe: Probe) -> None:
         probe.asked = True
         claim = probe.target.claim
         self._send(now, claim, Kind.PING, probe.seq, target=claim.name)  # the first one may just be lost
-        for helper in self._some(self.rules.helpers, probe.target):
+        for helper in self._ring.some(self.rules.helpers, probe.target):
             probe.wanted += 1
             self._send(
                 now, helper.claim, Kind.ASK, probe.seq, target=claim.name, host=claim.host, port=claim.port
@@ -647,7 +451,7 @@
         if len(self.cuts) > self.rules.cuts_most:  # paths that are up again first, then the oldest
             mended = (old for old, one in self.cuts.items() if not one.down)
             self.cuts.pop(next(mended, next(iter(self.cuts))))
-        self._tell(key, cut)
+        self._gossip.tell(key, cut)
 
     # Claims.
 
@@ -681,7 +485,7 @@
             self._hold(now, member, claim, Degree.GONE)
         else:  # gone too: guards the living of one side of a cut against what the other made of them
             self._suspect(now, member, claim, newer)
-        self._tell(claim.name, claim)
+        self._gossip.tell(claim.name, claim)
 
     def _met(self, now: int, claim: Claim) -> None:
         """A name not known before."""
@@ -696,17 +500,14 @@
             if member.degree is Degree.GONE:
                 self._gone.append(member)
         else:
-            self._enlist(member)
+            self._ring.insert(member)
             self._count_contact(claim, 1)
             if claim.rank is Rank.SUSPECTED:
                 self._begin_suspicion(now, member, claim.by)
-            self._tell(claim.name, claim)
+            self._gossip.tell(claim.name, claim)
         self._count(now, claim, member.active)
         self._shown(now, member, None, claim.by)
 
-    def _enlist(self, member: Member) -> None:
-        self._ring.insert(self._chance.randint(0, len(self._ring)), member)
-
     def _hold(self, now: int, member: Member, claim: Claim, degree: Degree) -> None:
         """The claim that holds from now on."""
         before, was_active = self.degree(now, member), member.active
@@ -722,11 +523,9 @@
             member.accusers, member.verdict_at = None, NEVER
             self._suspects.pop(claim.name, None)
         if member.active and not was_active:
-            self._enlist(member)
+            self._ring.insert(member)
         elif was_active and not member.active:
-            at = self._ring.index(member)
-            del self._ring[at]
-            self._at -= at < self._at
+            self._ring.remove(member)
             member.cut_in = member.cut_out = 0
             for key in [key for key, cut in self.cuts.items() if cut.by == claim.name]:
                 del self.cuts[key]
@@ -780,7 +579,7 @@
             return
         member.accusers.add(claim.by)
         self._time_verdict(member)
-        self._tell(claim.name, claim)
+        self._gossip.tell(claim.name, claim)
 
     def _spans_changed(self) -> bool:
         """Whether verdicts set earlier would be set otherwise now, by more than a hundredth."""
@@ -820,7 +619,7 @@
                 continue
             claim = member.claim.ranked(Rank.GONE, self.me.name)
             self._hold(now, member, claim, Degree.GONE)
-            self._tell(claim.name, claim)
+            self._gossip.tell(claim.name, claim)
 
     def _word_of(self, now: int, member: Member, told: Told) -> None:
         """The member itself was heard."""
@@ -879,7 +678,7 @@
             )
         self._changed_at = now
         if self.standing is Standing.IN:
-            self._tell(me.name, self.me)
+            self._gossip.tell(me.name, self.me)
 
     def _yield(self, now: int, other: Claim) -> None:
         """Guards a name used by two processes: the one with the lower claim stays out until it is free."""
@@ -889,8 +688,7 @@
             )
         self.standing = Standing.OUT
         self._probe = None
-        self._news.pop(self.me.name, None)
-        self._late_news.pop(self.me.name, None)
+        self._gossip.forget(self.me.name)
         self._contact_at = min(self._contact_at, now + self.rules.contact_every)
 
     def _enter(self, now: int) -> None:
@@ -898,7 +696,7 @@
         if self.me.incarnation == 0:
             self._rise(now, 1)
         else:
-            self._tell(self.me.name, self.me)
+            self._gossip.tell(self.me.name, self.me)
         self._probe_at = min(self._probe_at, now + self.rules.interval)
         self._port.say("members.entered", incarnation=self.me.incarnation, members=len(self._ring) + 1)
 
@@ -953,55 +751,28 @@
 
     # Words to others.
 
-    def _some(self, count: int, but: Member | None = None) -> Iterator[Member]:
-        """So many active members by chance, each once."""
-        ring, seen = self._ring, set()
-        for _ in range(4 * count):
-            if len(seen) >= min(count, len(ring)):
-                return
-            member = ring[self._chance.randrange(len(ring))]
-            if member is not but and member.claim.name not in seen:
-                seen.add(member.claim.name)
-                yield member
-
-    def _tell(self, key: object, item: Claim | Cut) -> None:
-        """Put into the news, first to be told of its kind."""
-        urgent = isinstance(item, Claim) and (item.rank < Rank.GONE or item.name == self.me.name)
-        queue, other = (self._news, self._late_news) if urgent else (self._late_news, self._news)
-        other.pop(key, None)
-        queue[key] = [item, encode(item), 0]
-        queue.move_to_end(key, last=False)
-
-    def _has_news(self) -> bool:
-        return bool(self._news or self._late_news)
-
     def _tell_news(self, now: int) -> None:
         self._news_at = now + self.rules.news_every
         if self.standing is Standing.OUT:
-            self._news.clear()
-            self._late_news.clear()
+            self._gossip.clear()
             return
-        for member in list(self._some(self.rules.news_to)):
-            if self._has_news() and self._budget.left(now) >= self.rules.datagram_most:
+        for member in list(self._ring.some(self.rules.news_to)):
+            if self._gossip and self._budget.left(now) >= self.rules.datagram_most:
                 self._send(now, member.claim, Kind.NEWS, 0)
 
     def _send(self, now: int, to: Claim, kind: Kind, seq: int, **fields: object) -> None:
         """A datagram with as much of the news as it holds."""
-        claims: list[msgspec.Raw] = []
-        cuts: list[Cut] = []
         room = self.rules.datagram_most - 360  # what the rest takes at most
         if kind is not Kind.NEWS:
             room = max(min(room, self._budget.left(now) - ENVELOPE), URGENT_ROOM)
-        room_before = room
+        load = Load(room)
         held = self.members.get(to.name)
         if held and (held.claim.key > to.key or held.claim.rank is not Rank.ALIVE):
             # Who is thought gone hears it first, and can refute it.
-            claims.append(msgspec.Raw(encode(held.claim)))
-            room -= len(claims[0])
+            load.add_claim(encode(held.claim))
         if self.standing is not Standing.OUT:
-            for news in (self._news, self._late_news):
-                room = self._pack(news, room, to, claims, cuts)
-        self._budget.spend(ENVELOPE + room_before - room)
+            self._gossip.pack(to, self.rules.told(len(self._ring) + 1), load)
+        self._budget.spend(ENVELOPE + room - load.room)
         settled = min((now - self._changed_at) // MILLISECOND, 1 << 30)
         version = min(to.high, self.me.high)
         self._port.send(
@@ -1014,32 +785,8 @@
                 late=self._lateness,
                 digest=self.digest if self.standing is Standing.IN else 0,
                 settled=settled,
-                claims=tuple(claims),
-                cuts=tuple(cuts),
+                claims=tuple(load.claims),
+                cuts=tuple(load.cuts),
                 **fields,
             ),
         )
-
-    def _pack(self, news: OrderedDict, room: int, to: Claim, claims: list, cuts: list) -> int:
-        """The news told least often first; what has been told often enough is dropped."""
-        most = self.rules.told(len(self._ring) + 1)
-        again = []
-        while news and len(claims) + len(cuts) < 64:
-            key, entry = next(iter(news.items()))
-            item, raw, _ = entry
-            if len(raw) > room:
-                break
-            del news[key]
-            if isinstance(item, Cut):
-                if to.high >= CUTS_SINCE:
-                    cuts.append(item)
-                    room -= len(raw)
-            elif item.name != to.name or item.rank is not Rank.ALIVE:
-                claims.append(msgspec.Raw(raw))
-                room -= len(raw)
-            entry[2] += 1
-            if entry[2] < most:
-                again.append((key, entry))
-        for key, entry in again:
-            news[key] = entry
-        return room
--- a/millweir/members/links.py
+++ b/millweir/members/links.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from millweir.members.core import Address
 from millweir.members.messages import Datagram, Told, Whole, encode, read_datagram, read_whole
+from millweir.members.rules import Address
 from millweir.members.seal import Refused, Seal
 
 SECOND = 1_000_000_000
--- a/millweir/members/part.py
+++ b/millweir/members/part.py
@@ -13,12 +13,14 @@
 
 import msgspec
 
-from millweir.members.core import Address, Change, Core, Degree, Standing
+from millweir.members.core import Core
 from millweir.members.events import KINDS
 from millweir.members.links import Links
 from millweir.members.messages import VERSIONS, Claim, Datagram, Rank, Told, Whole
+from millweir.members.rules import Address
 from millweir.members.seal import Seal
 from millweir.members.section import Members
+from millweir.members.view import Change, Degree, Standing
 from millweir.operator.events import Events
 from millweir.operator.units import address
 
--- a/millweir/members/section.py
+++ b/millweir/members/section.py
@@ -6,8 +6,8 @@
 from pathlib import Path
 from typing import ClassVar
 
-from millweir.members.core import BYTES_SECOND, Rules
 from millweir.members.messages import NAME_MOST, VERSIONS
+from millweir.members.rules import BYTES_SECOND, Rules
 from millweir.operator.file import Section
 from millweir.operator.units import Place, Size, Span, address
 
--- a/tests/members/mutants.py
+++ b/tests/members/mutants.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 from broken import broken_core
 
 import millweir.members.core as real
+import millweir.members.gossip as gossip
 
 SHARED = ("Degree", "Standing", "Rules", "Change", "Member", "Probe")
+CORE_LINE = "class Core:\n"  # stands once in the core; left as it is
 
 # ruff: noqa: E501
 # name: (text of the core, what stands there instead, the case that finds it)
@@ -38,7 +42,7 @@
         "back-amid-news",
     ),
     "no helpers": (
-        "for helper in self._some(self.rules.helpers, probe.target):",
+        "for helper in self._ring.some(self.rules.helpers, probe.target):",
         "for helper in ():",
         "by-a-third",
     ),
@@ -76,13 +80,13 @@
     "a cut path is never up again": ("self._path(now, member, out=False, into=False)", "pass", "one-way"),
     "both ways are taken for cut": ("into=member.heard_at < member.vain_since)", "into=True)", "one-way"),
     "a datagram takes all the news": (
-        "            if len(raw) > room:\n                break\n",
+        "        if len(raw) > load.room:\n            break\n",
         "",
         "much-news",
     ),
     "cuts are told to all": (
-        "                if to.high >= CUTS_SINCE:",
-        "                if True:",
+        "            if to.high >= CUTS_SINCE:",
+        "            if True:",
         "two-versions",
     ),
     "the table has no bound": (
@@ -110,6 +114,19 @@
 
 
 def broken(name):
-    """The core's class with one line changed."""
+    """The core's class with one line changed, of its own module or of the gossip's."""
     old, new, _ = MUTANTS[name]
+    if old in Path(gossip.__file__).read_text():
+        return core_with_broken_gossip(name, old, new)
     return broken_core(real, name, old, new, SHARED)
+
+
+def core_with_broken_gossip(name, old, new):
+    """The real core's text, with the class `Gossip` of the changed one."""
+    source = Path(gossip.__file__).read_text()
+    assert source.count(old) == 1, f"{name}: stands {source.count(old)} times in {gossip.__name__}"
+    changed = {"__name__": gossip.__name__}
+    exec(compile(source.replace(old, new), name, "exec", dont_inherit=True), changed)
+    core = broken_core(real, name, CORE_LINE, CORE_LINE, SHARED)
+    core.__init__.__globals__["Gossip"] = changed["Gossip"]
+    return core
