Members: the table of rows and the paths that are down in modules of their own

Cause: what is derived from the rows (ring, digest, contacts, those gone) was kept up in several methods of the core. Change: table.py and paths.py, without a change of behaviour; a probe for another is a Relay and no bare tuple. The sequences check the same tables at their new place, two mutants are rewritten for the new text.

--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -43,10 +43,12 @@
     encode,
     mark,
 )
+from millweir.members.paths import Paths, key_of
 from millweir.members.port import Port
-from millweir.members.probing import Probe, Ring
+from millweir.members.probing import Probe, Relay
 from millweir.members.rules import MILLISECOND, NEVER, SECOND, Address, Rules
 from millweir.members.suspicion import VerdictTimers
+from millweir.members.table import Table
 from millweir.members.view import Change, Degree, Member, Standing
 
 __all__ = [
@@ -65,6 +67,12 @@
 ]
 
 ENVELOPE = 230  # bytes of a datagram without its news, the headers below it with it, about
+DEGREES = {  # of a member not known before, by what is claimed of it
+    Rank.ALIVE: Degree.ALIVE,
+    Rank.SUSPECTED: Degree.SUSPECTED,
+    Rank.GONE: Degree.GONE,
+    Rank.LEFT: Degree.LEFT,
+}
 URGENT_ROOM = 240  # bytes of news that an answer or a probe carries also where the budget is spent
 
 
@@ -87,23 +95,20 @@
             self.me = msgspec.structs.replace(self.me, incarnation=me.incarnation + 1)
             port.keep(me.incarnation + 1)
         self.standing = Standing.OUT
-        self.members: dict[str, Member] = {}
-        self.cuts: dict[tuple[str, str, str], Cut] = {}
+        self._table = Table(rules.members_most, chance, now, contacts)
+        self.members = self._table.rows
+        self._ring = self._table.ring
+        self._paths = Paths(rules.cuts_most)
+        self.cuts = self._paths.held
         self.full = False  # more members than the table holds were heard of
-        self._contacts: dict[Address, int] = dict.fromkeys(contacts, 0)  # how many active members are there
-        self._ring = Ring(chance)  # the active ones
-        self._gone: list[Member] = []  # those held gone, the one gone longest first
         self._probe: Probe | None = None
         self._past: OrderedDict[int, tuple[Member, int]] = OrderedDict()  # probes over: answers may come late
-        # Probes for others, by our seq: who asked, its seq, the target, when we give up.
-        self._relays: OrderedDict[int, tuple[Claim, int, str, int]] = OrderedDict()
+        self._relays: OrderedDict[int, Relay] = OrderedDict()  # by our seq
         self._gossip = Gossip(me.name)
         self._budget = ByteBudget(rules.bytes_second, rules.datagram_most, now)
         self._suspects: dict[str, Member] = {}
         self._verdicts = VerdictTimers(self._suspects)
         self._spans = 0, 0  # least time and findings wanted, when all verdicts were set last
-        self._digest = 0
-        self._changed_at = now
         self._slow = 0  # Lifeguard's awareness: how much slower than planned this member probes
         self._vain = 0  # probes in a row that failed altogether
         self._vain_since = now
@@ -111,13 +116,12 @@
         self._woke_late_at = -NEVER
         self._lateness = 0
         self._whole_at = -NEVER
-        self._cut_number = 0
         self._began = now
         self._due = NEVER
         self._probe_at = now + round(chance.uniform(0.5, 1.5) * rules.interval)  # not all in step
         self._news_at = NEVER
         self._contact_at = now
-        if not self._contacts:
+        if not self._table.contacts:
             self._enter(now)
 
     # What the caller tells.
@@ -174,9 +178,9 @@
         if now >= self._probe_at:
             self._step(now)
         self._judge(now)
-        for seq in [seq for seq, relay in self._relays.items() if relay[3] <= now]:
-            asker, theirs, target, _ = self._relays.pop(seq)
-            self._send(now, asker, Kind.NACK, theirs, target=target)
+        for seq in [seq for seq, relay in self._relays.items() if relay.ends <= now]:
+            relay = self._relays.pop(seq)
+            self._send(now, relay.asker, Kind.NACK, relay.seq, target=relay.target)
         if now >= self._news_at:
             self._tell_news(now)
         self._arm(now)
@@ -206,9 +210,7 @@
 
     def settle(self, now: int, contacts: Iterable[Address]) -> None:
         """All are introduced: nothing of it is news."""
-        self._contacts = dict.fromkeys(contacts, 0)
-        for member in self._ring:
-            self._count_contact(member.claim, 1)
+        self._table.set_contacts(contacts)
         self._gossip.clear()
         self._arm(now)
 
@@ -239,7 +241,7 @@
     @property
     def digest(self) -> int:
         """Of all who are held for there, this member with them; the same where two agree on them."""
-        return self._digest ^ mark(self.me.name, self.me.incarnation, self.me.birth)
+        return self._table.digest ^ mark(self.me.name, self.me.incarnation, self.me.birth)
 
     @property
     def slow(self) -> int:
@@ -290,7 +292,7 @@
             self._news_at = NEVER
         due = min(due, self._verdicts.next_at())
         for relay in self._relays.values():
-            due = min(due, relay[3])
+            due = min(due, relay.ends)
             break  # the oldest ends first
         due = max(due, now + MILLISECOND)
         if due != self._due:
@@ -366,7 +368,8 @@
         target = self.members.get(told.target)
         seq = self._chance.getrandbits(48)
         # Before the asker's probe ends, so that it learns that its helpers are well.
-        self._relays[seq] = told.me, told.seq, told.target, now + self.rules.timeout * 4 // 5
+        ends = now + self.rules.timeout * 4 // 5
+        self._relays[seq] = Relay(told.me, told.seq, told.target, ends)
         if target:
             self._send(now, target.claim, Kind.PING, seq, target=told.target, asker=told.me.name)
         else:
@@ -379,7 +382,7 @@
     def _acked(self, now: int, told: Told, sender: Member | None) -> None:
         relay = self._relays.pop(told.seq, None)
         if relay:
-            self._send(now, relay[0], Kind.ACK, relay[1], target=relay[2], heard=told.heard)
+            self._send(now, relay.asker, Kind.ACK, relay.seq, target=relay.target, heard=told.heard)
             return
         if self.standing is Standing.OUT and (told.digest or now - self._began >= self.rules.interval):
             self._want_whole(now, told.me)
@@ -426,32 +429,18 @@
         ):
             if bool(getattr(member, field)) != down:
                 setattr(member, field, now if down else 0)
-                self._cut_number = max(self._cut_number + 1, now // MILLISECOND)
-                cut = Cut(start, end, self.me.name, self._cut_number, down)
-                self._hold_cut(cut)
+                self._hold_cut(self._paths.own(now, start, end, self.me.name, down))
         self._shown(now, member, before, self.me.name)
 
     def _cut_told(self, now: int, cut: Cut) -> None:
         teller = self.members.get(cut.by)
-        held = self.cuts.get((cut.start, cut.end, cut.by))
-        if (
-            teller
-            and teller.active
-            and cut.by in (cut.start, cut.end)
-            and cut.by != self.me.name
-            and cut.number > (held.number if held else -1)
-            and (held or cut.down)
-        ):
+        told_by_its_end = cut.by in (cut.start, cut.end) and cut.by != self.me.name
+        if teller and teller.active and told_by_its_end and self._paths.is_news(cut):
             self._hold_cut(cut)
 
     def _hold_cut(self, cut: Cut) -> None:
-        key = cut.start, cut.end, cut.by
-        self.cuts.pop(key, None)
-        self.cuts[key] = cut
-        if len(self.cuts) > self.rules.cuts_most:  # paths that are up again first, then the oldest
-            mended = (old for old, one in self.cuts.items() if not one.down)
-            self.cuts.pop(next(mended, next(iter(self.cuts))))
-        self._gossip.tell(key, cut)
+        self._paths.hold(cut)
+        self._gossip.tell(key_of(cut), cut)
 
     # Claims.
 
@@ -489,70 +478,30 @@
 
     def _met(self, now: int, claim: Claim) -> None:
         """A name not known before."""
-        if len(self.members) >= self.rules.members_most and not self._forget_one():
+        if not self._table.has_room():
             if not self.full:
                 self.full = True
                 self._port.say("members.table-full", most=self.rules.members_most)
             return
-        member = self.members[claim.name] = Member(claim, now)
-        if claim.rank >= Rank.GONE:
-            member.degree = Degree.LEFT if claim.rank is Rank.LEFT else Degree.GONE
-            if member.degree is Degree.GONE:
-                self._gone.append(member)
-        else:
-            self._ring.insert(member)
-            self._count_contact(claim, 1)
-            if claim.rank is Rank.SUSPECTED:
-                self._begin_suspicion(now, member, claim.by)
+        member = self._table.add(now, claim, DEGREES[claim.rank])
+        if claim.rank is Rank.SUSPECTED:
+            self._begin_suspicion(now, member, claim.by)
+        if member.active:
             self._gossip.tell(claim.name, claim)
-        self._count(now, claim, member.active)
         self._shown(now, member, None, claim.by)
 
     def _hold(self, now: int, member: Member, claim: Claim, degree: Degree) -> None:
         """The claim that holds from now on."""
         before, was_active = self.degree(now, member), member.active
-        if was_active:
-            self._count(now, member.claim, True)  # out of the digest
-            self._count_contact(member.claim, -1)
-        if (member.degree is Degree.GONE) != (degree is Degree.GONE):
-            (self._gone.append if degree is Degree.GONE else self._gone.remove)(member)
-        member.claim, member.degree = claim, degree
-        if member.active:
-            self._count_contact(claim, 1)
+        self._table.hold(now, member, claim, degree)
         if degree is not Degree.SUSPECTED:
             member.accusers, member.verdict_at = None, NEVER
             self._suspects.pop(claim.name, None)
-        if member.active and not was_active:
-            self._ring.insert(member)
-        elif was_active and not member.active:
-            self._ring.remove(member)
+        if was_active and not member.active:
             member.cut_in = member.cut_out = 0
-            for key in [key for key, cut in self.cuts.items() if cut.by == claim.name]:
-                del self.cuts[key]
-        self._count(now, claim, member.active)
+            self._paths.forget(claim.name)
         self._shown(now, member, before, claim.by)
 
-    def _count(self, now: int, claim: Claim, active: bool) -> None:
-        """The digest covers who is held for there: two members that agree on that have the same one."""
-        if active:
-            self._digest ^= mark(claim.name, claim.incarnation, claim.birth)
-            self._changed_at = now
-
-    def _count_contact(self, claim: Claim, by: int) -> None:
-        """An active member more or less at the address of a contact."""
-        if claim.address in self._contacts:
-            self._contacts[claim.address] += by
-
-    def _forget_one(self) -> bool:
-        """Room for a new name: the one gone longest goes."""
-        out = [(member.since, name) for name, member in self.members.items() if not member.active]
-        if not out:
-            return False
-        member = self.members.pop(min(out)[1])
-        if member.degree is Degree.GONE:
-            self._gone.remove(member)
-        return True
-
     # Suspicions.
 
     def _suspect(self, now: int, member: Member, claim: Claim, newer: bool) -> None:
@@ -676,7 +625,7 @@
             self._port.say(
                 "members.refuted", claimed=because.rank.name.lower(), by=because.by, incarnation=incarnation
             )
-        self._changed_at = now
+        self._table.changed_at = now
         if self.standing is Standing.IN:
             self._gossip.tell(me.name, self.me)
 
@@ -714,19 +663,21 @@
         self._contact_at = now + round(every * jitter)
         if self.standing is Standing.LEAVING:
             return
-        while self._gone and now - self._gone[0].since > self.rules.forget:
-            del self.members[self._gone.pop(0).claim.name]
+        self._table.forget_before(now - self.rules.forget)
         ways: list[Address] = [
             address
-            for address, active in self._contacts.items()
+            for address, active in self._table.contacts.items()
             if (outside or not active) and address != self.me.address
         ]
-        if self._gone and (not ways or self._chance.random() < 0.5):
-            member = self._chance.choice(self._gone)
+        gone = self._table.gone
+        if gone and (not ways or self._chance.random() < 0.5):
+            member = self._chance.choice(gone)
             self._send(now, member.claim, Kind.PING, 0, target=member.claim.name)
         elif ways:
             for address in self._chance.sample(ways, len(ways) if outside and len(ways) <= 3 else 1):
-                self._port.send(address, self.me.low, Datagram(Kind.PING, 0, self.me, digest=self._digest))
+                self._port.send(
+                    address, self.me.low, Datagram(Kind.PING, 0, self.me, digest=self._table.digest)
+                )
         if outside and now - self._began >= 3 * self.rules.interval and self._alone_at_start(now):
             self._enter(now)
 
@@ -739,7 +690,7 @@
         """Views that have stood still and differ: one whole state mends what gossip lost."""
         if not told.digest or self.standing is not Standing.IN or told.kind is Kind.NEWS:
             return
-        settled = min(now - self._changed_at, told.settled * MILLISECOND) >= self.rules.settle
+        settled = min(now - self._table.changed_at, told.settled * MILLISECOND) >= self.rules.settle
         if told.digest != self.digest and (settled or not self._ring):
             self._want_whole(now, told.me)
 
@@ -773,7 +724,7 @@
         if self.standing is not Standing.OUT:
             self._gossip.pack(to, self.rules.told(len(self._ring) + 1), load)
         self._budget.spend(ENVELOPE + room - load.room)
-        settled = min((now - self._changed_at) // MILLISECOND, 1 << 30)
+        settled = min((now - self._table.changed_at) // MILLISECOND, 1 << 30)
         version = min(to.high, self.me.high)
         self._port.send(
             to.address,
--- a/millweir/members/probing.py
+++ b/millweir/members/probing.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Iterator
 
+from millweir.members.messages import Claim
 from millweir.members.view import Member
 
 
@@ -80,3 +81,14 @@
         self.target, self.seq, self.began, self.asks_at, self.ends = target, seq, began, asks_at, ends
         self.answered = self.direct = self.asked = False
         self.wanted = self.nacks = 0
+
+
+class Relay:
+    """A probe made for another member."""
+
+    __slots__ = ("asker", "ends", "seq", "target")
+
+    def __init__(self, asker: Claim, seq: int, target: str, ends: int) -> None:
+        self.asker, self.target = asker, target
+        self.seq = seq  # the asker's
+        self.ends = ends  # when the asker is told that there was no answer
--- a/tests/members/mutants.py
+++ b/tests/members/mutants.py
@@ -47,7 +47,7 @@
         "by-a-third",
     ),
     "those held gone are never looked for": (
-        "        if self._gone and (not ways or",
+        "        if gone and (not ways or",
         "        if False and (not ways or",
         "split-without-seeds",
     ),
@@ -90,7 +90,7 @@
         "two-versions",
     ),
     "the table has no bound": (
-        "        if len(self.members) >= self.rules.members_most and not self._forget_one():",
+        "        if not self._table.has_room():",
         "        if False:",
         "bounded",
     ),
--- a/tests/members/test_sequences.py
+++ b/tests/members/test_sequences.py
@@ -139,10 +139,11 @@
         core = self.core
         ring = [member.claim.name for member in core._ring]
         assert sorted(ring) == sorted(name for name, m in core.members.items() if m.active)
-        assert set(core._gone) == {m for m in core.members.values() if m.degree is Degree.GONE}
-        assert len(set(core._gone)) == len(core._gone)
+        table = core._table
+        assert set(table.gone) == {m for m in core.members.values() if m.degree is Degree.GONE}
+        assert len(set(table.gone)) == len(table.gone)
         there = [member.claim.address for member in core._ring]
-        assert core._contacts == {address: there.count(address) for address in core._contacts}
+        assert table.contacts == {address: there.count(address) for address in table.contacts}
         assert "me" not in core.members and len(core.members) <= 8 and len(core.cuts) <= core.rules.cuts_most
         assert set(core._suspects) == {name for name, m in core.members.items() if m.accusers is not None}
         verdicts = [member.verdict_at for member in core._suspects.values()]
