--- /dev/null
+++ b/millweir/placement/core.py
@@ -0,0 +1,630 @@
+"""Which relays are the replicas of each partition next: the deciding core.
+
+No I/O, no clock, no chance of its own; whole nanoseconds.
+
+Theory of operation.  The core holds the present assignment, as the register committed it, and a view of the
+members, which is a hint.  It is told what happened by one method for each thing; `propose` gives the changes
+for the next version, if any.  The caller has the register commit a proposal only if the register's version is
+still the proposal's base; the register gives the version, which only rises.  So any number of cores may run,
+with views as wrong as they like: one proposal a version lands, and what is safe rests on no view.
+
+What moves, in this order:
+
+- the end of a *handover*: the replicas of before have acknowledged, or `LeaseRules.handover_wait` has passed
+  since the change was committed, by when their leases have ended (`holder.py`);
+- replicas on relays that leave for good (`leave_told`), at once, but paced;
+- replicas on relays that have been gone for the whole of `hold`;
+- partitions with too few replicas, or with two in one zone, where that can be mended;
+- replicas from the most to the least loaded relay: one that falls below `fill_below` of the mean load is
+  filled up to `fill_to`.
+
+Invariants, checked after each step in `tests/placement/`:
+
+1. The version only rises, one proposal is under way at a time, and an equal version with other content, a
+   lower one or a gap is refused with nothing changed.
+2. No two replicas of a partition are put in one zone while a zone without one has a candidate; zones are
+   those that the view has told.
+3. A relay that has not been gone for the whole of `hold`, counted from when this core heard it, and does not
+   leave, loses a replica to balance or repair alone.  Its going and coming back moves nothing: the mean load
+   counts it throughout.  Nobody is given anything before it has been alive for `settle`.
+4. A proposal ends at most `changes_most` handovers and changes at most as many placements; two proposals that
+   the register commits are `interval` apart.
+5. While more than `absent_most` of the fleet's weight is gone nothing moves but what leaves: then the view is
+   wrong or this side is the one cut off.
+6. A partition in handover is not changed but by the handover's end: at no time do three versions of its
+   replicas send.
+7. A replica goes only as another comes, while there is a candidate; and only those of the relay concerned.
+8. Steps of one member's change grow with its own partitions, the zones and the logarithm of the relays.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+from heapq import heappop, heappush
+from itertools import islice
+
+from millweir.placement.assignment import (
+    Assignment,
+    Difference,
+    PartitionChange,
+    Placement,
+    Relay,
+    checked_digest,
+    placement_digest,
+    repeats,
+)
+from millweir.placement.fleet import Fleet, Member
+from millweir.placement.leases import SECOND, LeaseRules
+
+NEVER = 1 << 62
+DONORS_LEAST = 8  # among which a partition is looked for that may move to balance
+REGIONS_LEAST = 2  # that balancing leaves to a partition: one may be cut off
+
+
+class Standing(Enum):
+    """How a relay stands in the members' view."""
+
+    ALIVE = "alive"
+    SUSPECTED = "suspected"
+    GONE = "gone"  # also after it left for a restart
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """Times in nanoseconds; counts as named."""
+
+    replicas: int = 3  # of a partition
+    hold: int = (
+        600 * SECOND
+    )  # gone for so long before anything moves: cuts of minutes and restarts move nothing
+    settle: int = 60 * SECOND  # alive for so long before it is given anything
+    leases: LeaseRules = LeaseRules()
+    interval: int = SECOND  # between proposals that are committed
+    changes_most: int = 64  # placements in a proposal, and as many ends of handovers
+    absent_most: float = 0.5  # of the fleet's weight
+    fill_below: float = 0.8  # of the mean load: who has less is filled up
+    fill_to: float = 0.9  # of the mean load
+    checks_most: int = 64  # partitions looked at for one move to balance, or for repair in one proposal
+    members_most: int = 16_384
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """Changes for the version after `base`; the register commits it there or not at all."""
+
+    base: int
+    changes: tuple[PartitionChange, ...]
+    digest: int
+
+    def at(self, version: int) -> Difference:
+        """The difference that it becomes under the version given by the register."""
+        return Difference(self.base, version, self.changes, self.digest)
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """What an operator is shown."""
+
+    version: int
+    members: int
+    candidates: int
+    moving_away: int  # relays whose partitions are on the move
+    handovers: int
+    deficient: int  # partitions with too few replicas or two in a zone
+    held_back: bool  # too much of the fleet is gone
+
+
+class Health:
+    """How a relay stands, and since when by this core's reckoning."""
+
+    __slots__ = ("acknowledged", "leaving", "seen", "since", "standing", "timer_at")
+
+    def __init__(self, standing: Standing, since: int, seen: bool) -> None:
+        self.standing = standing
+        self.seen = seen  # the view has told of it; till then only the assignment names it
+        self.since = since
+        self.leaving = False
+        self.timer_at = NEVER
+        self.acknowledged = 0  # the greatest version
+
+
+@dataclass(slots=True)
+class Handover:
+    """Who has not acknowledged yet that a partition has changed."""
+
+    version: int
+    ends_at: int
+    awaited: set[str]
+
+
+@dataclass(slots=True)
+class Staged:
+    """The proposal under way, and what it replaced: undone where the register refuses it."""
+
+    proposal: Proposal
+    replaced: list[tuple[int, Placement]] = field(default_factory=list)
+
+
+class Core:
+    """Proposes the next assignment."""
+
+    def __init__(self, rules: Rules, assignment: Assignment, now: int) -> None:
+        self.rules, self.version, self.digest = rules, assignment.version, assignment.digest
+        self.fleet = Fleet()
+        self._placements = list(assignment)
+        self._health: dict[str, Health] = {}
+        self._absent_weight = 0.0
+        self._forgotten: dict[str, Relay] = {}  # the latest: another core may give them something yet
+        self._timers: list[tuple[int, str]] = []  # one a member at most
+        self._departing: dict[str, None] = {}  # relays that leave, or were gone for the hold
+        self._emptied: dict[str, None] = {}  # of these, those that may hold nothing any more
+        self._stuck: dict[str, None] = {}  # of these, those for whose partitions there was no candidate
+        self._filling: set[str] = set()  # relays that fell below `fill_below` of the mean
+        self._deficient: dict[int, None] = {}
+        self._handovers: dict[int, Handover] = {}
+        self._awaiting: dict[str, dict[int, None]] = {}  # partitions in handover, by who has to acknowledge
+        self._handover_ends: deque[tuple[int, int]] = deque()  # time, partition
+        self._complete: dict[int, None] = {}  # handovers that are over
+        self._staged: Staged | None = None
+        self._next_at = now
+        self._balanced = False  # nothing has changed since no move to balance was found
+        self._repairs_missed = 0  # deficient partitions looked at in vain since something changed
+        for partition, placement in enumerate(assignment):
+            for name in placement.replicas:
+                self._give(now, name, partition)
+            if placement.in_handover:
+                self._begin_handover(now, partition, placement)
+            self._check_deficient(partition)
+
+    # What is told.
+
+    def relay_told(self, now: int, relay: Relay, standing: Standing, since: int) -> None:
+        """How the members' view sees a relay, and since when.
+
+        `since` is a hint: whom this core meets alive has settled by it.  All else counts from now.
+        """
+        if not relay.weight > 0:
+            raise ValueError(f"relay {relay.name} has a weight of {relay.weight}")
+        health = self._health.get(relay.name)
+        if health is None:
+            if standing is Standing.GONE or len(self._health) >= self.rules.members_most:
+                return  # it holds nothing, so nothing follows; or the table is full
+            self._meet(relay, Health(standing, min(now, since), seen=True))
+        else:
+            self._set_relay(relay)
+            if standing is not health.standing:
+                self._set_standing(relay, health, standing, now if health.seen else min(now, since))
+            health.seen = True
+        self._arm(now, relay.name)
+
+    def leave_told(self, now: int, name: str, leaving: bool = True) -> None:
+        """An operator takes a relay out for good, or takes that back."""
+        health = self._health.get(name)
+        if health is None:
+            return
+        health.leaving = leaving
+        self._stay(name)
+        if leaving:
+            self._departing[name] = None
+        else:
+            health.since = now
+            self._arm(now, name)
+
+    def acknowledged(self, name: str, version: int) -> None:
+        """A relay acts by that version, or a later one."""
+        if health := self._health.get(name):
+            health.acknowledged = max(health.acknowledged, version)
+        for partition in list(self._awaiting.get(name, ())):
+            handover = self._handovers[partition]
+            self.fleet.steps += 1
+            if handover.version <= version:
+                self._stop_awaiting(name, partition)
+                handover.awaited.discard(name)
+                if not handover.awaited:
+                    self._complete[partition] = None
+
+    def committed(self, now: int, difference: Difference) -> None:
+        """The register has a new version, of this core or another; PlacementError where it doesn't fit."""
+        if repeats(difference, self.version, self.digest):
+            return
+        staged = self._staged
+        own = staged is not None and staged.proposal.at(difference.version) == difference
+        if not own:
+            self.refused(now)
+            digest = checked_digest(difference, self._placements, self.digest)
+            for change in difference.changes:
+                self._replace(now, change.partition, change.placement)
+            assert digest == self.digest
+        self._staged, self.version = None, difference.version
+        self._next_at = now + self.rules.interval
+        for change in difference.changes:
+            self._end_handover(change.partition)
+            if change.placement.in_handover:
+                self._begin_handover(now, change.partition, change.placement)
+        self._look_anew()
+
+    def refused(self, now: int) -> None:
+        """The register did not commit the proposal under way: as if it had not been made."""
+        if self._staged is None:
+            return
+        replaced, self._staged = self._staged.replaced, None
+        for partition, placement in reversed(replaced):
+            self._replace(now, partition, placement)
+        self._look_anew()
+
+    # What is proposed.
+
+    def propose(self, now: int) -> Proposal | None:
+        """The changes for the next version; None where there are none yet, or a proposal is under way."""
+        if self._staged is not None or now < self._next_at:
+            return None
+        self._settle_timers(now)
+        self._forget_departed()
+        staged = self._staged = Staged(Proposal(self.version, (), self.digest))
+        changed: dict[int, None] = {}
+        for partition in list(islice(self._complete, self.rules.changes_most)):
+            changed[partition] = None
+            self._stage(now, partition, Placement(self._placements[partition].replicas))
+        room = self.rules.changes_most
+        for moves in (self._departures(), self._repairs(), self._balancing()):
+            for partition, placement in islice(moves, room):
+                changed[partition] = None
+                self._stage(now, partition, placement)
+                room -= 1
+            if not room:
+                break
+        if not changed:
+            self._staged = None
+            return None
+        changes = tuple(
+            PartitionChange(partition, self._placements[partition]) for partition in sorted(changed)
+        )
+        staged.proposal = Proposal(self.version, changes, self.digest)
+        return staged.proposal
+
+    def due_at(self, now: int) -> int:
+        """When `propose` may have something without anything being told; NEVER where that can't be."""
+        if self._staged is not None:
+            return NEVER
+        if (
+            self._complete
+            or not self._balanced
+            or self._repairable
+            or any(map(self._departs, self._departing))
+        ):
+            return max(now, self._next_at)
+        timers = [self._timers[0][0]] if self._timers else []
+        timers += [self._handover_ends[0][0]] if self._handover_ends else []
+        return max(self._next_at, min(timers, default=NEVER))
+
+    @property
+    def held_back(self) -> bool:
+        """Whether too much of the fleet is gone for anything to move on its account."""
+        return self._absent_weight > self.rules.absent_most * self.fleet.weight
+
+    @property
+    def steps(self) -> int:
+        """Candidates, partitions and timers looked at since the start: what CI counts."""
+        return self.fleet.steps
+
+    def placement(self, partition: int) -> Placement:
+        """As committed, with the proposal under way."""
+        return self._placements[partition]
+
+    def assignment(self) -> Assignment:
+        """The whole as a value; grows with the partitions."""
+        return Assignment(self.version, self._placements)
+
+    def status(self) -> Status:
+        """For the operator."""
+        candidates = sum(member.candidate for member in self.fleet.members.values())
+        return Status(
+            self.version,
+            len(self.fleet.members),
+            candidates,
+            len(self._departing),
+            len(self._handovers),
+            len(self._deficient),
+            self.held_back,
+        )
+
+    # Members.
+
+    def _meet(self, relay: Relay, health: Health) -> None:
+        self._health[relay.name] = health
+        self.fleet.add(relay)
+        self._absent_weight += relay.weight * (health.standing is Standing.GONE)
+        self._balanced = False
+
+    def _meet_unseen(self, now: int, name: str) -> None:
+        """A replica of whom the view says nothing: gone from now on; its zone as told last, or its own."""
+        relay = self._forgotten.pop(name, None) or Relay(name, f"?{name}", f"?{name}")
+        self._meet(relay, Health(Standing.GONE, now, seen=False))
+        self._arm(now, name)
+
+    def _set_relay(self, relay: Relay) -> None:
+        member = self.fleet.members[relay.name]
+        if member.relay == relay:
+            return
+        if self._health[relay.name].standing is Standing.GONE:
+            self._absent_weight += relay.weight - member.relay.weight
+        self.fleet.set_relay(member, relay)
+        for partition in member.held:
+            self.fleet.steps += 1
+            self._check_deficient(partition)
+        self._look_anew()
+
+    def _set_standing(self, relay: Relay, health: Health, standing: Standing, since: int) -> None:
+        was_gone, is_gone = health.standing is Standing.GONE, standing is Standing.GONE
+        self._absent_weight += relay.weight * (is_gone - was_gone)
+        health.standing, health.since = standing, since
+        if not health.leaving:
+            self._stay(relay.name)
+        elif is_gone:
+            self._emptied[relay.name] = None
+        self._look_anew()
+
+    def _stay(self, name: str) -> None:
+        """Its partitions don't move on its account, and it is given none, until its timer rings again."""
+        self._departing.pop(name, None)
+        self._stuck.pop(name, None)
+        self._set_candidate(name, False)
+
+    def _arm(self, now: int, name: str) -> None:
+        """See to it that the end of its hold, or of its settling, is looked at."""
+        health = self._health[name]
+        at = self._timer_end(health)
+        if at < health.timer_at:
+            health.timer_at = at
+            heappush(self._timers, (at, name))
+        if at <= now:
+            self._settle_timers(now)
+
+    def _timer_end(self, health: Health) -> int:
+        if health.leaving or health.standing is Standing.SUSPECTED:
+            return NEVER
+        return health.since + (self.rules.settle if health.standing is Standing.ALIVE else self.rules.hold)
+
+    def _settle_timers(self, now: int) -> None:
+        while self._timers and self._timers[0][0] <= now:
+            at, name = heappop(self._timers)
+            self.fleet.steps += 1
+            health = self._health.get(name)
+            if health and at == health.timer_at:
+                health.timer_at = NEVER
+                self._timer_rang(now, name, health)
+        while self._handover_ends and self._handover_ends[0][0] <= now:
+            _, partition = self._handover_ends.popleft()
+            self.fleet.steps += 1
+            if (handover := self._handovers.get(partition)) and handover.ends_at <= now:
+                self._complete[partition] = None
+
+    def _timer_rang(self, now: int, name: str, health: Health) -> None:
+        end = self._timer_end(health)
+        if now < end < NEVER:
+            self._arm(now, name)  # it has gone or come since
+        elif end <= now and health.standing is Standing.ALIVE:
+            self._set_candidate(name, True)
+        elif end <= now:
+            self._departing[name] = None
+
+    def _set_candidate(self, name: str, candidate: bool) -> None:
+        member = self.fleet.members[name]
+        if candidate is member.candidate:
+            return
+        self.fleet.set_candidate(member, candidate)
+        self._look_anew()
+        if candidate:
+            self._departing.update(self._stuck)
+            self._stuck.clear()
+
+    def _look_anew(self) -> None:
+        """What could not be moved may be now."""
+        self._balanced, self._repairs_missed = False, 0
+
+    @property
+    def _repairable(self) -> bool:
+        return not self.held_back and self._repairs_missed < len(self._deficient)
+
+    def _has_departed(self, name: str) -> bool:
+        """It leaves, or has been gone for the hold."""
+        health = self._health[name]
+        hold_over = health.standing is Standing.GONE and health.timer_at == NEVER
+        return health.leaving or hold_over
+
+    def _departs(self, name: str) -> bool:
+        """Whether its partitions are to be moved now."""
+        health = self._health[name]
+        return health.leaving or not self.held_back and self._has_departed(name)
+
+    def _forget_departed(self) -> None:
+        """Those that are gone for long and hold nothing any more; only as no proposal is under way."""
+        for name in self._emptied:
+            if name in self._health and not self.fleet.members[name].held and self._has_departed(name):
+                self._forget(name)
+        self._emptied.clear()
+
+    def _forget(self, name: str) -> None:
+        health = self._health[name]
+        if health.standing is Standing.GONE:
+            self._absent_weight -= self.fleet.members[name].relay.weight
+            self._forgotten[name] = self.fleet.members[name].relay
+            if len(self._forgotten) > self.rules.members_most:
+                del self._forgotten[next(iter(self._forgotten))]
+            self.fleet.remove(name)
+            del self._health[name]
+            self._departing.pop(name, None)
+
+    # Moves: each generator gives the next placement, which is staged before it goes on.
+
+    def _departures(self) -> Iterator[tuple[int, Placement]]:
+        for name in [name for name in self._departing if self._departs(name)]:
+            self.fleet.steps += 1
+            for partition in list(self.fleet.members[name].held):
+                self.fleet.steps += 1
+                if not self._changeable(partition):
+                    continue  # the handover's end brings the relay back here
+                if placement := self._without_departing(partition):
+                    yield partition, placement
+                else:
+                    self._stuck[name] = None
+            del self._departing[name]
+            self._emptied[name] = None
+
+    def _without_departing(self, partition: int) -> Placement | None:
+        """All of its departing replicas replaced at once; None where candidates are lacking."""
+        before = self._placements[partition].replicas
+        names = [name for name in before if not self._departs(name)]
+        while len(names) < len(before) and (member := self.fleet.choose(names)):
+            names.append(member.relay.name)
+        return Placement(tuple(names), before) if len(names) == len(before) else None
+
+    def _repairs(self) -> Iterator[tuple[int, Placement]]:
+        for partition in list(islice(self._deficient, self.rules.checks_most)):
+            if not self._repairable:
+                return
+            self.fleet.steps += 1
+            del self._deficient[partition]
+            self._deficient[partition] = None  # behind the others
+            self._repairs_missed += 1
+            if self._changeable(partition) and (placement := self._repaired(partition)):
+                yield partition, placement
+
+    def _repaired(self, partition: int) -> Placement | None:
+        before = self._placements[partition].replicas
+        names = list(self._in_zones_of_their_own(before))
+        while len(names) < self.rules.replicas and (member := self.fleet.choose(names)):
+            names.append(member.relay.name)
+        better = len(names) > len(before) or len(self._zones_of(names)) > len(self._zones_of(before))
+        return Placement(tuple(names), before) if better else None
+
+    def _balancing(self) -> Iterator[tuple[int, Placement]]:
+        while not self._balanced and not self.held_back:
+            found = self._balancing_move()
+            if found is None:
+                self._balanced = True
+                return
+            yield found
+
+    def _balancing_move(self) -> tuple[int, Placement] | None:
+        """One replica from a most loaded relay to the least loaded one, where that is short of its part."""
+        least = self.fleet.least_loaded()
+        if least is None or not self._is_short(least):
+            return None
+        checks = 0
+        for donor in self.fleet.most_loaded(above=least.load + 1 / least.relay.weight):
+            for partition in list(islice(donor.held, self.rules.checks_most // DONORS_LEAST)):
+                checks += 1
+                self.fleet.steps += 1
+                if self._changeable(partition) and (moved := self._moved(partition, donor, least)):
+                    return partition, moved
+                donor.put_last(partition)
+            if checks >= self.rules.checks_most:
+                return None
+        return None
+
+    def _is_short(self, member: Member) -> bool:
+        name, mean = member.relay.name, self.fleet.mean_load
+        if member.load < self.rules.fill_below * mean:
+            self._filling.add(name)
+        elif member.load >= self.rules.fill_to * mean:
+            self._filling.discard(name)
+        return name in self._filling
+
+    def _moved(self, partition: int, donor: Member, receiver: Member) -> Placement | None:
+        """The placement with one relay in another's stead; None where its spread would suffer."""
+        before = self._placements[partition].replicas
+        after = tuple(receiver.relay.name if name == donor.relay.name else name for name in before)
+        if receiver.relay.name in before:
+            return None
+        if len(self._zones_of(after)) < len(self._zones_of(before)):
+            return None
+        if len(self._regions_of(after)) < min(REGIONS_LEAST, len(self._regions_of(before))):
+            return None
+        return Placement(after, before)
+
+    # The table.
+
+    def _changeable(self, partition: int) -> bool:
+        return not self._placements[partition].in_handover and partition not in self._handovers
+
+    def _stage(self, now: int, partition: int, placement: Placement) -> None:
+        self._staged.replaced.append((partition, self._placements[partition]))
+        self._replace(now, partition, placement)
+
+    def _replace(self, now: int, partition: int, placement: Placement) -> None:
+        before = self._placements[partition]
+        self._placements[partition] = placement
+        self.digest ^= placement_digest(partition, before) ^ placement_digest(partition, placement)
+        for name in before.replicas:
+            if name not in placement.replicas:
+                self.fleet.take(name, partition)
+        for name in placement.replicas:
+            if name not in before.replicas:
+                self._give(now, name, partition)
+        self._check_deficient(partition)
+
+    def _give(self, now: int, name: str, partition: int) -> None:
+        if name not in self._health:
+            self._meet_unseen(now, name)
+        self.fleet.give(name, partition)
+        if self._has_departed(name):
+            self._departing[name] = None
+
+    def _check_deficient(self, partition: int) -> None:
+        replicas = self._placements[partition].replicas
+        if len(replicas) < self.rules.replicas or len(self._zones_of(replicas)) < len(replicas):
+            self._deficient[partition] = None
+        else:
+            self._deficient.pop(partition, None)
+
+    def _zones_of(self, names: tuple[str, ...] | list[str]) -> set[str]:
+        return {self.fleet.members[name].relay.zone for name in names}
+
+    def _regions_of(self, names: tuple[str, ...]) -> set[str]:
+        return {self.fleet.members[name].relay.region for name in names}
+
+    def _in_zones_of_their_own(self, names: tuple[str, ...]) -> Iterator[str]:
+        """Of each zone the first of the names."""
+        zones: set[str] = set()
+        for name in names:
+            zone = self.fleet.members[name].relay.zone
+            if zone not in zones:
+                yield name
+            zones.add(zone)
+
+    # Handovers.
+
+    def _begin_handover(self, now: int, partition: int, placement: Placement) -> None:
+        ends_at = now + self.rules.leases.handover_wait
+        awaited = {name for name in placement.previous if not self._has_acknowledged(name)}
+        self._handovers[partition] = Handover(self.version, ends_at, awaited)
+        self._handover_ends.append((ends_at, partition))
+        for name in awaited:
+            self._awaiting.setdefault(name, {})[partition] = None
+        if not awaited:
+            self._complete[partition] = None
+
+    def _has_acknowledged(self, name: str) -> bool:
+        health = self._health.get(name)
+        return health is not None and health.acknowledged >= self.version
+
+    def _end_handover(self, partition: int) -> None:
+        self._complete.pop(partition, None)
+        handover = self._handovers.pop(partition, None)
+        if handover is None:
+            return
+        for name in handover.awaited:
+            self._stop_awaiting(name, partition)
+        for name in self._placements[partition].replicas:
+            if self._has_departed(name):
+                self._departing[name] = None
+
+    def _stop_awaiting(self, name: str, partition: int) -> None:
+        awaiting = self._awaiting[name]
+        del awaiting[partition]
+        if not awaiting:
+            del self._awaiting[name]
