--- a/tests/placement/test_scale.py
+++ b/tests/placement/test_scale.py
@@ -61,6 +61,17 @@
     assert placement.imbalance(table, FLEET) <= 1.13  # a whole partition more than 1.1 at the most
 
 
+def test_range_splitting_moves_what_has_become_hot():
+    traffic = [1.0] * PARTS
+    way = RangeSplitting(traffic, REPLICAS)
+    way.place(FLEET)
+    hot = range(0, 40)
+    for partition in hot:
+        traffic[partition] = 5.0
+    way.place(FLEET)
+    assert placement.imbalance(way.place(FLEET), FLEET, traffic) < 1.2
+
+
 def test_range_splitting_levels_traffic_that_the_others_do_not():
     skewed = {name: placement.imbalance(make().place(FLEET), FLEET, TRAFFIC) for name, make in WAYS.items()}
     assert skewed["range-splitting"] < min(skewed["rendezvous"], skewed["bounded-ring"])
