Placement: a newcomer is filled in a large fleet too

Cause: the measurement at 490 relays showed a newcomer with 59 partitions of 200: relays of one load always stood in the same order, so the same ones shared partition after partition and none could be given to the newcomer's zone.

--- a/millweir/placement/fleet.py
+++ b/millweir/placement/fleet.py
@@ -37,8 +37,13 @@
         self.held[partition] = None
 
     def load_key(self) -> tuple[float, int, str]:
-        """The place among a zone's relays: by load, then spread by a hash of the name."""
-        return self.load, xxhash.xxh3_64_intdigest(self.relay.name.encode()), self.relay.name
+        """The place among a zone's relays: by load, then by a hash that is another at each number held.
+
+        An order that stayed would put the same relays together in partition after partition, and a newcomer
+        could take none of those from any of them.
+        """
+        tie = xxhash.xxh3_64_intdigest(self.relay.name.encode(), len(self.held))
+        return self.load, tie, self.relay.name
 
 
 class Fleet:
--- a/tests/placement/test_core.py
+++ b/tests/placement/test_core.py
@@ -271,6 +271,14 @@
     assert core.status().members == len(FLEET)
 
 
+def test_a_newcomer_to_a_large_fleet_is_filled_too():
+    given = relays(110, zones=11, regions=4)
+    core = core_of(given, Rules(), partitions=4096)
+    core.relay_told(0, Relay("new", "region0", "zone0"), ALIVE, -Rules().settle)
+    settle(core, 0, acknowledging=[relay.name for relay in given])
+    assert len(held(core, "new")) >= RULES.fill_to * core.fleet.mean_load
+
+
 def test_load_follows_weight():
     given = relays(22, zones=11, regions=4, weights=(1.0, 2.0))
     core = core_with(given, partitions=1024)
