--- a/millweir/placement/core.py
+++ b/millweir/placement/core.py
@@ -60,7 +60,6 @@
 from millweir.placement.leases import SECOND, LeaseRules
 
 NEVER = 1 << 62
-BALANCING_TRIES = 4  # without a move, until something changes
 DONORS_LEAST = 8  # among which a partition is looked for that may move to balance
 REGIONS_LEAST = 2  # that balancing leaves to a partition: one may be cut off
 
@@ -171,7 +170,7 @@
         self._complete: dict[int, None] = {}  # handovers that are over
         self._staged: Staged | None = None
         self._next_at = now
-        self._balancing_missed = 0  # times that no move to balance was found since something changed
+        self._balanced = False  # nothing has changed since no move to balance was found
         self._repairs_missed = 0  # deficient partitions looked at in vain since something changed
         for partition, placement in enumerate(assignment):
             for name in placement.replicas:
@@ -338,7 +337,7 @@
         self._health[relay.name] = health
         self.fleet.add(relay)
         self._absent_weight += relay.weight * (health.standing is Standing.GONE)
-        self._balancing_missed = 0
+        self._balanced = False
 
     def _meet_unseen(self, now: int, name: str) -> None:
         """A replica of whom the view says nothing: gone from now on; its zone as told last, or its own."""
@@ -424,11 +423,7 @@
 
     def _look_anew(self) -> None:
         """What could not be moved may be now."""
-        self._balancing_missed = self._repairs_missed = 0
-
-    @property
-    def _balanced(self) -> bool:
-        return self._balancing_missed >= BALANCING_TRIES
+        self._balanced, self._repairs_missed = False, 0
 
     @property
     def _repairable(self) -> bool:
@@ -510,7 +505,7 @@
         while not self._balanced and not self.held_back:
             found = self._balancing_move()
             if found is None:
-                self._balancing_missed += 1  # at the next try other partitions are looked at
+                self._balanced = True
                 return
             yield found
 
--- a/tests/placement/test_core.py
+++ b/tests/placement/test_core.py
@@ -271,6 +271,12 @@
     assert core.status().members == len(FLEET)
 
 
+def test_a_relay_shares_its_partitions_with_many_others():
+    assignment = assigned(relays(110, zones=11, regions=4), 4096)
+    shared = assignment.part_of("r0000").values()
+    assert len({name for placement in shared for name in placement.replicas}) > 60
+
+
 def test_a_newcomer_to_a_large_fleet_is_filled_too():
     given = relays(110, zones=11, regions=4)
     core = core_of(given, Rules(), partitions=4096)
