Placement's core split by job: presence, handovers, interface

Change: presence.py (who stands how, hold and settling), handovers.py (who has to acknowledge), interface.py (rules, proposal, status); core.py keeps what decides. No change of behaviour.

--- a/millweir/lab/scale/placement.py
+++ b/millweir/lab/scale/placement.py
@@ -37,10 +37,11 @@
 from millweir.lab.scale.measurement import Figure
 from millweir.placement.assignment import Assignment, Difference, PartitionChange, Placement, Relay
 from millweir.placement.codec import encode_assignment, encode_difference
-from millweir.placement.core import SECOND, Core, Rules, Standing
+from millweir.placement.core import Core
 from millweir.placement.fleet import assign_all
 from millweir.placement.holder import Holder
-from millweir.placement.leases import LeaseRules
+from millweir.placement.interface import Rules, Standing
+from millweir.placement.leases import SECOND, LeaseRules
 from millweir.placement.partitions import PARTITIONS, partition_of
 from millweir.placement.strategies import BoundedRing, RangeSplitting, Rendezvous, Strategy
 
--- a/millweir/placement/core.py
+++ b/millweir/placement/core.py
@@ -39,11 +39,8 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from enum import Enum
-from heapq import heappop, heappush
 from itertools import islice
 
 from millweir.placement.assignment import (
@@ -57,89 +54,15 @@
     repeats,
 )
 from millweir.placement.fleet import Fleet, Member
-from millweir.placement.leases import SECOND, LeaseRules
+from millweir.placement.handovers import Handovers
+from millweir.placement.interface import Proposal, Rules, Standing, Status
+from millweir.placement.presence import Health, Presence
 
 NEVER = 1 << 62
 DONORS_LEAST = 8  # among which a partition is looked for that may move to balance
 REGIONS_LEAST = 2  # that balancing leaves to a partition: one may be cut off
 
 
-class Standing(Enum):
-    """How a relay stands in the members' view."""
-
-    ALIVE = "alive"
-    SUSPECTED = "suspected"
-    GONE = "gone"  # also after it left for a restart
-
-
-@dataclass(frozen=True, slots=True)
-class Rules:
-    """Times in nanoseconds; counts as named."""
-
-    replicas: int = 3  # of a partition
-    hold: int = (
-        600 * SECOND
-    )  # gone for so long before anything moves: cuts of minutes and restarts move nothing
-    settle: int = 60 * SECOND  # alive for so long before it is given anything
-    leases: LeaseRules = LeaseRules()
-    interval: int = SECOND  # between proposals that are committed
-    changes_most: int = 64  # placements in a proposal, and as many ends of handovers
-    absent_most: float = 0.5  # of the fleet's weight
-    fill_below: float = 0.8  # of the mean load: who has less is filled up
-    fill_to: float = 0.9  # of the mean load
-    checks_most: int = 64  # partitions looked at for one move to balance, or for repair in one proposal
-    members_most: int = 16_384
-
-
-@dataclass(frozen=True, slots=True)
-class Proposal:
-    """Changes for the version after `base`; the register commits it there or not at all."""
-
-    base: int
-    changes: tuple[PartitionChange, ...]
-    digest: int
-
-    def at(self, version: int) -> Difference:
-        """The difference that it becomes under the version given by the register."""
-        return Difference(self.base, version, self.changes, self.digest)
-
-
-@dataclass(frozen=True, slots=True)
-class Status:
-    """What an operator is shown."""
-
-    version: int
-    members: int
-    candidates: int
-    moving_away: int  # relays whose partitions are on the move
-    handovers: int
-    deficient: int  # partitions with too few replicas or two in a zone
-    held_back: bool  # too much of the fleet is gone
-
-
-class Health:
-    """How a relay stands, and since when by this core's reckoning."""
-
-    __slots__ = ("acknowledged", "leaving", "seen", "since", "standing", "timer_at")
-
-    def __init__(self, standing: Standing, since: int, seen: bool) -> None:
-        self.standing = standing
-        self.seen = seen  # the view has told of it; till then only the assignment names it
-        self.since = since
-        self.leaving = False
-        self.timer_at = NEVER
-        self.acknowledged = 0  # the greatest version
-
-
-@dataclass(slots=True)
-class Handover:
-    """Who has not acknowledged yet that a partition has changed."""
-
-    version: int
-    ends_at: int
-    awaited: set[str]
-
-
 @dataclass(slots=True)
 class Staged:
     """The proposal under way, and what it replaced: undone where the register refuses it."""
@@ -155,19 +78,13 @@
         self.rules, self.version, self.digest = rules, assignment.version, assignment.digest
         self.fleet = Fleet()
         self._placements = list(assignment)
-        self._health: dict[str, Health] = {}
-        self._absent_weight = 0.0
-        self._forgotten: dict[str, Relay] = {}  # the latest: another core may give them something yet
-        self._timers: list[tuple[int, str]] = []  # one a member at most
+        self._presence = Presence(rules)
+        self._handovers = Handovers(rules.leases.handover_wait)
         self._departing: dict[str, None] = {}  # relays that leave, or were gone for the hold
         self._emptied: dict[str, None] = {}  # of these, those that may hold nothing any more
         self._stuck: dict[str, None] = {}  # of these, those for whose partitions there was no candidate
         self._filling: set[str] = set()  # relays that fell below `fill_below` of the mean
         self._deficient: dict[int, None] = {}
-        self._handovers: dict[int, Handover] = {}
-        self._awaiting: dict[str, dict[int, None]] = {}  # partitions in handover, by who has to acknowledge
-        self._handover_ends: deque[tuple[int, int]] = deque()  # time, partition
-        self._complete: dict[int, None] = {}  # handovers that are over
         self._staged: Staged | None = None
         self._next_at = now
         self._balanced = False  # nothing has changed since no move to balance was found
@@ -188,21 +105,22 @@
         """
         if not relay.weight > 0:
             raise ValueError(f"relay {relay.name} has a weight of {relay.weight}")
-        health = self._health.get(relay.name)
+        health = self._presence.get(relay.name)
         if health is None:
-            if standing is Standing.GONE or len(self._health) >= self.rules.members_most:
+            if standing is Standing.GONE or len(self._presence) >= self.rules.members_most:
                 return  # it holds nothing, so nothing follows; or the table is full
-            self._meet(relay, Health(standing, min(now, since), seen=True))
+            self._presence.meet(relay, standing, min(now, since))
+            self._add(relay)
         else:
-            self._set_relay(relay)
+            self._set_relay(health, relay)
             if standing is not health.standing:
-                self._set_standing(relay, health, standing, now if health.seen else min(now, since))
+                self._set_standing(health, standing, now if health.seen else min(now, since))
             health.seen = True
         self._arm(now, relay.name)
 
     def leave_told(self, now: int, name: str, leaving: bool = True) -> None:
         """An operator takes a relay out for good, or takes that back."""
-        health = self._health.get(name)
+        health = self._presence.get(name)
         if health is None:
             return
         health.leaving = leaving
@@ -215,16 +133,9 @@
 
     def acknowledged(self, name: str, version: int) -> None:
         """A relay acts by that version, or a later one."""
-        if health := self._health.get(name):
+        if health := self._presence.get(name):
             health.acknowledged = max(health.acknowledged, version)
-        for partition in list(self._awaiting.get(name, ())):
-            handover = self._handovers[partition]
-            self.fleet.steps += 1
-            if handover.version <= version:
-                self._stop_awaiting(name, partition)
-                handover.awaited.discard(name)
-                if not handover.awaited:
-                    self._complete[partition] = None
+        self._handovers.acknowledged(name, version)
 
     def committed(self, now: int, difference: Difference) -> None:
         """The register has a new version, of this core or another; PlacementError where it doesn't fit."""
@@ -261,11 +172,11 @@
         """The changes for the next version; None where there are none yet, or a proposal is under way."""
         if self._staged is not None or now < self._next_at:
             return None
-        self._settle_timers(now)
+        self._time_passed(now)
         self._forget_departed()
         staged = self._staged = Staged(Proposal(self.version, (), self.digest))
         changed: dict[int, None] = {}
-        for partition in list(islice(self._complete, self.rules.changes_most)):
+        for partition in list(islice(self._handovers.complete, self.rules.changes_most)):
             changed[partition] = None
             self._stage(now, partition, Placement(self._placements[partition].replicas))
         room = self.rules.changes_most
@@ -290,25 +201,23 @@
         if self._staged is not None:
             return NEVER
         if (
-            self._complete
+            self._handovers.complete
             or not self._balanced
             or self._repairable
             or any(map(self._departs, self._departing))
         ):
             return max(now, self._next_at)
-        timers = [self._timers[0][0]] if self._timers else []
-        timers += [self._handover_ends[0][0]] if self._handover_ends else []
-        return max(self._next_at, min(timers, default=NEVER))
+        return max(self._next_at, min(self._presence.due_at, self._handovers.due_at))
 
     @property
     def held_back(self) -> bool:
         """Whether too much of the fleet is gone for anything to move on its account."""
-        return self._absent_weight > self.rules.absent_most * self.fleet.weight
+        return self._presence.absent_weight > self.rules.absent_most * self.fleet.weight
 
     @property
     def steps(self) -> int:
         """Candidates, partitions and timers looked at since the start: what CI counts."""
-        return self.fleet.steps
+        return self.fleet.steps + self._presence.steps + self._handovers.steps
 
     def placement(self, partition: int) -> Placement:
         """As committed, with the proposal under way."""
@@ -333,38 +242,27 @@
 
     # Members.
 
-    def _meet(self, relay: Relay, health: Health) -> None:
-        self._health[relay.name] = health
+    def _add(self, relay: Relay) -> None:
         self.fleet.add(relay)
-        self._absent_weight += relay.weight * (health.standing is Standing.GONE)
         self._balanced = False
 
-    def _meet_unseen(self, now: int, name: str) -> None:
-        """A replica of whom the view says nothing: gone from now on; its zone as told last, or its own."""
-        relay = self._forgotten.pop(name, None) or Relay(name, f"?{name}", f"?{name}")
-        self._meet(relay, Health(Standing.GONE, now, seen=False))
-        self._arm(now, name)
-
-    def _set_relay(self, relay: Relay) -> None:
-        member = self.fleet.members[relay.name]
-        if member.relay == relay:
+    def _set_relay(self, health: Health, relay: Relay) -> None:
+        if health.relay == relay:
             return
-        if self._health[relay.name].standing is Standing.GONE:
-            self._absent_weight += relay.weight - member.relay.weight
+        self._presence.set_relay(health, relay)
+        member = self.fleet.members[relay.name]
         self.fleet.set_relay(member, relay)
         for partition in member.held:
             self.fleet.steps += 1
             self._check_deficient(partition)
         self._look_anew()
 
-    def _set_standing(self, relay: Relay, health: Health, standing: Standing, since: int) -> None:
-        was_gone, is_gone = health.standing is Standing.GONE, standing is Standing.GONE
-        self._absent_weight += relay.weight * (is_gone - was_gone)
-        health.standing, health.since = standing, since
+    def _set_standing(self, health: Health, standing: Standing, since: int) -> None:
+        self._presence.set_standing(health, standing, since)
         if not health.leaving:
-            self._stay(relay.name)
-        elif is_gone:
-            self._emptied[relay.name] = None
+            self._stay(health.relay.name)
+        elif health.is_gone:
+            self._emptied[health.relay.name] = None
         self._look_anew()
 
     def _stay(self, name: str) -> None:
@@ -374,42 +272,17 @@
         self._set_candidate(name, False)
 
     def _arm(self, now: int, name: str) -> None:
-        """See to it that the end of its hold, or of its settling, is looked at."""
-        health = self._health[name]
-        at = self._timer_end(health)
-        if at < health.timer_at:
-            health.timer_at = at
-            heappush(self._timers, (at, name))
-        if at <= now:
-            self._settle_timers(now)
-
-    def _timer_end(self, health: Health) -> int:
-        if health.leaving or health.standing is Standing.SUSPECTED:
-            return NEVER
-        return health.since + (self.rules.settle if health.standing is Standing.ALIVE else self.rules.hold)
-
-    def _settle_timers(self, now: int) -> None:
-        while self._timers and self._timers[0][0] <= now:
-            at, name = heappop(self._timers)
-            self.fleet.steps += 1
-            health = self._health.get(name)
-            if health and at == health.timer_at:
-                health.timer_at = NEVER
-                self._timer_rang(now, name, health)
-        while self._handover_ends and self._handover_ends[0][0] <= now:
-            _, partition = self._handover_ends.popleft()
-            self.fleet.steps += 1
-            if (handover := self._handovers.get(partition)) and handover.ends_at <= now:
-                self._complete[partition] = None
-
-    def _timer_rang(self, now: int, name: str, health: Health) -> None:
-        end = self._timer_end(health)
-        if now < end < NEVER:
-            self._arm(now, name)  # it has gone or come since
-        elif end <= now and health.standing is Standing.ALIVE:
-            self._set_candidate(name, True)
-        elif end <= now:
-            self._departing[name] = None
+        self._presence.arm(name)
+        if self._presence.due_at <= now:
+            self._time_passed(now)
+
+    def _time_passed(self, now: int) -> None:
+        for health in self._presence.time_passed(now):
+            if health.is_gone:
+                self._departing[health.relay.name] = None
+            else:
+                self._set_candidate(health.relay.name, True)
+        self._handovers.time_passed(now)
 
     def _set_candidate(self, name: str, candidate: bool) -> None:
         member = self.fleet.members[name]
@@ -429,35 +302,21 @@
     def _repairable(self) -> bool:
         return not self.held_back and self._repairs_missed < len(self._deficient)
 
-    def _has_departed(self, name: str) -> bool:
-        """It leaves, or has been gone for the hold."""
-        health = self._health[name]
-        hold_over = health.standing is Standing.GONE and health.timer_at == NEVER
-        return health.leaving or hold_over
-
     def _departs(self, name: str) -> bool:
         """Whether its partitions are to be moved now."""
-        health = self._health[name]
-        return health.leaving or not self.held_back and self._has_departed(name)
+        health = self._presence[name]
+        return health.leaving or not self.held_back and health.has_departed
 
     def _forget_departed(self) -> None:
         """Those that are gone for long and hold nothing any more; only as no proposal is under way."""
         for name in self._emptied:
-            if name in self._health and not self.fleet.members[name].held and self._has_departed(name):
-                self._forget(name)
+            health = self._presence.get(name)
+            if health and health.is_gone and health.has_departed and not self.fleet.members[name].held:
+                self._presence.forget(name)
+                self.fleet.remove(name)
+                self._departing.pop(name, None)
         self._emptied.clear()
 
-    def _forget(self, name: str) -> None:
-        health = self._health[name]
-        if health.standing is Standing.GONE:
-            self._absent_weight -= self.fleet.members[name].relay.weight
-            self._forgotten[name] = self.fleet.members[name].relay
-            if len(self._forgotten) > self.rules.members_most:
-                del self._forgotten[next(iter(self._forgotten))]
-            self.fleet.remove(name)
-            del self._health[name]
-            self._departing.pop(name, None)
-
     # Moves: each generator gives the next placement, which is staged before it goes on.
 
     def _departures(self) -> Iterator[tuple[int, Placement]]:
@@ -568,10 +427,14 @@
         self._check_deficient(partition)
 
     def _give(self, now: int, name: str, partition: int) -> None:
-        if name not in self._health:
-            self._meet_unseen(now, name)
+        if name not in self._presence:
+            self._add(self._presence.meet_unseen(now, name))
         self.fleet.give(name, partition)
-        if self._has_departed(name):
+        self._look_at_departed(name)
+
+    def _look_at_departed(self, name: str) -> None:
+        """A relay that has departed has a partition, or one that may be moved again."""
+        if self._presence[name].has_departed:
             self._departing[name] = None
 
     def _check_deficient(self, partition: int) -> None:
@@ -599,32 +462,14 @@
     # Handovers.
 
     def _begin_handover(self, now: int, partition: int, placement: Placement) -> None:
-        ends_at = now + self.rules.leases.handover_wait
-        awaited = {name for name in placement.previous if not self._has_acknowledged(name)}
-        self._handovers[partition] = Handover(self.version, ends_at, awaited)
-        self._handover_ends.append((ends_at, partition))
-        for name in awaited:
-            self._awaiting.setdefault(name, {})[partition] = None
-        if not awaited:
-            self._complete[partition] = None
+        awaited = [name for name in placement.previous if not self._has_acknowledged(name)]
+        self._handovers.begin(now, partition, self.version, awaited)
 
     def _has_acknowledged(self, name: str) -> bool:
-        health = self._health.get(name)
+        health = self._presence.get(name)
         return health is not None and health.acknowledged >= self.version
 
     def _end_handover(self, partition: int) -> None:
-        self._complete.pop(partition, None)
-        handover = self._handovers.pop(partition, None)
-        if handover is None:
-            return
-        for name in handover.awaited:
-            self._stop_awaiting(name, partition)
-        for name in self._placements[partition].replicas:
-            if self._has_departed(name):
-                self._departing[name] = None
-
-    def _stop_awaiting(self, name: str, partition: int) -> None:
-        awaiting = self._awaiting[name]
-        del awaiting[partition]
-        if not awaiting:
-            del self._awaiting[name]
+        if self._handovers.end(partition):
+            for name in self._placements[partition].replicas:
+                self._look_at_departed(name)
--- a/tests/placement/model.py
+++ b/tests/placement/model.py
@@ -11,9 +11,10 @@
 from itertools import count
 
 from millweir.placement.assignment import Assignment, Placement, Relay
-from millweir.placement.core import Core, Rules, Standing
+from millweir.placement.core import Core
 from millweir.placement.fleet import assign_all
 from millweir.placement.holder import Holder, LeaseRules
+from millweir.placement.interface import Rules, Standing
 from millweir.placement.leases import SECOND
 from millweir.placement.partitions import partition_of
 
--- a/tests/placement/test_core.py
+++ b/tests/placement/test_core.py
@@ -25,7 +25,8 @@
     StaleVersion,
     VersionGap,
 )
-from millweir.placement.core import NEVER, Core, Rules, Standing
+from millweir.placement.core import NEVER, Core
+from millweir.placement.interface import Rules, Standing
 from millweir.placement.leases import SECOND
 
 ALIVE, SUSPECTED, GONE = Standing.ALIVE, Standing.SUSPECTED, Standing.GONE
@@ -511,7 +512,7 @@
         tell(core, now, FLEET[:4], GONE)
         tell(core, now + SECOND, FLEET[:4], ALIVE)
         core.propose(now + SECOND)
-    assert len(core._timers) <= 4 * (RULES.hold // RULES.settle + 2)
+    assert len(core._presence._timers) <= 4 * (RULES.hold // RULES.settle + 2)
 
 
 def test_defaults_outlast_restarts_and_cuts_of_minutes():
