--- a/millweir/lab/scale/placement.py
+++ b/millweir/lab/scale/placement.py
@@ -287,10 +287,11 @@
 
     def __init__(self, assignment: Assignment, relays: Sequence[Relay], rules: Rules) -> None:
         self.core = Core(rules, assignment, 0)
-        self.now = self.ended_at = 0
+        self.ended_at = 0
         for relay in relays:
             self.core.relay_told(0, relay, Standing.ALIVE, -rules.settle)
-        self.core.propose(0)
+        self.now = self.began_at = rules.hold  # the timers of the start have rung
+        self.core.propose(self.now)
         self._relays = {relay.name: relay for relay in relays}
         self.differences: list[Difference] = []
         self.steps, self.seconds = 0, 0.0
@@ -346,7 +347,7 @@
         yield figure("versions", "versions", len(run.differences), **made)
         yield figure("difference-bytes", "B", sum(sizes), **made)
         yield figure("difference-bytes-most", "B", max(sizes), **made)
-        yield figure("change-ends-after", "s", run.ended_at / SECOND, **made, simulated=True)
+        yield figure("change-ends-after", "s", (run.ended_at - run.began_at) / SECOND, **made, simulated=True)
 
 
 def cut_of(
@@ -354,7 +355,7 @@
 ) -> Iterator[Figure]:
     """A region that is gone for two minutes and back."""
     run = TroubledCore(assignment, relays, Rules())
-    steps, started, now = run.core.steps, time.perf_counter(), 0
+    steps, started, now = run.core.steps, time.perf_counter(), run.now
     for standing, lasts in ((Standing.GONE, 120), (Standing.ALIVE, 3600)):
         for relay in relays:
             if relay.name in region:
--- a/millweir/placement/core.py
+++ b/millweir/placement/core.py
@@ -109,7 +109,7 @@
         if health is None:
             if standing is Standing.GONE or len(self._presence) >= self.rules.members_most:
                 return  # it holds nothing, so nothing follows; or the table is full
-            self._presence.meet(relay, standing, min(now, since))
+            self._presence.meet(now, relay, standing, since)
             self._add(relay)
         else:
             self._set_relay(health, relay)
@@ -118,18 +118,19 @@
             health.seen = True
         self._arm(now, relay.name)
 
-    def leave_told(self, now: int, name: str, leaving: bool = True) -> None:
-        """An operator takes a relay out for good, or takes that back."""
+    def leave_told(self, now: int, name: str, leaving: bool = True) -> bool:
+        """An operator takes a relay out for good, or takes that back; False where there are too many."""
+        told = self._presence.set_leaving(name, leaving)
         health = self._presence.get(name)
-        if health is None:
-            return
-        health.leaving = leaving
+        if not told or health is None:
+            return told
         self._stay(name)
         if leaving:
             self._departing[name] = None
         else:
             health.since = now
             self._arm(now, name)
+        return True
 
     def acknowledged(self, name: str, version: int) -> None:
         """A relay acts by that version, or a later one."""
--- a/millweir/placement/presence.py
+++ b/millweir/placement/presence.py
@@ -42,12 +42,13 @@
 class Presence:
     """The health of all relays, with a timer each for the end of its hold or of its settling."""
 
-    __slots__ = ("_forgotten", "_health", "_rules", "_timers", "absent_weight", "steps")
+    __slots__ = ("_forgotten", "_health", "_leaving", "_rules", "_timers", "absent_weight", "steps")
 
     def __init__(self, rules: Rules) -> None:
         self._rules = rules
         self._health: dict[str, Health] = {}
         self._forgotten: dict[str, Relay] = {}  # the latest: another core may give them something yet
+        self._leaving: set[str] = set()  # names, known or not: who comes back is still to leave
         self._timers: list[tuple[int, str]] = []
         self.absent_weight = 0.0
         self.steps = 0
@@ -65,9 +66,10 @@
         """None for a relay that is not known."""
         return self._health.get(name)
 
-    def meet(self, relay: Relay, standing: Standing, since: int) -> None:
-        """The view tells of a new relay."""
-        self._add(Health(relay, standing, since, seen=True))
+    def meet(self, now: int, relay: Relay, standing: Standing, since: int) -> None:
+        """The view tells of a new relay, or of one that was gone for long: its `since` counts for the new."""
+        was_here = self._forgotten.pop(relay.name, None) is not None
+        self._add(Health(relay, standing, now if was_here else min(now, since), seen=True))
 
     def meet_unseen(self, now: int, name: str) -> Relay:
         """A replica of whom the view says nothing: gone from now on; its zone as told last, or its own."""
@@ -77,6 +79,7 @@
         return relay
 
     def _add(self, health: Health) -> None:
+        health.leaving = health.relay.name in self._leaving
         self._health[health.relay.name] = health
         self.absent_weight += health.relay.weight * health.is_gone
 
@@ -91,6 +94,15 @@
         health.standing, health.since = standing, since
         self.absent_weight += health.relay.weight * health.is_gone
 
+    def set_leaving(self, name: str, leaving: bool) -> bool:
+        """An operator takes a relay out for good, or takes that back; False where the table is full."""
+        if leaving and name not in self._leaving and len(self._leaving) >= self._rules.members_most:
+            return False
+        (self._leaving.add if leaving else self._leaving.discard)(name)
+        if health := self._health.get(name):
+            health.leaving = leaving
+        return True
+
     def arm(self, name: str) -> None:
         """See to it that the end of its hold, or of its settling, is looked at."""
         health = self._health[name]
--- a/tests/placement/model.py
+++ b/tests/placement/model.py
@@ -110,16 +110,25 @@
         self.history = {1: self.assignment}
         self.relays = {relay.name: SimulatedRelay(relay, self.chance) for relay in given}
         self.core = Core(rules, self.assignment, self.now)
-        self.standing = {}
+        self.core_since = self.now
+        self.standing, self.told_at, self.leaving = {}, {}, set()
         for relay in given:
             self.tell_core(relay, Standing.ALIVE)
         self.worst = 0.0
         self.commits = []
 
     def tell_core(self, relay, standing):
+        if self.standing.get(relay.name) is not standing:
+            self.told_at[relay.name] = self.now
         self.standing[relay.name] = standing
         self.core.relay_told(self.now, relay, standing, self.now - self.chance.randrange(100) * SECOND)
 
+    def tell_leave(self, name, leaving):
+        if leaving is not (name in self.leaving):
+            self.told_at[name] = self.now
+        (self.leaving.add if leaving else self.leaving.discard)(name)
+        self.core.leave_told(self.now, name, leaving)
+
     def step(self, trouble=True):
         """Half a second: troubles, versions, what arrives, what is used; then the checks."""
         self.now += STEP
@@ -144,11 +153,13 @@
         if chance.random() < 0.02:  # what hurts most: it loses all while it can't hear of it
             one = chance.choice(list(self.relays.values()))
             one.cut_until = self.now + chance.choice((0, 40, 40)) * SECOND
-            self.core.leave_told(self.now, one.relay.name)
+            self.tell_leave(one.relay.name, True)
         if chance.random() < 0.02:
-            self.core.leave_told(self.now, chance.choice(list(self.relays)), leaving=False)
+            self.tell_leave(chance.choice(list(self.relays)), False)
         if chance.random() < 0.005:  # another core takes over, with a view of its own
             self.core = Core(self.rules, self.assignment, self.now)
+            self.core_since = self.now
+            self.standing, self.leaving = {}, set()
             for one in self.relays.values():
                 self.tell_core(one.relay, chance.choice((Standing.ALIVE, Standing.ALIVE, Standing.GONE)))
 
@@ -168,6 +179,7 @@
             self.core.refused(self.now)
             return
         difference = proposal.at(self.assignment.version + self.chance.choice((1, 1, 7)))
+        self.check_proposal(proposal)
         self.assignment = self.assignment.apply(difference)
         self.history[difference.version] = self.assignment
         self.core.committed(self.now, difference)
@@ -206,6 +218,48 @@
             one.used = [one.holder.share(clock, destination) for destination in DESTINATIONS]
             one.read_at = self.now
 
+    def check_proposal(self, proposal):
+        """The core's invariants, as numbered there."""
+        assert proposal.base == self.assignment.version  # 1
+        changes = [(self.assignment[change.partition], change.placement) for change in proposal.changes]
+        ended = [(before, after) for before, after in changes if before.in_handover]
+        assert all(after == Placement(before.replicas) for before, after in ended)  # 6
+        moves = [(before, after) for before, after in changes if not before.in_handover]
+        assert max(len(ended), len(moves)) <= self.rules.changes_most  # 4
+        for before, after in moves:
+            assert after.previous == before.replicas and len(after.replicas) == len(before.replicas)  # 6, 7
+            self.check_zones(after.replicas)
+            self.check_reason(
+                set(before.replicas) - set(after.replicas), set(after.replicas) - set(before.replicas)
+            )
+
+    def check_zones(self, replicas):
+        """Invariant 2."""
+        zones = {self.relays[name].relay.zone for name in replicas}
+        candidates = {member.relay.zone for member in self.core.fleet.members.values() if member.candidate}
+        assert len(zones) == len(replicas) or candidates <= zones
+
+    def check_reason(self, lost, gained):
+        """Invariant 3, and 5: what is not on the move on its own account moves to balance alone."""
+        for name in gained:
+            assert self.standing[name] is Standing.ALIVE and name not in self.leaving
+            assert name in self.settled() or self.now - self.told_at[name] >= self.rules.settle
+        known = {name: seen for name, seen in self.standing.items() if name in self.core.fleet.members}
+        absent = sum(self.relays[name].relay.weight for name, seen in known.items() if seen is Standing.GONE)
+        held_back = absent > self.rules.absent_most * sum(self.relays[name].relay.weight for name in known)
+        for name in lost - self.leaving:
+            assert not held_back
+            gone = self.standing[name] is Standing.GONE and self.now - self.told_at[name] >= self.rules.hold
+            assert gone or self.is_lighter(gained, name)
+
+    def settled(self):
+        """Whom this core met alive, and has not heard otherwise of since."""
+        return {name for name, at in self.told_at.items() if at == self.core_since}
+
+    def is_lighter(self, gained, name):
+        loads = {other: self.core.fleet.members[other].load for other in gained | {name}}
+        return min(loads[other] for other in gained) <= loads[name] + self.rules.changes_most
+
     def sums(self):
         """Of each partition: the parts of a destination's limit in use now, by all relays."""
         return [sum(used) for used in zip(*(one.used for one in self.relays.values()), strict=True)]
--- a/tests/placement/test_core.py
+++ b/tests/placement/test_core.py
@@ -222,6 +222,16 @@
     assert all(b - a >= RULES.interval for (a, _), (b, _) in zip(made, made[1:], strict=False))
 
 
+def test_who_is_to_leave_is_given_nothing_when_it_comes_back_from_being_forgotten():
+    core = core_with()
+    core.relay_told(0, FLEET[0], GONE, 0)
+    now, _ = settle(core, 0)
+    assert core.leave_told(now, FLEET[0].name)
+    core.relay_told(now, FLEET[0], ALIVE, now)
+    settle(core, now)
+    assert not held(core, FLEET[0].name)
+
+
 def test_a_leave_taken_back_moves_no_more():
     core = core_with()
     core.leave_told(0, FLEET[0].name)
@@ -350,6 +360,17 @@
     assert core.placement(change.partition) == Placement(change.placement.replicas)
 
 
+def test_an_acknowledgement_may_come_before_the_news_of_the_commit():
+    core = core_with()
+    core.leave_told(0, FLEET[0].name)
+    proposal = core.propose(0)
+    for relay in FLEET:
+        core.acknowledged(relay.name, 2)
+    core.committed(0, proposal.at(2))
+    core.propose(SECOND)
+    assert not any(core.placement(change.partition).in_handover for change in proposal.changes)
+
+
 @pytest.mark.parametrize("said", [1, 0])
 def test_an_acknowledgement_of_an_earlier_version_ends_nothing(said):
     core = core_with()
@@ -439,6 +460,17 @@
     assert not held(core, FLEET[0].name)
 
 
+def test_where_a_forgotten_relay_stood_is_known_when_another_core_gives_it_something():
+    core = core_with()
+    core.relay_told(0, FLEET[0], GONE, 0)
+    now, _ = settle(core, 0)
+    assert FLEET[0].name not in core.fleet.members
+    before = core.assignment()
+    change = PartitionChange(0, Placement((FLEET[0].name, *before[0].replicas[1:])))
+    core.committed(now, before.difference_to(replaced(before, core.version + 1, change)))
+    assert core.fleet.members[FLEET[0].name].relay == FLEET[0]
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_two_cores_that_hear_the_same_versions_hold_the_same(seed):
     chance = random.Random(seed)
--- a/tests/placement/test_holder.py
+++ b/tests/placement/test_holder.py
@@ -48,7 +48,7 @@
     for _ in range(200):
         fleet.step()
     for name, one in fleet.relays.items():
-        fleet.core.leave_told(fleet.now, name, False)
+        fleet.tell_leave(name, False)
         fleet.tell_core(one.relay, fleet.standing[name].ALIVE)
     for _ in range(400):
         fleet.step(trouble=False)
