--- a/millweir/lab/scale/configuration.py
+++ b/millweir/lab/scale/configuration.py
@@ -1,8 +1,8 @@
 """How the distribution of configuration grows with the fleet: 16 distributors, hollow relays, loopback TCP.
 
 The size is the number of relays.  Each holds the same at every size (`configuration_fleet.py`), so the
-destinations grow with the fleet.  All processes share one machine: times take its other load in.  The register
-is a stand-in in the parent, beside the coordinator.  What is expected:
+destinations grow with the fleet.  All processes share one machine: times take its other load in.  The
+register is a stand-in in the parent, beside the coordinator.  What is expected:
 
 Constant: `in-force-p50`, `-p99`, `-max` (from the change at the register to the last holder of its partition)
 and `known-p50`, `-p99`, `-max` (to the coordinator's word that it is in force everywhere; a report's pause
@@ -15,8 +15,8 @@
 its start, by its relays).
 
 n: `processor-per-distributor` (share of a core, the mean of the 16), `memory-per-distributor` (with the
-destinations; keys and values are shared by the distributors of a process), `all-complete` from the start of the
-relays to the word that all have everything.
+destinations; keys and values are shared by the distributors of a process), `all-complete` from the start of
+the relays to the word that all have everything.
 
 Constant, by the byte rate: for relays that start without a folder `filled-p50`, `-max` (from the start to the
 last partition) and `bytes-to-fill` (received until all is complete).
