Desk split: the table of service classes is a module of its own

Change: net/service_classes.py; behaviour unchanged, tests reach the table where they reached the desk's fields.

--- a/millweir/lab/scale/network.py
+++ b/millweir/lab/scale/network.py
@@ -97,7 +97,7 @@
 
     def hear(self, told: bytes) -> None:
         """Discovery has said that."""
-        self.desk._told(Change.DELTA, read_list(json.loads(told), self.desk._settings))
+        self.desk._told(Change.DELTA, read_list(json.loads(told), self.desk._classes.settings))
 
     def fill_waits(self, count: int) -> None:
         """So many hosts have told a process beside this one to wait, which wrote it down."""
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -26,7 +26,7 @@
 from millweir.net.notices import Notices
 from millweir.net.replies import Replies, Reply
 from millweir.net.retry_after import SharedWaits
-from millweir.settings import unlisted_profile
+from millweir.net.service_classes import ServiceClasses
 
 
 class Desk:
@@ -44,11 +44,9 @@
         settings, bounds = config.settings, facade.bounds
         self._loop, self._facade, self._journal = loop, facade, journal
         self._log, self._counters, self._bounds = log, counters, bounds
-        self._profiles = {profile.name.encode(): at for at, profile in enumerate(settings.profiles)}
-        self._known = list(settings.profiles)  # each profile the module knows, by its number
+        self._classes = ServiceClasses(settings, facade)
         self._tenants = {tenant.name.encode(): at for at, tenant in enumerate(settings.tenants)}
-        self._settings, self._reports = settings, settings.reports
-        self._unlisted: int | None = None  # number of the profile that stands in for those listed no more
+        self._reports = settings.reports
         self._discovery = config.discovery
         self._owed: dict[bytes, Parcel] = {}
         self._backlog: deque[Parcel] = deque()  # owed, and not handed in yet; in the order taken
@@ -206,22 +204,17 @@
     @property
     def _room(self) -> int:
         """How large a packet may be taken on; the module does not count the backlog as open yet."""
-        full = self._backlog and 0 < self._settings.max_open <= len(self._owed)
+        full = self._backlog and 0 < self._classes.settings.max_open <= len(self._owed)
         return 0 if full else self._journal.room
 
     def _hand_in(self, parcel: Parcel) -> None:
-        if parcel.profile not in self._profiles and self._unlisted is None:
-            # Guards what an earlier settings file took on: it is still tried, as what may run only once.
-            stand_in = unlisted_profile(self._settings)
-            self._unlisted = self._facade.settings_told(replace(self._settings, profiles=(stand_in,)))
-            self._known.append(stand_in)
         tenant, now = self._tenants.get(parcel.account, len(self._tenants)), clock.to_wall(clock.steady())
         # Guards rule 2 where the wall clock was set back: a trip out at a time to come may be of any age.
         trips = tuple((clock.from_wall(at if at <= now else 0), bool(void)) for at, void in parcel.trips)
         self._facade.take(
             clock.steady(),
             parcel,
-            self._profiles.get(parcel.profile, self._unlisted),
+            self._classes.number(parcel.profile),
             tenant,
             int.from_bytes(parcel.key),
             clock.from_wall(parcel.hard_stop),
@@ -310,7 +303,7 @@
             not request.id
             or request.left < 0
             or request.destination < 0
-            or request.profile not in self._profiles
+            or request.profile not in self._classes
         ):
             self._counters.add("requests_malformed")
             if request.profile:
@@ -395,21 +388,8 @@
     def reload(self, config: Config) -> None:
         """SIGHUP: discovery and notices move to the address given now; profiles new or changed are used from
         now on, those gone are refused, packets under way keep theirs; fewer trips bind at once."""
-        fresh = [
-            p
-            for p in config.settings.profiles
-            if (at := self._profiles.get(p.name.encode())) is None or self._known[at] != p
-        ]
-        self._settings = config.settings
-        first = self._facade.settings_told(replace(config.settings, profiles=tuple(fresh)))
-        self._known += fresh
-        kept = {
-            p.name.encode(): self._profiles[p.name.encode()]
-            for p in config.settings.profiles
-            if p.name.encode() in self._profiles
-        }
-        self._profiles = kept | {p.name.encode(): first + at for at, p in enumerate(fresh)}
-        self._log.must(f"settings profiles={len(self._profiles)} new-or-changed={len(fresh)}")
+        fresh = self._classes.reload(config.settings)
+        self._log.must(f"settings profiles={len(self._classes)} new-or-changed={fresh}")
         if config.discovery != self._discovery:
             self._discovery = config.discovery
             self._watch.move(config.discovery)
--- a/tests/net/test_ready.py
+++ b/tests/net/test_ready.py
@@ -13,6 +13,7 @@
 from millweir.net.counters import Counters
 from millweir.net.desk import Desk
 from millweir.net.journal import FILE, Journal, Parcel
+from millweir.net.service_classes import ServiceClasses
 from net.inside import play, request
 from net.test_calls import handed_in
 
@@ -40,8 +41,9 @@
     facade.told(clock.steady(), Change.CACHED, tuple(entry(group, 0) for group in range(10)))
     desk = Desk.__new__(Desk)
     desk._facade, desk._bounds, desk._counters = facade, facade.bounds, Counters()
-    desk._owed, desk._backlog, desk._settings, desk._scheduled = {}, deque(), chosen, True
-    desk._profiles, desk._tenants, desk._unlisted = {b"again": 0}, {}, None
+    desk._owed, desk._backlog, desk._scheduled = {}, deque(), True
+    desk._classes, desk._tenants = ServiceClasses(chosen, facade), {}
+    desk._classes._by_name = {b"again": 0}
     for parcel in journal.owed.values():
         desk._restore(parcel)
     return desk
--- a/tests/net/test_repeat_window.py
+++ b/tests/net/test_repeat_window.py
@@ -12,6 +12,7 @@
 from millweir.net.counters import Counters
 from millweir.net.desk import Desk
 from millweir.net.journal import FILE, FRAME, OVER, OVER_KIND, Journal, Parcel
+from millweir.net.service_classes import ServiceClasses
 from net.inside import play
 from net.test_calls import QUICK, handed_in, held_back, jump
 
@@ -58,8 +59,9 @@
             facade.told(self.steady, Change.CACHED, (host,))
         desk = Desk.__new__(Desk)
         desk._facade, desk._bounds, desk._counters = facade, facade.bounds, Counters()
-        desk._owed, desk._backlog, desk._settings = {}, deque(), SETTINGS
-        desk._profiles, desk._tenants, desk._unlisted = {b"marked": REFERENCED}, {}, None
+        desk._owed, desk._backlog = {}, deque()
+        desk._classes, desk._tenants = ServiceClasses(SETTINGS, facade), {}
+        desk._classes._by_name = {b"marked": REFERENCED}
         for parcel in journal.owed.values():
             desk._restore(parcel)
         desk._work_off_backlog()
--- a/tests/net/test_restored.py
+++ b/tests/net/test_restored.py
@@ -175,7 +175,8 @@
 def test_a_profile_listed_no_more_brings_back_no_settings_from_before_a_reload(tmp_path, monkeypatch):
     async def steps(relay):
         desk = relay.desk
-        desk.reload(SimpleNamespace(settings=replace(desk._settings, max_trips=1), discovery=desk._discovery))
+        fewer = replace(desk._classes.settings, max_trips=1)
+        desk.reload(SimpleNamespace(settings=fewer, discovery=desk._discovery))
         desk._restore(Parcel(b"a", b"forgotten", b"", b"", b"", 0, time.time_ns() + 15 * 10**9, b"hello"))
         assert desk._facade._relay._max_trips == 1  # fewer trips bind at once, and go on to
 
