Capacity: what rests on the backlog is ranked by it; unfitted values are said so

Cause: a row over its budget in any fleet by the events that each relay holds would have ranked first whatever its size; a value without a slope looked as if it were within its budget; a plan of ours (copies in memory) had a budget that no design stands behind. Change: ranked by the share of the target's backlog; 'at the largest size measured' and 'not known: too few sizes'; unfitted values are interpolated between sizes; telling all relays the whole difference is marked as not taken.

--- a/millweir/lab/capacity/fits.py
+++ b/millweir/lab/capacity/fits.py
@@ -9,7 +9,7 @@
 from the value that was measured there, and likewise below the smallest.
 
 Fewer than `SIZES_LEAST` sizes, or sizes that span less than `SPAN_LEAST`, are not fitted: `LargestMeasured`
-stands in, the value at the largest size, unscaled.
+stands in, which past the largest size gives the value that was measured there, unscaled.
 """
 
 from __future__ import annotations
@@ -92,14 +92,7 @@
             return self._carried_on(self.points[-1], size)
         if size < self.points[0].size:
             return self._carried_on(self.points[0], size)
-        return self._interpolated(size)
-
-    def _interpolated(self, size: float) -> float:
-        """A power law between two sizes; a straight line where a value is 0."""
-        values = [point.value for point in self.points]
-        if min(values) <= 0:
-            return float(numpy.interp(size, self.sizes, values))
-        return math.exp(numpy.interp(math.log(size), numpy.log(self.sizes), numpy.log(values)))
+        return interpolate(self.points, size)
 
     def _carried_on(self, measured: Point, size: float) -> float:
         """From a measured value on as the form grows from there."""
@@ -109,18 +102,39 @@
 
 @dataclass(frozen=True, slots=True)
 class LargestMeasured:
-    """Stands in where no slope could be fitted: the value at the largest size, for every size."""
+    """Stands in where no slope could be fitted: nothing is carried on past the sizes that were measured."""
 
-    value: float
-    sizes: tuple[float, ...]
+    points: tuple[Point, ...]  # one for each size, rising
     reason: str
 
+    @property
+    def sizes(self) -> tuple[float, ...]:
+        return tuple(point.size for point in self.points)
+
     @property
     def largest(self) -> float:
-        return self.sizes[-1]
+        return self.points[-1].size
+
+    @property
+    def value(self) -> float:
+        """At the largest size."""
+        return self.points[-1].value
 
     def at(self, size: float) -> float:
-        return self.value
+        return interpolate(self.points, size)
+
+
+def interpolate(points: tuple[Point, ...], size: float) -> float:
+    """A power law between two sizes, or a straight line where a value is 0; outside of them the nearest."""
+    clamped = min(max(size, points[0].size), points[-1].size)
+    for point in points:
+        if point.size == clamped:
+            return point.value
+    sizes = [point.size for point in points]
+    values = [point.value for point in points]
+    if min(values) <= 0:
+        return float(numpy.interp(size, sizes, values))
+    return math.exp(numpy.interp(math.log(size), numpy.log(sizes), numpy.log(values)))
 
 
 def distinct_sizes(points: Iterable[Point]) -> tuple[float, ...]:
@@ -150,9 +164,7 @@
     try:
         return fit_slope(points)
     except TooFewSizes as too_few:
-        sizes = distinct_sizes(points)
-        at_largest = [point.value for point in points if point.size == sizes[-1]]
-        return LargestMeasured(max(at_largest), sizes, str(too_few))
+        return LargestMeasured(_means(points, distinct_sizes(points)), str(too_few))
 
 
 def _fit_form(form: Form, points: list[Point], sizes: tuple[float, ...]) -> Slope:
--- a/millweir/lab/capacity/model.py
+++ b/millweir/lab/capacity/model.py
@@ -192,6 +192,7 @@
 
     inputs: Inputs
     share: float = 1.0
+    backlog_share: float = 1.0  # of the events held by each relay
 
     @property
     def targets(self) -> Targets:
@@ -215,7 +216,7 @@
 
     @property
     def backlog(self) -> float:
-        return self.targets.backlog.value * self.share
+        return self.targets.backlog.value * self.share * self.backlog_share
 
     @property
     def changes_day(self) -> float:
@@ -340,6 +341,7 @@
     budget: float | None
     used: dict[SlopeKey, float]
     lacking: tuple[SlopeKey, ...]
+    not_carried: tuple[SlopeKey, ...]  # used past their largest size without a slope
 
     @property
     def share_of_budget(self) -> float | None:
@@ -360,4 +362,9 @@
     except NotMeasured:
         figure = None
     budget = row.budget.stated(fleet.inputs).value if row.budget else None
-    return Result(row, figure, budget, calculation.used, tuple(calculation.lacking))
+    not_carried = (key for key, size in calculation.used.items() if _is_not_carried(slopes[key], size))
+    return Result(row, figure, budget, calculation.used, tuple(calculation.lacking), tuple(not_carried))
+
+
+def _is_not_carried(measured: Measured, size: float) -> bool:
+    return isinstance(measured.slope, LargestMeasured) and size > measured.slope.largest
--- a/millweir/lab/capacity/page.py
+++ b/millweir/lab/capacity/page.py
@@ -25,7 +25,7 @@
     sources_of,
     work_out,
 )
-from millweir.lab.capacity.ranking import LARGEST_TIMES, SMALLEST_RELAYS, Ranked, needs, rank
+from millweir.lab.capacity.ranking import LARGEST_TIMES, Growth, Ranked, needs, rank, smallest_share
 from millweir.lab.capacity.rows import ROWS
 from millweir.lab.capacity.units import rounded, stated_with_unit, with_unit
 from millweir.lab.scale.measurement import ROOT, read_measurements
@@ -59,7 +59,9 @@
 RANKING_NOTE = f"""\
 All figures of the target grow together: destinations, events, backlog and changes with the relays. The
 smallest fleet stands first; rows that are not over up to {LARGEST_TIMES:g} times the target come last, by
-their share of the budget at the target. A row that is over in small fleets alone counts as not over."""
+their share of the budget at the target. A row that is over in small fleets alone counts as not over. A row
+that is over in a fleet of any size because of the events that each relay holds is ranked by the share of the
+target's backlog at which it goes over, the fleet being as large as the target's."""
 
 SLOPES_NOTE = f"""\
 Fitted by least squares of relative errors over at least {SIZES_LEAST} sizes that span {SPAN_LEAST:g} times,
@@ -174,6 +176,8 @@
     text = with_unit(result.figure, result.row.unit)
     if result.lacking:
         text += " and what is not measured"
+    if result.not_carried:
+        text += " (at the largest size measured)"
     if result.is_over:
         text = f"{text} **OVER** {rounded(result.share_of_budget)} times"
     return text
@@ -243,7 +247,14 @@
     return title + _table(RANKING_HEADINGS, lines)
 
 
-RANKING_HEADINGS = ("", "over from relays", "destinations", "share of budget at the target", "budget", "row")
+RANKING_HEADINGS = (
+    "",
+    "over from relays",
+    "destinations, or events held",
+    "share of budget at the target",
+    "budget",
+    "row",
+)
 
 
 def _ranking_line(place: int, ranked: Ranked, inputs: Inputs) -> tuple[str, ...]:
@@ -257,12 +268,16 @@
 
 
 def _size(ranked: Ranked, inputs: Inputs) -> tuple[str, str]:
-    """Relays and destinations from which a row is over."""
-    if ranked.share is None:
-        return "not over", ""
-    if ranked.from_smallest:
-        return f"any ({SMALLEST_RELAYS:g} and more)", "any"
-    fleet = Fleet(inputs, ranked.share)
+    """Relays from which a row is over, and destinations; or the events held by each relay."""
+    crossing = ranked.crossing
+    if crossing is None:
+        return ("not known: too few sizes" if ranked.result.not_carried else "not over"), ""
+    if crossing.growth is Growth.BACKLOG:
+        held = Fleet(inputs, backlog_share=crossing.share).held_relay
+        return "any", f"{with_unit(held, 'events')} held by each relay"
+    if crossing.share == smallest_share(inputs):
+        return "any", "any"
+    fleet = Fleet(inputs, crossing.share)
     return rounded(fleet.relays), rounded(fleet.destinations)
 
 
@@ -274,8 +289,8 @@
     text = (
         "## What is missing first\n\n"
         f"Rows with a budget: {len(budgeted)}. Over it at the target: {over}. Not measured: {unknown}, so\n"
-        "the order may change with them. The mechanism whose first row goes over its budget in the smallest\n"
-        "fleet is missing first.\n\n"
+        "the order may change with them. The mechanism whose first row goes over its budget at the smallest\n"
+        "share of the target is missing first.\n\n"
     )
     found = needs(ranked)
     if not found:
@@ -291,7 +306,14 @@
         )
         for place, need in enumerate(found, 1)
     )
-    headings = ("", "mechanism", "first over from relays", "destinations", "rows over", "its first row")
+    headings = (
+        "",
+        "mechanism",
+        "first over from relays",
+        "destinations, or events held",
+        "rows over",
+        "its first row",
+    )
     return text + _table(headings, lines)
 
 
--- a/millweir/lab/capacity/ranking.py
+++ b/millweir/lab/capacity/ranking.py
@@ -1,32 +1,56 @@
-"""Ranks the rows by the size of the fleet from which each is over its budget."""
+"""Ranks the rows by the share of the target from which each is over its budget.
+
+The fleet grows as a whole: destinations, events, backlog and changes with the relays.  A row that is over in
+a fleet of any size, because it rests on the events that each relay holds, is ranked by the share of these.
+"""
 
 from __future__ import annotations
 
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from millweir.lab.capacity.assumptions import Inputs
 from millweir.lab.capacity.model import Fleet, Mechanism, Result, Row, Slopes, work_out
 
 SMALLEST_RELAYS = 10.0
+SMALLEST_BACKLOG = 1e-7  # of the target's
 LARGEST_TIMES = 100.0  # of the target
 STEPS_PER_DECADE = 10
 BISECTIONS = 40
 
 
+class Growth(Enum):
+    """What grows until a row is over its budget."""
+
+    FLEET = "the fleet as a whole"
+    BACKLOG = "the events that each relay holds"
+
+
+@dataclass(frozen=True, slots=True)
+class Crossing:
+    """The share of the target from which a row is over its budget."""
+
+    growth: Growth
+    share: float
+
+
 @dataclass(frozen=True, slots=True)
 class Ranked:
-    """A row with the share of the target from which it is over its budget."""
+    """A row with where it goes over its budget."""
 
     result: Result  # at the target
-    share: float | None  # None: not over up to `LARGEST_TIMES` the target
-    from_smallest: bool  # over already at the smallest fleet looked at
+    crossing: Crossing | None  # None: not over up to `LARGEST_TIMES` the target
 
     @property
     def row(self) -> Row:
         return self.result.row
 
+    @property
+    def share(self) -> float | None:
+        return self.crossing.share if self.crossing else None
+
 
 @dataclass(frozen=True, slots=True)
 class Need:
@@ -43,8 +67,7 @@
     for row in rows:
         result = work_out(row, Fleet(inputs), slopes)
         if result.share_of_budget is not None:
-            share = share_over_budget(row, inputs, slopes)
-            ranked.append(Ranked(result, share, share == _smallest_share(inputs)))
+            ranked.append(Ranked(result, find_crossing(row, inputs, slopes)))
     return sorted(ranked, key=_order)
 
 
@@ -53,18 +76,38 @@
     return share, -(ranked.result.share_of_budget or 0.0)
 
 
-def share_over_budget(row: Row, inputs: Inputs, slopes: Slopes) -> float | None:
-    """The share of the target from which a row is over its budget in every larger fleet; None: it is not.
+def find_crossing(row: Row, inputs: Inputs, slopes: Slopes) -> Crossing | None:
+    """Where a row goes over its budget and stays over it; None: nowhere.
 
     A row that is over in small fleets alone doesn't stand in the way of growth, so it gives None as well.
     """
 
-    def is_over(share: float) -> bool:
+    def is_over_by_fleet(share: float) -> bool:
         return work_out(row, Fleet(inputs, share), slopes).is_over
 
+    def is_over_by_backlog(share: float) -> bool:
+        return work_out(row, Fleet(inputs, backlog_share=share), slopes).is_over
+
+    smallest = smallest_share(inputs)
+    share = _first_over(is_over_by_fleet, smallest)
+    if share is None:
+        return None
+    if share == smallest and not is_over_by_backlog(SMALLEST_BACKLOG):
+        held_share = _first_over(is_over_by_backlog, SMALLEST_BACKLOG)
+        if held_share is not None:
+            return Crossing(Growth.BACKLOG, held_share)
+    return Crossing(Growth.FLEET, share)
+
+
+def smallest_share(inputs: Inputs) -> float:
+    """The share of the target at which the smallest fleet that is looked at stands."""
+    return SMALLEST_RELAYS / inputs.targets.relays.value
+
+
+def _first_over(is_over: Callable[[float], bool], smallest: float) -> float | None:
+    """The share from which it is over up to the largest looked at."""
     if not is_over(LARGEST_TIMES):
         return None
-    smallest = _smallest_share(inputs)
     steps = math.ceil(math.log10(LARGEST_TIMES / smallest) * STEPS_PER_DECADE)
     above = LARGEST_TIMES
     for step in range(steps - 1, -1, -1):
@@ -75,10 +118,6 @@
     return smallest
 
 
-def _smallest_share(inputs: Inputs) -> float:
-    return SMALLEST_RELAYS / inputs.targets.relays.value
-
-
 def _bisect(is_over: Callable[[float], bool], below: float, above: float) -> float:
     """Where it becomes over, between a share that is not and one that is."""
     for _ in range(BISECTIONS):
--- a/millweir/lab/capacity/rows_control.py
+++ b/millweir/lab/capacity/rows_control.py
@@ -245,15 +245,14 @@
     ),
     *(
         _control(
-            "a change of the assignment, if it is told whole within the budget of bytes",
+            "a change of the assignment, if every relay is told it whole, within the budget of bytes",
             Resource.TIME,
             "s",
             lambda c, key=key: c.measured(key, c.fleet.relays) / c.fleet.targets.control_bytes.value,
             mechanisms.PLACEMENT,
             trouble=trouble,
-            stage=Stage.AFTER,
+            stage=Stage.ALTERNATIVE,
             budget=mechanisms.IN_FORCE,
-            remedy=mechanisms.CONFIGURATION,
         )
         for trouble, key in (
             (Trouble.MACHINE, keys.placement_trouble("difference-bytes", Trouble.MACHINE)),
--- a/millweir/lab/capacity/rows_taker.py
+++ b/millweir/lab/capacity/rows_taker.py
@@ -22,13 +22,11 @@
 
 TAKER = (
     _taker(
-        "memory of the events held, with copies of others'",
+        "memory of the events held and of copies, if a copy takes as much",
         Resource.MEMORY,
         "B",
         lambda c: c.fleet.held_relay * (1 + c.fleet.assumptions.copies.value) * event_memory(c),
         mechanisms.TAKE_OVER,
-        budget=mechanisms.RELAY_MEMORY,
-        remedy=mechanisms.JOURNAL_SEGMENTS,
     ),
     _taker(
         "copies sent and taken",
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -35,7 +35,7 @@
     fit_measurements,
     work_out,
 )
-from millweir.lab.capacity.ranking import LARGEST_TIMES, needs, rank, share_over_budget
+from millweir.lab.capacity.ranking import LARGEST_TIMES, Crossing, Growth, find_crossing, needs, rank
 from millweir.lab.capacity.rows import ROWS
 from millweir.lab.capacity.rows_control import CONTROL_PARTS
 from millweir.lab.capacity.units import rounded, with_unit
@@ -159,6 +159,8 @@
     assert isinstance(stand_in, LargestMeasured)
     assert reason in stand_in.reason
     assert stand_in.at(1e9) == max(sizes)  # unscaled
+    assert stand_in.at(0.1) == min(sizes)
+    assert stand_in.at(50) == pytest.approx(50)
 
 
 # Rows and budgets.
@@ -304,14 +306,37 @@
     )
     ranked = rank(rows, inputs, {})
     assert [one.row.name for one in ranked] == ["always", "late", "nearly", "tenth"]
-    assert ranked[0].from_smallest
+    assert ranked[0].crossing.growth is Growth.FLEET
     assert [one.share is None for one in ranked] == [False, False, True, True]
 
 
 def test_a_row_that_is_over_in_small_fleets_alone_is_not_over(inputs):
     budget = inputs.targets.control_memory.value
     row = a_row(lambda c: budget * 0.1 / c.fleet.share)
-    assert share_over_budget(row, inputs, {}) is None
+    assert find_crossing(row, inputs, {}) is None
+
+
+def test_a_row_over_in_any_fleet_by_what_a_relay_holds_is_ranked_by_that(inputs):
+    budget = inputs.targets.control_memory.value
+    held = Fleet(inputs).held_relay
+    row = a_row(lambda c: 50 * budget * c.fleet.held_relay / held)
+    crossing = find_crossing(row, inputs, {})
+    assert crossing.growth is Growth.BACKLOG
+    assert crossing.share == pytest.approx(1 / 50, rel=1e-6)
+    always = find_crossing(a_row(lambda c: 2 * budget), inputs, {})
+    assert always == Crossing(Growth.FLEET, 10 / inputs.targets.relays.value)
+    text = page.render(page.Model(inputs, {}, (row,)))
+    assert f"| 1 | any | {with_unit(held / 50, 'events')} held by each relay |" in text
+
+
+def test_a_row_that_rests_on_too_few_sizes_is_not_called_within_its_budget(inputs):
+    slopes = slopes_of({10: 4.0, 100: 5.0})
+    row = a_row(lambda c: c.measured(KEY, c.fleet.relays))
+    text = page.render(page.Model(inputs, slopes, (row,)))
+    assert "5 B (at the largest size measured)" in text
+    assert "| 1 | not known: too few sizes |" in text
+    within = a_row(lambda c: c.measured(KEY, 50.0))
+    assert "not known" not in page.render(page.Model(inputs, slopes, (within,)))
 
 
 def test_rows_without_budget_or_figure_are_not_ranked(inputs):
