Capacity: interpolation as a power law is tested

Cause: a mutant that always drew a straight line survived. Change: values of n squared between sizes. Measured result: the mutant is killed.

--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -126,6 +126,7 @@
     assert 9.0 < slope.at(3_000) < 11.0
     straight = fit_slope([Point(size, 2.0 * size) for size in SIZES])
     assert straight.at(3_000) == pytest.approx(6_000)
+    assert fit_slope([Point(size, size**2) for size in SIZES]).at(3_000) == pytest.approx(9e6)
     assert fit_slope([Point(size, size - 100.0) for size in SIZES]).at(550) == pytest.approx(450)
     assert slope.at(1e6) / 40.0 == pytest.approx(slope.by_form(1e6) / slope.by_form(1e5))
     assert slope.at(100_001) == pytest.approx(40.0, rel=1e-3)
