--- a/millweir/lab/capacity/page.py
+++ b/millweir/lab/capacity/page.py
@@ -72,7 +72,8 @@
 goes on from the value measured there. A quantity with too few sizes is not fitted: its value at the largest
 size measured is used as it stands, which is too low where it grows. The spread is that of the repeats, or
 of the members, at the largest size, over the value there. What was measured both on sockets and simulated
-is used as measured on sockets, unless only the simulated figures have sizes enough."""
+is used as measured on sockets, unless only the simulated figures have sizes enough. What falls with size is
+fitted as constant, mostly poorly: past the largest size it is not taken to fall further."""
 
 
 @dataclass(frozen=True, slots=True)
