--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -26,13 +26,11 @@
 import math
 import random
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
-from enum import Enum
-from typing import Protocol
+from collections.abc import Iterable
 
 import msgspec
 
+from millweir.members.gossip import ByteBudget, Gossip, Load
 from millweir.members.messages import (
     CUTS_SINCE,
     Claim,
@@ -45,145 +43,37 @@
     encode,
     mark,
 )
-
-SECOND = 1_000_000_000
-MILLISECOND = 1_000_000
-NEVER = 1 << 62
-Address = tuple[str, int]
-
-
-class Degree(Enum):
-    """How a member stands in this view."""
-
-    ALIVE = "alive"
-    LATE = "late"  # it answers late, or says so itself
-    CUT = "cut"  # it lives, but a path between it and us is down
-    SUSPECTED = "suspected"
-    GONE = "gone"
-    LEFT = "left"
-
-
-class Standing(Enum):
-    """How this member stands itself."""
-
-    OUT = "out"  # not yet in, or its name is another's
-    IN = "in"
-    LEAVING = "leaving"
-
-
-@dataclass(frozen=True, slots=True)
-class Rules:
-    """Times in nanoseconds; counts as named."""
-
-    interval: int = SECOND  # between probes
-    timeout: int = SECOND // 2  # until helpers are asked; less than the interval
-    helpers: int = 3
-    suspicion: float = 5.0  # intervals from suspicion to gone at ten members or fewer, at the least
-    patience: float = 6.0  # times as long when nobody else finds the same
-    late_most: int = 8  # how many times slower a member that is late probes
-    news_every: int = SECOND // 5
-    news_to: int = 3
-    retell: int = 4  # times the logarithm of the fleet that a claim is told by each member
-    contact_every: int = 5 * SECOND  # a word to a seed, or to one held gone: heals cuts
-    settle: int = 3 * SECOND  # an unchanged view that differs from another's for so long asks for it whole
-    whole_rest: int = 10 * SECOND  # between whole states asked for
-    doubt_most: int = 120 * SECOND  # how long a member whom nobody answers holds its verdicts back
-    forget: int = 24 * 3600 * SECOND  # records of gone members
-    members_most: int = 4096
-    cuts_most: int = 256
-    relays_most: int = 64  # probes for others under way
-    datagram_most: int = 1200  # bytes
-
-    def least(self, members: int) -> int:
-        """The shortest time from a suspicion to gone."""
-        return round(self.suspicion * max(1.0, math.log10(max(members, 1))) * self.interval)
-
-    def told(self, members: int) -> int:
-        """How often one claim is told by each member."""
-        return self.retell * math.ceil(math.log10(members + 1) or 1)
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    """A member's degree in this view is another one now."""
-
-    at: int
-    name: str
-    before: Degree | None
-    after: Degree
-    by: str
-    incarnation: int
-
-
-class Port(Protocol):
-    """What the core does to the world."""
-
-    def send(self, to: Address, version: int, datagram: Datagram) -> None: ...
-    def ask_whole(self, to: Address) -> None: ...
-    def wake(self, at: int) -> None: ...
-    def changed(self, change: Change) -> None: ...
-    def keep(self, incarnation: int) -> None: ...  # to outlast this process, before it is told
-    def say(self, event: str, **fields: object) -> None: ...
-
-
-class Member:
-    """One other member, as held here."""
-
-    __slots__ = (
-        "accusers",
-        "ask_in_vain",
-        "claim",
-        "cut_in",
-        "cut_out",
-        "degree",
-        "heard_at",
-        "late",
-        "since",
-        "suspected_at",
-        "vain_since",
-        "verdict_at",
-        "word",
-    )
-
-    def __init__(self, claim: Claim, now: int) -> None:
-        self.claim = claim
-        self.degree = Degree.ALIVE  # never CUT or LATE: those show on top of it
-        self.since = now
-        self.word = claim.by
-        self.heard_at = -NEVER  # by its own datagram
-        self.late = 0  # ms, by its own word
-        self.accusers: set[str] | None = None
-        self.suspected_at = 0
-        self.verdict_at = NEVER
-        self.ask_in_vain = 0  # probes in a row answered through helpers only
-        self.vain_since = 0
-        self.cut_out = self.cut_in = 0  # since when from us to it, from it to us; 0 for not
-
-    @property
-    def active(self) -> bool:
-        return self.degree is Degree.ALIVE or self.degree is Degree.SUSPECTED
-
-
-class Probe:
-    """The one probe under way."""
-
-    __slots__ = (
-        "answered",
-        "asked",
-        "asks_at",
-        "began",
-        "direct",
-        "ends",
-        "nacks",
-        "seq",
-        "target",
-        "wanted",
-    )
-
-    def __init__(self, target: Member, seq: int, began: int, asks_at: int, ends: int) -> None:
-        self.target, self.seq, self.began, self.asks_at, self.ends = target, seq, began, asks_at, ends
-        self.answered = self.direct = self.asked = False
-        self.wanted = self.nacks = 0
+from millweir.members.paths import Paths, key_of
+from millweir.members.port import Port
+from millweir.members.probing import Probe, Relay
+from millweir.members.rules import MILLISECOND, NEVER, SECOND, Address, Rules
+from millweir.members.suspicion import VerdictTimers
+from millweir.members.table import Table
+from millweir.members.view import Change, Degree, Member, Standing
+
+__all__ = [
+    "MILLISECOND",
+    "NEVER",
+    "SECOND",
+    "Address",
+    "Change",
+    "Core",
+    "Degree",
+    "Member",
+    "Port",
+    "Probe",
+    "Rules",
+    "Standing",
+]
+
+ENVELOPE = 230  # bytes of a datagram without its news, the headers below it with it, about
+DEGREES = {  # of a member not known before, by what is claimed of it
+    Rank.ALIVE: Degree.ALIVE,
+    Rank.SUSPECTED: Degree.SUSPECTED,
+    Rank.GONE: Degree.GONE,
+    Rank.LEFT: Degree.LEFT,
+}
+URGENT_ROOM = 240  # bytes of news that an answer or a probe carries also where the budget is spent
 
 
 class Core:
@@ -205,20 +95,20 @@
             self.me = msgspec.structs.replace(self.me, incarnation=me.incarnation + 1)
             port.keep(me.incarnation + 1)
         self.standing = Standing.OUT
-        self.members: dict[str, Member] = {}
-        self.cuts: dict[tuple[str, str, str], Cut] = {}
+        self._table = Table(rules.members_most, chance, now, contacts)
+        self.members = self._table.rows
+        self._ring = self._table.ring
+        self._paths = Paths(rules.cuts_most)
+        self.cuts = self._paths.held
         self.full = False  # more members than the table holds were heard of
-        self._contacts = list(dict.fromkeys(contacts))
-        self._ring: list[Member] = []  # the active ones, in the order of this round
-        self._at = 0  # next of the ring
         self._probe: Probe | None = None
         self._past: OrderedDict[int, tuple[Member, int]] = OrderedDict()  # probes over: answers may come late
-        # Probes for others, by our seq: who asked, its seq, the target, when we give up.
-        self._relays: OrderedDict[int, tuple[Claim, int, str, int]] = OrderedDict()
-        self._news: OrderedDict[object, list] = OrderedDict()  # key: item, its bytes, times told
+        self._relays: OrderedDict[int, Relay] = OrderedDict()  # by our seq
+        self._gossip = Gossip(me.name)
+        self._budget = ByteBudget(rules.bytes_second, rules.datagram_most, now)
         self._suspects: dict[str, Member] = {}
-        self._digest = 0
-        self._changed_at = now
+        self._verdicts = VerdictTimers(self._suspects)
+        self._spans = 0, 0  # least time and findings wanted, when all verdicts were set last
         self._slow = 0  # Lifeguard's awareness: how much slower than planned this member probes
         self._vain = 0  # probes in a row that failed altogether
         self._vain_since = now
@@ -226,13 +116,12 @@
         self._woke_late_at = -NEVER
         self._lateness = 0
         self._whole_at = -NEVER
-        self._cut_number = 0
         self._began = now
         self._due = NEVER
         self._probe_at = now + round(chance.uniform(0.5, 1.5) * rules.interval)  # not all in step
         self._news_at = NEVER
         self._contact_at = now
-        if not self._contacts:
+        if not self._table.contacts:
             self._enter(now)
 
     # What the caller tells.
@@ -289,9 +178,9 @@
         if now >= self._probe_at:
             self._step(now)
         self._judge(now)
-        for seq in [seq for seq, relay in self._relays.items() if relay[3] <= now]:
-            asker, theirs, target, _ = self._relays.pop(seq)
-            self._send(now, asker, Kind.NACK, theirs, target=target)
+        for seq in [seq for seq, relay in self._relays.items() if relay.ends <= now]:
+            relay = self._relays.pop(seq)
+            self._send(now, relay.asker, Kind.NACK, relay.seq, target=relay.target)
         if now >= self._news_at:
             self._tell_news(now)
         self._arm(now)
@@ -304,9 +193,9 @@
         self.me = self.me.ranked(Rank.LEFT, self.me.name)
         self._probe = None
         if was is Standing.IN:
-            for member in self._some(max(self.rules.news_to, 2 * self.rules.helpers)):
+            for member in self._ring.some(max(self.rules.news_to, 2 * self.rules.helpers)):
                 self._send(now, member.claim, Kind.NEWS, 0)
-            self._news[self.me.name] = [self.me, encode(self.me), 0]
+            self._gossip.tell(self.me.name, self.me)
             self._news_at = now
         self._arm(now)
 
@@ -321,8 +210,8 @@
 
     def settle(self, now: int, contacts: Iterable[Address]) -> None:
         """All are introduced: nothing of it is news."""
-        self._contacts = list(dict.fromkeys(contacts))
-        self._news.clear()
+        self._table.set_contacts(contacts)
+        self._gossip.clear()
         self._arm(now)
 
     # What may be asked.
@@ -349,6 +238,11 @@
         """How many others are held for there."""
         return len(self._ring)
 
+    @property
+    def digest(self) -> int:
+        """Of all who are held for there, this member with them; the same where two agree on them."""
+        return self._table.digest ^ mark(self.me.name, self.me.incarnation, self.me.birth)
+
     @property
     def slow(self) -> int:
         return self._slow
@@ -376,7 +270,9 @@
                 self._probe = None
             self._probe_at = max(self._probe_at, now + self.rules.timeout)
             for member in self._suspects.values():
-                member.verdict_at = max(member.verdict_at, now + min(late, 3 * self.rules.interval))
+                later = now + min(late, 3 * self.rules.interval)
+                member.verdict_at = max(member.verdict_at, later)
+                self._verdicts.add(member)
             self._vain = 0
             self._heard_at = max(self._heard_at, min(now, self._heard_at + late))
             self._port.say("members.woke-late", late_ms=late // MILLISECOND)
@@ -389,15 +285,14 @@
 
     def _arm(self, now: int) -> None:
         due = min(self._probe_at, self._contact_at)
-        if self._news:
+        if self._gossip:
             self._news_at = min(self._news_at, now + self.rules.news_every)
             due = min(due, self._news_at)
         else:
             self._news_at = NEVER
-        for member in self._suspects.values():
-            due = min(due, member.verdict_at)
+        due = min(due, self._verdicts.next_at())
         for relay in self._relays.values():
-            due = min(due, relay[3])
+            due = min(due, relay.ends)
             break  # the oldest ends first
         due = max(due, now + MILLISECOND)
         if due != self._due:
@@ -432,22 +327,16 @@
         self._probe_at = probe.asks_at
 
     def _next(self) -> Member | None:
-        last = self._ring[self._at - 1] if 0 < self._at <= len(self._ring) else None
+        last = self._ring.current
         if last and 0 < last.ask_in_vain < 3:
             return last  # is its path down, or was that chance? A large fleet would not be back here for long
-        if self._at >= len(self._ring):
-            self._chance.shuffle(self._ring)
-            self._at = 0
-        if not self._ring:
-            return None
-        self._at += 1
-        return self._ring[self._at - 1]
+        return self._ring.advance()
 
     def _ask_helpers(self, now: int, probe: Probe) -> None:
         probe.asked = True
         claim = probe.target.claim
         self._send(now, claim, Kind.PING, probe.seq, target=claim.name)  # the first one may just be lost
-        for helper in self._some(self.rules.helpers, probe.target):
+        for helper in self._ring.some(self.rules.helpers, probe.target):
             probe.wanted += 1
             self._send(
                 now, helper.claim, Kind.ASK, probe.seq, target=claim.name, host=claim.host, port=claim.port
@@ -479,7 +368,8 @@
         target = self.members.get(told.target)
         seq = self._chance.getrandbits(48)
         # Before the asker's probe ends, so that it learns that its helpers are well.
-        self._relays[seq] = told.me, told.seq, told.target, now + self.rules.timeout * 4 // 5
+        ends = now + self.rules.timeout * 4 // 5
+        self._relays[seq] = Relay(told.me, told.seq, told.target, ends)
         if target:
             self._send(now, target.claim, Kind.PING, seq, target=told.target, asker=told.me.name)
         else:
@@ -492,7 +382,7 @@
     def _acked(self, now: int, told: Told, sender: Member | None) -> None:
         relay = self._relays.pop(told.seq, None)
         if relay:
-            self._send(now, relay[0], Kind.ACK, relay[1], target=relay[2], heard=told.heard)
+            self._send(now, relay.asker, Kind.ACK, relay.seq, target=relay.target, heard=told.heard)
             return
         if self.standing is Standing.OUT and (told.digest or now - self._began >= self.rules.interval):
             self._want_whole(now, told.me)
@@ -539,32 +429,18 @@
         ):
             if bool(getattr(member, field)) != down:
                 setattr(member, field, now if down else 0)
-                self._cut_number = max(self._cut_number + 1, now // MILLISECOND)
-                cut = Cut(start, end, self.me.name, self._cut_number, down)
-                self._hold_cut(cut)
+                self._hold_cut(self._paths.own(now, start, end, self.me.name, down))
         self._shown(now, member, before, self.me.name)
 
     def _cut_told(self, now: int, cut: Cut) -> None:
         teller = self.members.get(cut.by)
-        held = self.cuts.get((cut.start, cut.end, cut.by))
-        if (
-            teller
-            and teller.active
-            and cut.by in (cut.start, cut.end)
-            and cut.by != self.me.name
-            and cut.number > (held.number if held else -1)
-            and (held or cut.down)
-        ):
+        told_by_its_end = cut.by in (cut.start, cut.end) and cut.by != self.me.name
+        if teller and teller.active and told_by_its_end and self._paths.is_news(cut):
             self._hold_cut(cut)
 
     def _hold_cut(self, cut: Cut) -> None:
-        key = cut.start, cut.end, cut.by
-        self.cuts.pop(key, None)
-        self.cuts[key] = cut
-        if len(self.cuts) > self.rules.cuts_most:  # paths that are up again first, then the oldest
-            mended = (old for old, one in self.cuts.items() if not one.down)
-            self.cuts.pop(next(mended, next(iter(self.cuts))))
-        self._tell(key, cut)
+        self._paths.hold(cut)
+        self._gossip.tell(key_of(cut), cut)
 
     # Claims.
 
@@ -598,64 +474,34 @@
             self._hold(now, member, claim, Degree.GONE)
         else:  # gone too: guards the living of one side of a cut against what the other made of them
             self._suspect(now, member, claim, newer)
-        self._tell(claim.name, claim)
+        self._gossip.tell(claim.name, claim)
 
     def _met(self, now: int, claim: Claim) -> None:
         """A name not known before."""
-        if len(self.members) >= self.rules.members_most and not self._forget_one():
+        if not self._table.has_room():
             if not self.full:
                 self.full = True
                 self._port.say("members.table-full", most=self.rules.members_most)
             return
-        member = self.members[claim.name] = Member(claim, now)
-        if claim.rank >= Rank.GONE:
-            member.degree = Degree.LEFT if claim.rank is Rank.LEFT else Degree.GONE
-        else:
-            self._enlist(member)
-            if claim.rank is Rank.SUSPECTED:
-                self._begin_suspicion(now, member, claim.by)
-            self._tell(claim.name, claim)
-        self._count(now, claim, member.active)
+        member = self._table.add(now, claim, DEGREES[claim.rank])
+        if claim.rank is Rank.SUSPECTED:
+            self._begin_suspicion(now, member, claim.by)
+        if member.active:
+            self._gossip.tell(claim.name, claim)
         self._shown(now, member, None, claim.by)
 
-    def _enlist(self, member: Member) -> None:
-        self._ring.insert(self._chance.randint(0, len(self._ring)), member)
-
     def _hold(self, now: int, member: Member, claim: Claim, degree: Degree) -> None:
         """The claim that holds from now on."""
         before, was_active = self.degree(now, member), member.active
-        if was_active:
-            self._count(now, member.claim, True)  # out of the digest
-        member.claim, member.degree = claim, degree
+        self._table.hold(now, member, claim, degree)
         if degree is not Degree.SUSPECTED:
             member.accusers, member.verdict_at = None, NEVER
             self._suspects.pop(claim.name, None)
-        if member.active and not was_active:
-            self._enlist(member)
-        elif was_active and not member.active:
-            at = self._ring.index(member)
-            del self._ring[at]
-            self._at -= at < self._at
+        if was_active and not member.active:
             member.cut_in = member.cut_out = 0
-            for key in [key for key, cut in self.cuts.items() if cut.by == claim.name]:
-                del self.cuts[key]
-        self._count(now, claim, member.active)
+            self._paths.forget(claim.name)
         self._shown(now, member, before, claim.by)
 
-    def _count(self, now: int, claim: Claim, active: bool) -> None:
-        """The digest covers who is held for there: two members that agree on that have the same one."""
-        if active:
-            self._digest ^= mark(claim.name, claim.incarnation, claim.birth)
-            self._changed_at = now
-
-    def _forget_one(self) -> bool:
-        """Room for a new name: the one gone longest goes."""
-        out = [(member.since, name) for name, member in self.members.items() if not member.active]
-        if not out:
-            return False
-        del self.members[min(out)[1]]
-        return True
-
     # Suspicions.
 
     def _suspect(self, now: int, member: Member, claim: Claim, newer: bool) -> None:
@@ -670,16 +516,36 @@
         member.degree = Degree.SUSPECTED
         member.accusers, member.suspected_at = {by}, now
         self._suspects[member.claim.name] = member
-        for suspect in self._suspects.values():
-            self._set_verdict(suspect)
+        if self._spans_changed():
+            for suspect in self._suspects.values():
+                self._time_verdict(suspect)
+        else:
+            self._time_verdict(member)
 
     def _found_too(self, now: int, member: Member, claim: Claim) -> None:
         """One more member finds the same: sooner gone, and told on as often as the first time."""
         if claim.by in member.accusers or len(member.accusers) > self.rules.helpers:
             return
         member.accusers.add(claim.by)
+        self._time_verdict(member)
+        self._gossip.tell(claim.name, claim)
+
+    def _spans_changed(self) -> bool:
+        """Whether verdicts set earlier would be set otherwise now, by more than a hundredth."""
+        least, wanted = self.rules.least(len(self._ring) + 1), self._findings_wanted()
+        least_before, wanted_before = self._spans
+        if wanted == wanted_before and abs(least - least_before) * 100 <= least_before:
+            return False
+        self._spans = least, wanted
+        return True
+
+    def _findings_wanted(self) -> int:
+        """As many more as can find it: where several died at once, those say nothing of each other."""
+        return min(self.rules.helpers, len(self._ring) - len(self._suspects))
+
+    def _time_verdict(self, member: Member) -> None:
         self._set_verdict(member)
-        self._tell(claim.name, claim)
+        self._verdicts.add(member)
 
     def _set_verdict(self, member: Member) -> None:
         least = self.rules.least(len(self._ring) + 1)
@@ -687,8 +553,7 @@
             span = least  # somebody has waited already
         else:
             most = least * self.rules.patience
-            # As many more as can find it: where several died at once, those say nothing of each other.
-            wanted = min(self.rules.helpers, len(self._ring) - len(self._suspects))
+            wanted = self._findings_wanted()
             found = min(len(member.accusers) - 1, wanted)
             share = math.log(found + 1) / math.log(wanted + 1) if wanted else 1.0
             span = round(max(least, most - (most - least) * share))
@@ -696,13 +561,14 @@
 
     def _judge(self, now: int) -> None:
         """Suspicions that have run out."""
-        for member in [member for member in self._suspects.values() if member.verdict_at <= now]:
+        for member in self._verdicts.due(now):
             if self.in_doubt(now):
                 member.verdict_at = now + self.rules.interval
+                self._verdicts.add(member)
                 continue
             claim = member.claim.ranked(Rank.GONE, self.me.name)
             self._hold(now, member, claim, Degree.GONE)
-            self._tell(claim.name, claim)
+            self._gossip.tell(claim.name, claim)
 
     def _word_of(self, now: int, member: Member, told: Told) -> None:
         """The member itself was heard."""
@@ -759,9 +625,9 @@
             self._port.say(
                 "members.refuted", claimed=because.rank.name.lower(), by=because.by, incarnation=incarnation
             )
-        self._changed_at = now
+        self._table.changed_at = now
         if self.standing is Standing.IN:
-            self._tell(me.name, self.me)
+            self._gossip.tell(me.name, self.me)
 
     def _yield(self, now: int, other: Claim) -> None:
         """Guards a name used by two processes: the one with the lower claim stays out until it is free."""
@@ -771,7 +637,7 @@
             )
         self.standing = Standing.OUT
         self._probe = None
-        self._news.pop(self.me.name, None)
+        self._gossip.forget(self.me.name)
         self._contact_at = min(self._contact_at, now + self.rules.contact_every)
 
     def _enter(self, now: int) -> None:
@@ -779,7 +645,7 @@
         if self.me.incarnation == 0:
             self._rise(now, 1)
         else:
-            self._tell(self.me.name, self.me)
+            self._gossip.tell(self.me.name, self.me)
         self._probe_at = min(self._probe_at, now + self.rules.interval)
         self._port.say("members.entered", incarnation=self.me.incarnation, members=len(self._ring) + 1)
 
@@ -797,20 +663,21 @@
         self._contact_at = now + round(every * jitter)
         if self.standing is Standing.LEAVING:
             return
-        there = set() if outside else {member.claim.address for member in self._ring}
-        gone = [member for member in self.members.values() if member.degree is Degree.GONE]
-        for member in gone:
-            if now - member.since > self.rules.forget:
-                del self.members[member.claim.name]
+        self._table.forget_before(now - self.rules.forget)
         ways: list[Address] = [
-            address for address in self._contacts if address not in there and address != self.me.address
+            address
+            for address, active in self._table.contacts.items()
+            if (outside or not active) and address != self.me.address
         ]
+        gone = self._table.gone
         if gone and (not ways or self._chance.random() < 0.5):
             member = self._chance.choice(gone)
             self._send(now, member.claim, Kind.PING, 0, target=member.claim.name)
         elif ways:
             for address in self._chance.sample(ways, len(ways) if outside and len(ways) <= 3 else 1):
-                self._port.send(address, self.me.low, Datagram(Kind.PING, 0, self.me, digest=self._digest))
+                self._port.send(
+                    address, self.me.low, Datagram(Kind.PING, 0, self.me, digest=self._table.digest)
+                )
         if outside and now - self._began >= 3 * self.rules.interval and self._alone_at_start(now):
             self._enter(now)
 
@@ -823,9 +690,8 @@
         """Views that have stood still and differ: one whole state mends what gossip lost."""
         if not told.digest or self.standing is not Standing.IN or told.kind is Kind.NEWS:
             return
-        mine = self._digest ^ mark(self.me.name, self.me.incarnation, self.me.birth)
-        settled = min(now - self._changed_at, told.settled * MILLISECOND) >= self.rules.settle
-        if told.digest != mine and (settled or not self._ring):
+        settled = min(now - self._table.changed_at, told.settled * MILLISECOND) >= self.rules.settle
+        if told.digest != self.digest and (settled or not self._ring):
             self._want_whole(now, told.me)
 
     def _want_whole(self, now: int, other: Claim) -> None:
@@ -836,45 +702,29 @@
 
     # Words to others.
 
-    def _some(self, count: int, but: Member | None = None) -> Iterator[Member]:
-        """So many active members by chance, each once."""
-        ring, seen = self._ring, set()
-        for _ in range(4 * count):
-            if len(seen) >= min(count, len(ring)):
-                return
-            member = ring[self._chance.randrange(len(ring))]
-            if member is not but and member.claim.name not in seen:
-                seen.add(member.claim.name)
-                yield member
-
-    def _tell(self, key: object, item: Claim | Cut) -> None:
-        """Put into the news, first to be told."""
-        self._news[key] = [item, encode(item), 0]
-        self._news.move_to_end(key, last=False)
-
     def _tell_news(self, now: int) -> None:
         self._news_at = now + self.rules.news_every
         if self.standing is Standing.OUT:
-            self._news.clear()
+            self._gossip.clear()
             return
-        for member in list(self._some(self.rules.news_to)):
-            if self._news:
+        for member in list(self._ring.some(self.rules.news_to)):
+            if self._gossip and self._budget.left(now) >= self.rules.datagram_most:
                 self._send(now, member.claim, Kind.NEWS, 0)
 
     def _send(self, now: int, to: Claim, kind: Kind, seq: int, **fields: object) -> None:
         """A datagram with as much of the news as it holds."""
-        claims: list[msgspec.Raw] = []
-        cuts: list[Cut] = []
         room = self.rules.datagram_most - 360  # what the rest takes at most
+        if kind is not Kind.NEWS:
+            room = max(min(room, self._budget.left(now) - ENVELOPE), URGENT_ROOM)
+        load = Load(room)
         held = self.members.get(to.name)
         if held and (held.claim.key > to.key or held.claim.rank is not Rank.ALIVE):
             # Who is thought gone hears it first, and can refute it.
-            claims.append(msgspec.Raw(encode(held.claim)))
-            room -= len(claims[0])
-        if self._news and self.standing is not Standing.OUT:
-            room = self._pack(room, to, claims, cuts)
-        digest = self._digest ^ mark(self.me.name, self.me.incarnation, self.me.birth)
-        settled = min((now - self._changed_at) // MILLISECOND, 1 << 30)
+            load.add_claim(encode(held.claim))
+        if self.standing is not Standing.OUT:
+            self._gossip.pack(to, self.rules.told(len(self._ring) + 1), load)
+        self._budget.spend(ENVELOPE + room - load.room)
+        settled = min((now - self._table.changed_at) // MILLISECOND, 1 << 30)
         version = min(to.high, self.me.high)
         self._port.send(
             to.address,
@@ -884,34 +734,10 @@
                 seq,
                 self.me,
                 late=self._lateness,
-                digest=digest if self.standing is Standing.IN else 0,
+                digest=self.digest if self.standing is Standing.IN else 0,
                 settled=settled,
-                claims=tuple(claims),
-                cuts=tuple(cuts),
+                claims=tuple(load.claims),
+                cuts=tuple(load.cuts),
                 **fields,
             ),
         )
-
-    def _pack(self, room: int, to: Claim, claims: list, cuts: list) -> int:
-        """The news told least often first; what has been told often enough is dropped."""
-        most = self.rules.told(len(self._ring) + 1)
-        again = []
-        while self._news and len(claims) + len(cuts) < 64:
-            key, entry = next(iter(self._news.items()))
-            item, raw, _ = entry
-            if len(raw) > room:
-                break
-            del self._news[key]
-            if isinstance(item, Cut):
-                if to.high >= CUTS_SINCE:
-                    cuts.append(item)
-                    room -= len(raw)
-            elif item.name != to.name or item.rank is not Rank.ALIVE:
-                claims.append(msgspec.Raw(raw))
-                room -= len(raw)
-            entry[2] += 1
-            if entry[2] < most:
-                again.append((key, entry))
-        for key, entry in again:
-            self._news[key] = entry
-        return room
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import traceback
+from collections import deque
 from dataclasses import replace
 from typing import Any
 
@@ -25,7 +26,7 @@
 from millweir.net.notices import Notices
 from millweir.net.replies import Replies, Reply
 from millweir.net.retry_after import SharedWaits
-from millweir.settings import unlisted_profile
+from millweir.net.service_classes import ServiceClasses
 
 
 class Desk:
@@ -43,13 +44,12 @@
         settings, bounds = config.settings, facade.bounds
         self._loop, self._facade, self._journal = loop, facade, journal
         self._log, self._counters, self._bounds = log, counters, bounds
-        self._profiles = {profile.name.encode(): at for at, profile in enumerate(settings.profiles)}
-        self._known = list(settings.profiles)  # each profile the module knows, by its number
+        self._classes = ServiceClasses(settings, facade)
         self._tenants = {tenant.name.encode(): at for at, tenant in enumerate(settings.tenants)}
-        self._settings, self._reports = settings, settings.reports
-        self._unlisted: int | None = None  # number of the profile that stands in for those listed no more
+        self._reports = settings.reports
         self._discovery = config.discovery
         self._owed: dict[bytes, Parcel] = {}
+        self._backlog: deque[Parcel] = deque()  # owed, and not handed in yet; in the order taken
         self._ended = EndedIds(bounds.ids_known)
         self._scheduled = self._listed = self._leaving = self._lingered = self._quiet = False
         self._replies = Replies()
@@ -182,18 +182,30 @@
         self.wake()
 
     def _restore(self, parcel: Parcel) -> None:
-        """What an earlier life took on is owed its end."""
+        """What an earlier life took on is owed its end; known at once, handed in by the turns to come."""
         self._owed[parcel.id] = parcel
         self._counters.add("packets_restored")
         if parcel.given_up:
             self._notices.add(parcel)
-            return
-        if parcel.profile not in self._profiles and self._unlisted is None:
-            # Guards what an earlier settings file took on: it is still tried, as what may run only once.
-            stand_in = unlisted_profile(self._settings)
-            self._unlisted = self._facade.settings_told(replace(self._settings, profiles=(stand_in,)))
-            self._known.append(stand_in)
-        self._hand_in(parcel)
+        else:
+            self._backlog.append(parcel)
+
+    def _work_off_backlog(self) -> None:
+        """Hand in a part of the backlog.
+
+        Guards a start on a short processor: with thousands of packets owed, clients and discovery are heard
+        between the parts.
+        """
+        for _ in range(min(len(self._backlog), self._bounds.turn_reads)):
+            self._hand_in(self._backlog.popleft())
+        if self._backlog:
+            self.wake()
+
+    @property
+    def _room(self) -> int:
+        """How large a packet may be taken on; the module does not count the backlog as open yet."""
+        full = self._backlog and 0 < self._classes.settings.max_open <= len(self._owed)
+        return 0 if full else self._journal.room
 
     def _hand_in(self, parcel: Parcel) -> None:
         tenant, now = self._tenants.get(parcel.account, len(self._tenants)), clock.to_wall(clock.steady())
@@ -202,7 +214,7 @@
         self._facade.take(
             clock.steady(),
             parcel,
-            self._profiles.get(parcel.profile, self._unlisted),
+            self._classes.number(parcel.profile),
             tenant,
             int.from_bytes(parcel.key),
             clock.from_wall(parcel.hard_stop),
@@ -243,6 +255,7 @@
             except Exception:
                 link.end("fault")
                 raise
+        self._work_off_backlog()
         due = self._facade.tick(clock.steady())
         while ending := self._facade.ended():
             self._give_up(ending.item, ending.again, ending.wait)
@@ -290,7 +303,7 @@
             not request.id
             or request.left < 0
             or request.destination < 0
-            or request.profile not in self._profiles
+            or request.profile not in self._classes
         ):
             self._counters.add("requests_malformed")
             if request.profile:
@@ -319,7 +332,7 @@
             request.body,
         )
         wait = self._facade.refusal(
-            parcel.destination, parcel.size, self._journal.room, stop - now, self._lag.at(now)
+            parcel.destination, parcel.size, self._room, stop - now, self._lag.at(now)
         )
         if not wait:
             try:
@@ -335,7 +348,10 @@
         self._owed[parcel.id] = parcel
         self._counters.add("packets_taken")
         link.answer(request, 202)
-        self._hand_in(parcel)
+        if self._backlog:
+            self._backlog.append(parcel)  # behind those taken before it, so that keys keep their order
+        else:
+            self._hand_in(parcel)
 
     def _report(self, part: Part[Parcel], outcome: Outcome, finished: bool, wait: int, load: bytes) -> None:
         if wait > 0:
@@ -372,21 +388,8 @@
     def reload(self, config: Config) -> None:
         """SIGHUP: discovery and notices move to the address given now; profiles new or changed are used from
         now on, those gone are refused, packets under way keep theirs; fewer trips bind at once."""
-        fresh = [
-            p
-            for p in config.settings.profiles
-            if (at := self._profiles.get(p.name.encode())) is None or self._known[at] != p
-        ]
-        self._settings = config.settings
-        first = self._facade.settings_told(replace(config.settings, profiles=tuple(fresh)))
-        self._known += fresh
-        kept = {
-            p.name.encode(): self._profiles[p.name.encode()]
-            for p in config.settings.profiles
-            if p.name.encode() in self._profiles
-        }
-        self._profiles = kept | {p.name.encode(): first + at for at, p in enumerate(fresh)}
-        self._log.must(f"settings profiles={len(self._profiles)} new-or-changed={len(fresh)}")
+        fresh = self._classes.reload(config.settings)
+        self._log.must(f"settings profiles={len(self._classes)} new-or-changed={fresh}")
         if config.discovery != self._discovery:
             self._discovery = config.discovery
             self._watch.move(config.discovery)
--- a/tests/net/test_descriptors.py
+++ b/tests/net/test_descriptors.py
@@ -15,7 +15,7 @@
 from millweir.interface import SECOND, Limits
 from millweir.net.config import read_descriptors
 from millweir.net.control import LINKS_MOST
-from millweir.net.journal import Journal, Parcel
+from millweir.net.journal import FILE, Journal, Parcel
 from net.inside import play, request
 
 # Loop, signals, standard streams, listeners, lock, journal and its reserve: 17 on a running relay.  Two feeds
@@ -53,8 +53,16 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, before)
 
 
-def test_the_journal_is_written_anew_also_when_all_other_descriptors_are_taken(tmp_path):
+@pytest.mark.parametrize("start", ["empty", "resumed"])
+def test_the_journal_is_written_anew_also_when_all_other_descriptors_are_taken(tmp_path, start):
     journal = Journal(tmp_path, 2000, 1500, print)
+    if start == "resumed":  # the file of an earlier life is gone on with
+        journal.taken(Parcel(b"first", b"again", b"", b"", b"", 0, 1, b"x" * 100))
+        journal.close()
+        file = (tmp_path / FILE).stat().st_ino
+        journal = Journal(tmp_path, 2000, 1500, print)
+        assert (tmp_path / FILE).stat().st_ino == file
+        journal.over(journal.owed[1])
     with no_more_descriptors():
         with pytest.raises(OSError, match="Too many open files"):
             os.open(os.devnull, os.O_RDONLY)
