--- a/millweir/placement/core.py
+++ b/millweir/placement/core.py
@@ -351,8 +351,14 @@
             self._deficient[partition] = None  # behind the others
             self._repairs_missed += 1
             if self._changeable(partition) and (placement := self._repaired(partition)):
+                self._repairs_missed -= 1
                 yield partition, placement
 
+    def _may_be_repaired(self, replicas: tuple[str, ...]) -> bool:
+        """Two of them share a zone, and there is a candidate in a zone without one."""
+        zones = self._zones_of(replicas)
+        return len(zones) < len(replicas) and self.fleet.has_candidate_outside(zones)
+
     def _repaired(self, partition: int) -> Placement | None:
         before = self._placements[partition].replicas
         names = list(self._in_zones_of_their_own(before))
@@ -400,7 +406,7 @@
         after = tuple(receiver.relay.name if name == donor.relay.name else name for name in before)
         if receiver.relay.name in before:
             return None
-        if len(self._zones_of(after)) < len(self._zones_of(before)):
+        if len(self._zones_of(after)) < len(self._zones_of(before)) or self._may_be_repaired(after):
             return None
         if len(self._regions_of(after)) < min(REGIONS_LEAST, len(self._regions_of(before))):
             return None
--- a/millweir/placement/fleet.py
+++ b/millweir/placement/fleet.py
@@ -124,10 +124,10 @@
         """Of all members, lest a cut that heals change it."""
         return self.held / self.weight if self.weight > 0 else 0.0
 
-    @property
-    def zones(self) -> int:
-        """Zones with a candidate."""
-        return len(self._zones)
+    def has_candidate_outside(self, zones: set[str]) -> bool:
+        """Whether some zone beside these has a candidate."""
+        self.steps += len(self._zones)
+        return not self._zones.keys() <= zones
 
     def least_loaded(self) -> Member | None:
         """The candidate with the least load."""
