--- a/millweir/placement/core.py
+++ b/millweir/placement/core.py
@@ -406,8 +406,8 @@
         after = tuple(receiver.relay.name if name == donor.relay.name else name for name in before)
         if receiver.relay.name in before:
             return None
-        if len(self._zones_of(after)) < len(self._zones_of(before)) or self._may_be_repaired(after):
-            return None
+        if self._may_be_repaired(after):
+            return None  # the donor is a candidate too: this covers that its zone would be without one
         if len(self._regions_of(after)) < min(REGIONS_LEAST, len(self._regions_of(before))):
             return None
         return Placement(after, before)
--- a/tests/placement/test_core.py
+++ b/tests/placement/test_core.py
@@ -150,6 +150,16 @@
     assert made == []
 
 
+def test_who_comes_back_after_it_was_forgotten_settles_again_whatever_the_hint():
+    core = core_with()
+    core.relay_told(0, FLEET[0], GONE, 0)
+    now, _ = settle(core, 0)
+    core.relay_told(now, FLEET[0], ALIVE, 0)
+    now, made = settle(core, now, seconds=RULES.settle // SECOND - 1)
+    assert made == []
+    assert moved(settle(core, now)[1])
+
+
 def test_whom_no_view_has_told_of_is_held_as_if_just_gone():
     core = Core(RULES, assigned(FLEET, PARTS), 0)
     for relay in FLEET[1:]:
@@ -317,6 +327,27 @@
     assert not two_in_a_zone(core.assignment(), given + others)
 
 
+def test_all_that_can_be_repaired_is_repaired_in_one_proposal_up_to_its_bound():
+    given = relays(12, zones=4)
+    core = Core(with_rules(changes_most=64), Assignment(1, [Placement(("r0000", "r0004", "r0001"))] * 40), 0)
+    for relay in given:
+        core.relay_told(0, relay, ALIVE, -RULES.settle)
+    assert len(core.propose(0).changes) == 40
+
+
+def test_balancing_puts_no_replica_where_another_of_the_partition_is():
+    given = relays(12, zones=4)
+    zone0 = [relay.name for relay in given if relay.zone == "zone0"]
+    table = [(zone0[n % 3], zone0[(n + 1) % 3], "r0001") for n in range(PARTS)]  # all to be repaired
+    core = Core(with_rules(changes_most=64, checks_most=8), Assignment(1, map(Placement, table)), 0)
+    tell(core, 0, [*given, Relay("new", "region0", "zone0")], ALIVE)
+    _, made = settle(core, 0, seconds=8)
+    zone = {relay.name: relay.zone for relay in given} | {"new": "zone0"}
+    for change in moved(made):
+        for name in set(change.placement.replicas) - set(change.placement.previous):
+            assert [zone[other] for other in change.placement.replicas].count(zone[name]) == 1
+
+
 def test_partitions_without_replicas_are_filled_first_of_all():
     core = Core(RULES, Assignment.empty(PARTS), 0)
     assert core.propose(0) is None
