Placement's table in a module of its own

Cause: core.py held the placements, their digest and what is deficient beside the decisions. No change of behaviour.

--- a/millweir/placement/core.py
+++ b/millweir/placement/core.py
@@ -50,13 +50,13 @@
     Placement,
     Relay,
     checked_digest,
-    placement_digest,
     repeats,
 )
 from millweir.placement.fleet import Fleet, Member
 from millweir.placement.handovers import Handovers
 from millweir.placement.interface import Proposal, Rules, Standing, Status
 from millweir.placement.presence import Health, Presence
+from millweir.placement.table import Table
 
 NEVER = 1 << 62
 DONORS_LEAST = 8  # among which a partition is looked for that may move to balance
@@ -75,26 +75,29 @@
     """Proposes the next assignment."""
 
     def __init__(self, rules: Rules, assignment: Assignment, now: int) -> None:
-        self.rules, self.version, self.digest = rules, assignment.version, assignment.digest
+        self.rules, self.version = rules, assignment.version
         self.fleet = Fleet()
-        self._placements = list(assignment)
+        self._table = Table(self.fleet, assignment.partitions, rules.replicas)
         self._presence = Presence(rules)
         self._handovers = Handovers(rules.leases.handover_wait)
         self._departing: dict[str, None] = {}  # relays that leave, or were gone for the hold
         self._emptied: dict[str, None] = {}  # of these, those that may hold nothing any more
         self._stuck: dict[str, None] = {}  # of these, those for whose partitions there was no candidate
         self._filling: set[str] = set()  # relays that fell below `fill_below` of the mean
-        self._deficient: dict[int, None] = {}
         self._staged: Staged | None = None
         self._next_at = now
         self._balanced = False  # nothing has changed since no move to balance was found
         self._repairs_missed = 0  # deficient partitions looked at in vain since something changed
         for partition, placement in enumerate(assignment):
-            for name in placement.replicas:
-                self._give(now, name, partition)
+            self._replace(now, partition, placement)
             if placement.in_handover:
                 self._begin_handover(now, partition, placement)
-            self._check_deficient(partition)
+        assert self.digest == assignment.digest
+
+    @property
+    def digest(self) -> int:
+        """Of the assignment, with the proposal under way."""
+        return self._table.digest
 
     # What is told.
 
@@ -146,7 +149,7 @@
         own = staged is not None and staged.proposal.at(difference.version) == difference
         if not own:
             self.refused(now)
-            digest = checked_digest(difference, self._placements, self.digest)
+            digest = checked_digest(difference, self._table.placements, self.digest)
             for change in difference.changes:
                 self._replace(now, change.partition, change.placement)
             assert digest == self.digest
@@ -179,7 +182,7 @@
         changed: dict[int, None] = {}
         for partition in list(islice(self._handovers.complete, self.rules.changes_most)):
             changed[partition] = None
-            self._stage(now, partition, Placement(self._placements[partition].replicas))
+            self._stage(now, partition, Placement(self._table[partition].replicas))
         room = self.rules.changes_most
         for moves in (self._departures(), self._repairs(), self._balancing()):
             for partition, placement in islice(moves, room):
@@ -191,9 +194,7 @@
         if not changed:
             self._staged = None
             return None
-        changes = tuple(
-            PartitionChange(partition, self._placements[partition]) for partition in sorted(changed)
-        )
+        changes = tuple(PartitionChange(partition, self._table[partition]) for partition in sorted(changed))
         staged.proposal = Proposal(self.version, changes, self.digest)
         return staged.proposal
 
@@ -222,11 +223,11 @@
 
     def placement(self, partition: int) -> Placement:
         """As committed, with the proposal under way."""
-        return self._placements[partition]
+        return self._table[partition]
 
     def assignment(self) -> Assignment:
         """The whole as a value; grows with the partitions."""
-        return Assignment(self.version, self._placements)
+        return Assignment(self.version, self._table.placements)
 
     def status(self) -> Status:
         """For the operator."""
@@ -237,7 +238,7 @@
             candidates,
             len(self._departing),
             len(self._handovers),
-            len(self._deficient),
+            len(self._table.deficient),
             self.held_back,
         )
 
@@ -255,7 +256,7 @@
         self.fleet.set_relay(member, relay)
         for partition in member.held:
             self.fleet.steps += 1
-            self._check_deficient(partition)
+            self._table.check(partition)
         self._look_anew()
 
     def _set_standing(self, health: Health, standing: Standing, since: int) -> None:
@@ -301,7 +302,7 @@
 
     @property
     def _repairable(self) -> bool:
-        return not self.held_back and self._repairs_missed < len(self._deficient)
+        return not self.held_back and self._repairs_missed < len(self._table.deficient)
 
     def _departs(self, name: str) -> bool:
         """Whether its partitions are to be moved now."""
@@ -336,35 +337,31 @@
 
     def _without_departing(self, partition: int) -> Placement | None:
         """All of its departing replicas replaced at once; None where candidates are lacking."""
-        before = self._placements[partition].replicas
+        before = self._table[partition].replicas
         names = [name for name in before if not self._departs(name)]
         while len(names) < len(before) and (member := self.fleet.choose(names)):
             names.append(member.relay.name)
         return Placement(tuple(names), before) if len(names) == len(before) else None
 
     def _repairs(self) -> Iterator[tuple[int, Placement]]:
-        for partition in list(islice(self._deficient, self.rules.checks_most)):
+        for partition in list(islice(self._table.deficient, self.rules.checks_most)):
             if not self._repairable:
                 return
             self.fleet.steps += 1
-            del self._deficient[partition]
-            self._deficient[partition] = None  # behind the others
+            self._table.put_last(partition)
             self._repairs_missed += 1
             if self._changeable(partition) and (placement := self._repaired(partition)):
                 self._repairs_missed -= 1
                 yield partition, placement
 
-    def _may_be_repaired(self, replicas: tuple[str, ...]) -> bool:
-        """Two of them share a zone, and there is a candidate in a zone without one."""
-        zones = self._zones_of(replicas)
-        return len(zones) < len(replicas) and self.fleet.has_candidate_outside(zones)
-
     def _repaired(self, partition: int) -> Placement | None:
-        before = self._placements[partition].replicas
-        names = list(self._in_zones_of_their_own(before))
+        before = self._table[partition].replicas
+        names = list(self._table.in_zones_of_their_own(before))
         while len(names) < self.rules.replicas and (member := self.fleet.choose(names)):
             names.append(member.relay.name)
-        better = len(names) > len(before) or len(self._zones_of(names)) > len(self._zones_of(before))
+        better = len(names) > len(before) or len(self._table.zones_of(names)) > len(
+            self._table.zones_of(before)
+        )
         return Placement(tuple(names), before) if better else None
 
     def _balancing(self) -> Iterator[tuple[int, Placement]]:
@@ -402,70 +399,40 @@
 
     def _moved(self, partition: int, donor: Member, receiver: Member) -> Placement | None:
         """The placement with one relay in another's stead; None where its spread would suffer."""
-        before = self._placements[partition].replicas
+        before = self._table[partition].replicas
         after = tuple(receiver.relay.name if name == donor.relay.name else name for name in before)
         if receiver.relay.name in before:
             return None
-        if self._may_be_repaired(after):
+        if self._table.may_be_repaired(after):
             return None  # the donor is a candidate too: this covers that its zone would be without one
-        if len(self._regions_of(after)) < min(REGIONS_LEAST, len(self._regions_of(before))):
+        if len(self._table.regions_of(after)) < min(REGIONS_LEAST, len(self._table.regions_of(before))):
             return None
         return Placement(after, before)
 
     # The table.
 
     def _changeable(self, partition: int) -> bool:
-        return not self._placements[partition].in_handover and partition not in self._handovers
+        return not self._table[partition].in_handover and partition not in self._handovers
 
     def _stage(self, now: int, partition: int, placement: Placement) -> None:
-        self._staged.replaced.append((partition, self._placements[partition]))
+        self._staged.replaced.append((partition, self._table[partition]))
         self._replace(now, partition, placement)
 
     def _replace(self, now: int, partition: int, placement: Placement) -> None:
-        before = self._placements[partition]
-        self._placements[partition] = placement
-        self.digest ^= placement_digest(partition, before) ^ placement_digest(partition, placement)
-        for name in before.replicas:
-            if name not in placement.replicas:
-                self.fleet.take(name, partition)
-        for name in placement.replicas:
-            if name not in before.replicas:
-                self._give(now, name, partition)
-        self._check_deficient(partition)
-
-    def _give(self, now: int, name: str, partition: int) -> None:
-        if name not in self._presence:
-            self._add(self._presence.meet_unseen(now, name))
-        self.fleet.give(name, partition)
-        self._look_at_departed(name)
+        before = self._table[partition].replicas
+        gained = [name for name in placement.replicas if name not in before]
+        for name in gained:
+            if name not in self._presence:
+                self._add(self._presence.meet_unseen(now, name))
+        self._table.replace(partition, placement)
+        for name in gained:
+            self._look_at_departed(name)
 
     def _look_at_departed(self, name: str) -> None:
         """A relay that has departed has a partition, or one that may be moved again."""
         if self._presence[name].has_departed:
             self._departing[name] = None
 
-    def _check_deficient(self, partition: int) -> None:
-        replicas = self._placements[partition].replicas
-        if len(replicas) < self.rules.replicas or len(self._zones_of(replicas)) < len(replicas):
-            self._deficient[partition] = None
-        else:
-            self._deficient.pop(partition, None)
-
-    def _zones_of(self, names: tuple[str, ...] | list[str]) -> set[str]:
-        return {self.fleet.members[name].relay.zone for name in names}
-
-    def _regions_of(self, names: tuple[str, ...]) -> set[str]:
-        return {self.fleet.members[name].relay.region for name in names}
-
-    def _in_zones_of_their_own(self, names: tuple[str, ...]) -> Iterator[str]:
-        """Of each zone the first of the names."""
-        zones: set[str] = set()
-        for name in names:
-            zone = self.fleet.members[name].relay.zone
-            if zone not in zones:
-                yield name
-            zones.add(zone)
-
     # Handovers.
 
     def _begin_handover(self, now: int, partition: int, placement: Placement) -> None:
@@ -478,5 +445,5 @@
 
     def _end_handover(self, partition: int) -> None:
         if self._handovers.end(partition):
-            for name in self._placements[partition].replicas:
+            for name in self._table[partition].replicas:
                 self._look_at_departed(name)
