Placement: a lease can't be renewed by an answer from the future

Cause: a garbled or lying answer with a time of asking ahead of the clock would have kept a lease open without end. Change: `Holder.renewed` takes the time and drops such an answer.

--- a/millweir/lab/scale/placement.py
+++ b/millweir/lab/scale/placement.py
@@ -460,7 +460,7 @@
     """A holder with its part and a lease."""
     holder = Holder(name, PARTITIONS, LeaseRules())
     holder.part_told(0, 1, part)
-    holder.renewed(0, 1)
+    holder.renewed(0, 0, 1)
     return holder
 
 
--- a/millweir/placement/holder.py
+++ b/millweir/placement/holder.py
@@ -116,11 +116,14 @@
                 self._part.pop(change.partition, None)
         self._advance(version)
 
-    def renewed(self, asked_at: int, version: int) -> None:
+    def renewed(self, now: int, asked_at: int, version: int) -> None:
         """An answer read from the register after it was asked for, at that time: which version is current.
 
-        Where that version is not here yet the lease goes on once it is.
+        Where that version is not here yet the lease goes on once it is.  An answer to what is yet to be asked
+        is no answer.
         """
+        if asked_at > now:
+            return
         self._renewals.append((asked_at, version))
         self._extend_lease()
 
--- a/tests/placement/model.py
+++ b/tests/placement/model.py
@@ -208,7 +208,7 @@
                 holder.difference_told(clock, base, current.version, changes)
             else:
                 holder.part_told(clock, current.version, current.part_of(name))
-        holder.renewed(asked_at, current.version)
+        holder.renewed(clock, asked_at, current.version)
 
     def use(self, one):
         """It acts by shares read now, or up to `pause` ago; a cut doesn't keep it from sending."""
--- a/tests/placement/test_holder.py
+++ b/tests/placement/test_holder.py
@@ -26,7 +26,7 @@
 def holder_of(name, placement=OLD, version=1, rules=LEASES):
     holder = Holder(name, PARTITIONS, rules)
     holder.part_told(0, version, {PARTITION: placement} if placement.names(name) else {})
-    holder.renewed(0, version)
+    holder.renewed(0, 0, version)
     return holder
 
 
@@ -68,16 +68,23 @@
     assert holder.right(0, DESTINATION) is Right.UNKNOWN
     holder.part_told(0, 1, {PARTITION: OLD})
     assert holder.right(0, DESTINATION) is Right.UNKNOWN  # as after a restart with what stood in the folder
-    holder.renewed(5 * SECOND, 1)
+    holder.renewed(5 * SECOND, 5 * SECOND, 1)
     assert holder.right(LEASES.lease + 4 * SECOND, DESTINATION) is Right.OWN
     assert holder.right(LEASES.lease + 5 * SECOND, DESTINATION) is Right.UNKNOWN
     assert holder.share(LEASES.lease + 5 * SECOND, DESTINATION) == 0
 
 
+def test_an_answer_to_what_is_yet_to_be_asked_is_none():
+    holder = Holder("a", PARTITIONS, LEASES)
+    holder.part_told(0, 1, {PARTITION: OLD})
+    holder.renewed(SECOND, SECOND + 1, 1)
+    assert holder.right(SECOND, DESTINATION) is Right.UNKNOWN
+
+
 def test_a_lease_that_names_a_later_version_counts_once_that_is_here():
     holder = Holder("b", PARTITIONS, LEASES)
     holder.part_told(0, 1, {PARTITION: OLD})
-    holder.renewed(0, 2)
+    holder.renewed(0, 0, 2)
     assert holder.right(SECOND, DESTINATION) is Right.UNKNOWN
     holder.difference_told(SECOND, 1, 2, change_to(CHANGED))
     assert holder.right(SECOND, DESTINATION) is Right.OWN
@@ -98,7 +105,7 @@
     gainer = holder_of("d")
     gainer.difference_told(SECOND, 1, 2, change_to(CHANGED))
     begins = SECOND + LEASES.handover_wait
-    gainer.renewed(begins - SECOND, 2)
+    gainer.renewed(begins - SECOND, begins - SECOND, 2)
     assert gainer.right(begins - 1, DESTINATION) is Right.WAITING
     assert gainer.right(begins, DESTINATION) is Right.OWN
 
@@ -108,13 +115,13 @@
     committed = 1000 * SECOND  # true time; the question was asked at that moment, and the change heard of
     slow, fast = 1 - rules.drift, 1 + rules.drift
     loser = holder_of("a", rules=rules)
-    loser.renewed(int(committed * slow), 1)
+    loser.renewed(int(committed * slow), int(committed * slow), 1)
     gainer = holder_of("d", rules=rules)
     gainer.difference_told(int(committed * fast), 1, 2, change_to(CHANGED))
     last_share = committed + int(rules.lease / slow) - 1
     assert loser.share(int(last_share * slow), DESTINATION) > 0
     last_write = last_share + rules.pause
-    gainer.renewed(int(last_write * fast), 2)
+    gainer.renewed(int(last_write * fast), int(last_write * fast), 2)
     assert gainer.share(int(last_write * fast), DESTINATION) == 0
     assert gainer.share(int((last_write + rules.lease // 100) * fast), DESTINATION) > 0  # nor much longer
 
@@ -134,7 +141,7 @@
     gainer = holder_of("d")
     gainer.difference_told(SECOND, 1, 2, change_to(CHANGED))
     gainer.part_told(10 * SECOND, 3, {PARTITION: CHANGED})
-    gainer.renewed(10 * SECOND, 3)
+    gainer.renewed(10 * SECOND, 10 * SECOND, 3)
     assert gainer.right(SECOND + LEASES.handover_wait, DESTINATION) is Right.OWN
 
 
