Register: the newest change of voters is kept, not looked for in the whole log

Change: store/voter_changes.py holds the log's changes of voters; append, cut, compaction and restore keep it.

--- a/millweir/lab/register.py
+++ b/millweir/lab/register.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterator
 
 from millweir.store.core import SECOND, Core, Refused, Role, Rules
-from millweir.store.entries import Ask, Entry, Id, Kept, Kind, Snapshot, Voters, Word
+from millweir.store.entries import Ask, Entry, Id, Kept, Kind, Snapshot, Voters, Word, read_voters
 
 Make = Callable[..., Core]
 
@@ -42,7 +42,11 @@
 
     @staticmethod
     def match(cores: list[Core]) -> None:
-        """Log matching, over all pairs; and no committed entry is missing in a log that a leader holds."""
+        """Log matching, over all pairs; each core's voters are those of its log's newest entry on them."""
+        for core in cores:
+            changes = [entry for entry in core.log if entry.kind is Kind.VOTERS]
+            if core.voters != (read_voters(changes[-1].data) if changes else core.snapshot.voters):
+                raise Broken(f"{core.me} goes by other voters than its log has")
         for at, one in enumerate(cores):
             for other in cores[at + 1 :]:
                 first = max(one.snapshot.index, other.snapshot.index)
--- a/millweir/store/core.py
+++ b/millweir/store/core.py
@@ -25,7 +25,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from millweir.store.entries import Ask, Entry, Id, Kept, Kind, Snapshot, Voters, Word, encode, read_voters
+from millweir.store.entries import Ask, Entry, Id, Kept, Kind, Snapshot, Voters, Word, encode
+from millweir.store.voter_changes import VoterChanges
 
 SECOND = 1_000_000_000
 NEVER = 1 << 62
@@ -90,6 +91,7 @@
         self.snapshot = kept.snapshot or Snapshot(0, 0, Voters(()))
         self.log: list[Entry] = [entry for entry in kept.entries if entry.index > self.snapshot.index]
         assert all(entry.index == self.snapshot.index + at for at, entry in enumerate(self.log, 1))
+        self._voter_changes = VoterChanges(self.log)
         self.commit = self.applied = self.snapshot.index
         self.role, self.leader = Role.FOLLOWER, None
         self.peers: dict[Id, Peer] = {}
@@ -121,17 +123,14 @@
     @property
     def voters(self) -> Voters:
         """Who has a vote: by the newest entry on it, committed or not."""
-        for entry in reversed(self.log):
-            if entry.kind is Kind.VOTERS:
-                return read_voters(entry.data)
-        return self.snapshot.voters
+        change = self._voter_changes.newest()
+        return change[1] if change else self.snapshot.voters
 
     @property
     def _voters_at(self) -> int:
         """Where that entry stands."""
-        return next(
-            (entry.index for entry in reversed(self.log) if entry.kind is Kind.VOTERS), self.snapshot.index
-        )
+        change = self._voter_changes.newest()
+        return change[0] if change else self.snapshot.index
 
     @property
     def is_voter(self) -> bool:
@@ -139,9 +138,14 @@
 
     def _append(self, kind: Kind, data: bytes = b"") -> Entry:
         entry = Entry(self.last + 1, self.term, kind, data)
+        self._hold(entry)
+        return entry
+
+    def _hold(self, entry: Entry) -> None:
+        """The log's next entry, to be written."""
         self.log.append(entry)
+        self._voter_changes.add(entry)
         self._work.entries.append(entry)
-        return entry
 
     # What the caller asks.
 
@@ -212,11 +216,9 @@
         assert self.snapshot.index <= index <= self.applied
         if index == self.snapshot.index:
             return self.snapshot
-        voters = self.snapshot.voters
-        for entry in self.log[: index - self.snapshot.index]:
-            if entry.kind is Kind.VOTERS:
-                voters = read_voters(entry.data)
-        snapshot = Snapshot(index, self.term_of(index), voters, data)
+        change = self._voter_changes.newest(index)
+        snapshot = Snapshot(index, self.term_of(index), change[1] if change else self.snapshot.voters, data)
+        self._voter_changes.compact(index)
         del self.log[: index - self.snapshot.index]
         self.snapshot = snapshot
         return snapshot
@@ -493,8 +495,7 @@
                 continue
             if held is not None:
                 self._cut(entry.index)
-            self.log.append(entry)
-            self._work.entries.append(entry)
+            self._hold(entry)
         index = before + len(word.entries)
         self.commit = max(self.commit, min(word.commit, index))
         self._answer(word, Ask.APPENDED, yes=True, index=index)
@@ -503,6 +504,7 @@
         """Entries of an earlier leader that the present one doesn't hold."""
         assert index > self.commit, "a committed entry would be lost"
         del self.log[index - self.snapshot.index - 1 :]
+        self._voter_changes.cut(index)
         self._work.entries = [entry for entry in self._work.entries if entry.index < index]
         self._work.cut_from = min(index, self._work.cut_from or index)
 
@@ -522,6 +524,7 @@
                 self.log = self.log[given.index - self.snapshot.index :]
             else:
                 self.log = []
+            self._voter_changes = VoterChanges(self.log)
             self._work.entries, self._work.cut_from = list(self.log), 0
             self._work.snapshot = self.snapshot = given
             self.commit = self.applied = given.index
--- a/tests/store/mutants.py
+++ b/tests/store/mutants.py
@@ -83,6 +83,16 @@
         "False):",
         "who_hears_a_leader_heeds_no_election",
     ),
+    "voters of entries that are cut off": (
+        "        self._voter_changes.cut(index)\n",
+        "",
+        "histories",
+    ),
+    "voters of another log after a snapshot from the leader": (
+        "            self._voter_changes = VoterChanges(self.log)\n",
+        "",
+        "histories",
+    ),
     "two voters at a time": (
         '            raise Refused("more-than-one")\n',
         "            pass\n",
