--- a/millweir/lab/scale/configuration.py
+++ b/millweir/lab/scale/configuration.py
@@ -18,6 +18,8 @@
 destinations; keys and values are shared by the distributors of a process), `all-complete` from the start of
 the relays to the word that all have everything.
 
+The trouble `distributor-lost`: one of the 16 ends, and five changes to all relays come within a second.
+
 Constant, by the byte rate: for relays that start without a folder `filled-p50`, `-max` (from the start to the
 last partition) and `bytes-to-fill` (received until all is complete).
 """
@@ -227,6 +229,7 @@
             "fifty-common", BURST_CHANGES, BURST_WITHIN / BURST_CHANGES, common=True
         )
         figures += await self.start_without_folders()
+        figures += await self.lose_distributor()
         return figures
 
     # --- processes
@@ -359,6 +362,23 @@
             *self.byte_figures(second, trouble, None),
         ]
 
+    async def lose_distributor(self) -> list[Figure]:
+        """One of the 16 is gone while changes go on that all relays hold; until all have them elsewhere."""
+        trouble = "distributor-lost"
+        lost = self.chance.choice(self.plan.distributors())
+        await self.ask(self.relays, Command("sample"))
+        await self.ask(self.distributors, Command("lose", distributor=lost))
+        del self.register.distributors[lost]
+        sent = []
+        for _ in range(COMMON_CHANGES):
+            sent.append(self.register.change(self.plan.common))
+            await asyncio.sleep(COMMON_PAUSE / COMMON_CHANGES)
+        await self.until(lambda: not self.register.unknown, trouble)
+        await self.until(self.register.progress.complete, trouble)
+        samples = await self.ask(self.relays, Command("sample"))
+        figures = self.time_figures(sent, samples, trouble)
+        return [*figures, *self.byte_figures(samples, trouble, None)]
+
     # --- figures
 
     def time_figures(self, sent: list[SentChange], samples: list[Sample], trouble: str) -> list[Figure]:
