--- a/tests/configuration/cases.py
+++ b/tests/configuration/cases.py
@@ -410,6 +410,35 @@
     world.run_until(lambda: world.progress.in_force == before + 50, 11, "in force everywhere")
 
 
+def fair_shares(seed: int, cores: Cores) -> None:
+    """A distributor's bytes are fewer than its relays could take: all get the same."""
+    rules = DistributorRules(total_rate=6_000, total_burst=4_000)
+    world = World(seed, cores, machines=1, partitions=6, replicas=6, entries=60, rules=rules)
+    world.start_relays()
+    world.run(5)
+    before = {number: link.bytes_to_relay for number, link in world.links.items()}
+    world.run(20)
+    assert world.links.keys() == before.keys(), "a relay was left without a word and went away"
+    shares = [link.bytes_to_relay - before[number] for number, link in world.links.items()]
+    assert len(shares) == 6 and sum(shares) <= 6_000 * 20 + 4_000
+    assert max(shares) - min(shares) <= 2 * 2_300, shares
+    world.settle()
+
+
+def delta_overtakes_snapshots(seed: int, cores: Cores) -> None:
+    """A relay that gets partitions whole has a change of one that it has already within a second."""
+    world = World(seed, cores, partitions=6, replicas=6, entries=60)
+    world.start_relays()
+    replicas = world.relays["relay-0"].holder.replicas
+    world.run_until(lambda: any(one.version for one in replicas.values()), 20, "one is filled")
+    number = next(number for number, one in replicas.items() if one.version)
+    change = world.change(number)
+    world.run(1)
+    assert replicas[number].version == change.version
+    assert not all(one.version for one in replicas.values())
+    world.settle()
+
+
 def wide_delta(seed: int, cores: Cores) -> None:
     """What a relay lacks is longer than one message: deltas of bounded length, in order, no snapshot."""
     world = started(seed, cores, replicas=6, partitions=1, keep_frames=True)
@@ -513,6 +542,8 @@
         region_cut,
         full_distributors,
         burst,
+        fair_shares,
+        delta_overtakes_snapshots,
         wide_delta,
         lost_reports,
         moved_while_reported,
--- a/tests/configuration/mutants.py
+++ b/tests/configuration/mutants.py
@@ -142,6 +142,24 @@
         "            pause = 0",
         "empty-folder",
     ),
+    "sessions don't take turns": (
+        "Distributor",
+        "                self._output.frames.append(Outgoing(session.link, frame))\n            self._ready.append(session)",
+        "                self._output.frames.append(Outgoing(session.link, frame))\n            self._ready.appendleft(session)",
+        "fair-shares",
+    ),
+    "a distributor's bytes have no bound": (
+        "Distributor",
+        "            if not self._ready or self._bucket.wait(now, self.rules.message_bytes):",
+        "            if not self._ready:",
+        "fair-shares",
+    ),
+    "snapshots go first": (
+        "Distributor",
+        "        if session.deltas:\n            number",
+        "        if session.deltas and not session.snapshots and not session.chunks:\n            number",
+        "delta-overtakes-snapshots",
+    ),
     "a repeated hello brings new bytes": (
         "Distributor",
         "            bucket = before.bucket",
