Configuration: a message and a constant that nothing used are out

Cause: left over from the first form. Change: ReportRequest and NEVER in the distributor's module go; no behaviour changes. Measured: tests/configuration passes, ruff clean.

--- a/millweir/configuration/core.py
+++ b/millweir/configuration/core.py
@@ -52,8 +52,6 @@
 from millweir.configuration.pacing import SECOND, ByteBucket
 from millweir.configuration.partition import Partition, digest_of
 
-NEVER = 1 << 62
-
 
 class Assignment(NamedTuple):
     """A relay's partitions, with the version of the whole assignment at which they were last changed."""
--- a/millweir/configuration/messages.py
+++ b/millweir/configuration/messages.py
@@ -142,22 +142,8 @@
     rows: tuple[Row, ...]
 
 
-class ReportRequest(msgspec.Struct, array_like=True, frozen=True, tag=11):
-    """Coordinator to distributor: the next report has to be full."""
-
-
 Message = (
-    Hello
-    | Acknowledge
-    | Request
-    | Status
-    | Unavailable
-    | Assign
-    | Delta
-    | Chunk
-    | Disagreement
-    | Report
-    | ReportRequest
+    Hello | Acknowledge | Request | Status | Unavailable | Assign | Delta | Chunk | Disagreement | Report
 )
 
 
