Members: a full table and the contacts for the folder walk the fleet no more

Cause: with more members than the table holds (4,096 by default, 4,900 are coming) each unknown one that was told of walked all rows; the list of contacts for the folder was of all members, every ten seconds. Change: a table whose rows are all active looks for none to forget; some_contacts takes as many as are kept.

--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -27,6 +27,7 @@
 import random
 from collections import OrderedDict
 from collections.abc import Iterable
+from itertools import islice
 
 import msgspec
 
@@ -252,10 +253,9 @@
         """Milliseconds by which this member's turns ran late of late."""
         return self._lateness
 
-    @property
-    def contacts(self) -> list[Address]:
-        """Where others can be found after a restart."""
-        return [member.claim.address for member in self._ring]
+    def some_contacts(self, most: int) -> list[Address]:
+        """Where others can be found after a restart: so many at the most."""
+        return [member.claim.address for member in islice(self._ring, most)]
 
     # Time.
 
--- a/millweir/members/part.py
+++ b/millweir/members/part.py
@@ -235,7 +235,7 @@
             self.events.say("members.folder-failed", fault=str(fault)[:200])
 
     def _save_later(self) -> None:
-        contacts = [tuple(contact) for contact in self.core.contacts[:REMEMBERED]]
+        contacts = self.core.some_contacts(REMEMBERED)
         if set(contacts) - {tuple(contact) for contact in self._kept.contacts} and contacts:
             self._kept.contacts = contacts
             self._save()
--- a/millweir/members/table.py
+++ b/millweir/members/table.py
@@ -14,8 +14,8 @@
 class Table:
     """One row a member; what is derived from the rows changes with them, and is never walked for.
 
-    Taking a row in or out of the ring moves n list entries; all else takes the same time in each fleet,
-    but for `forget_one` in a full table.
+    Taking a row in or out of the ring moves n list entries; all else takes the same time in each fleet, but
+    for looking who is out longest in a full table.
     """
 
     __slots__ = ("changed_at", "contacts", "digest", "gone", "most", "ring", "rows")
@@ -73,6 +73,8 @@
             del self.rows[self.gone.pop(0).claim.name]
 
     def _forget_one(self) -> bool:
+        if len(self.rows) == len(self.ring):
+            return False  # all are active; no need to look
         out = [(member.since, name) for name, member in self.rows.items() if not member.active]
         if not out:
             return False
--- a/tests/lab/test_scale_membership.py
+++ b/tests/lab/test_scale_membership.py
@@ -73,7 +73,12 @@
     core.heard(MILLISECOND, Told(Kind.NEWS, 0, claim_of(1), claims=(again,)))
 
 
-EVENTS = (ping, contact, suspicion_told, leave_told, join_told, life_told)
+def contacts_kept(core):
+    """As the relay does for its folder every ten seconds."""
+    assert len(core.some_contacts(8)) == 8
+
+
+EVENTS = (contacts_kept, ping, contact, suspicion_told, leave_told, join_told, life_told)
 
 
 @pytest.mark.parametrize("event", EVENTS)
@@ -82,6 +87,16 @@
     assert is_flat(steps), steps
 
 
+def test_a_name_too_many_costs_the_same_in_each_full_table():
+    steps = []
+    for size in TABLES:
+        core = lone_core(size, SEED)
+        core._table.most = len(core.members)
+        steps.append(steps_of(join_told, core))
+        assert core.full
+    assert is_flat(steps), steps
+
+
 def test_a_death_costs_each_member_the_same_in_each_fleet():
     """But for the logarithm: how often it is told, and how long it is suspected."""
     costs = []
