Membership at scale: a fleet that is not made in time stops the run

Cause: at 2,000 members on a busy machine the first ones began while others were still being made; what was measured then would be no calm. Change: four times as much time to make a row, and LimitExceeded where it is not enough.

--- a/millweir/lab/scale/membership_fleet.py
+++ b/millweir/lab/scale/membership_fleet.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from millweir.lab.scale.guard import Guard
+from millweir.lab.scale.guard import Guard, LimitExceeded
 from millweir.lab.scale.measurement import ROOT
 from millweir.lab.scale.membership_messages import (
     Begin,
@@ -35,7 +35,7 @@
 MEMBER_BYTES = 40_000  # of a member without its table
 PROCESS_BYTES = 40 << 20
 BUILD_BASE = 3.0  # seconds
-BUILD_ROW = 16e-6  # seconds to make one row, on a machine that is busy with other things as well
+BUILD_ROW = 60e-6  # seconds to make one row, on a machine that is busy with other things as well
 LINE_MOST = 1 << 26  # bytes of a report
 PORT_FIRST, PORT_LAST = 20_000, 30_000  # below those that the kernel gives to clients
 END_TIME = 5.0  # seconds until a process that was told to end is killed
@@ -111,6 +111,9 @@
             self._tell(process, Plan(self.size, self.count, index, self._seed, port, start_at))
         while len(self.built) < self.count:
             self.built.append(await self._next(self._built))
+        late = max(built.late for built in self.built)
+        if late > 0:
+            raise LimitExceeded(f"the members were made {late:.1f} s too late: the machine is too busy")
 
     def _open_hole(self) -> int:
         """Sockets that take what crosses a cut and never answer; the port that all members use too."""
