Members: a view with updates left to tell asks for no full state

Cause: with gossip held to its bytes, views that differ stood still for three seconds while updates waited, and full states were asked for: over 60 KB in one second at 490 members. Change: a view counts as settled only when it has nothing left to tell on. The new test fails without this.

--- a/millweir/members/core.py
+++ b/millweir/members/core.py
@@ -690,10 +690,14 @@
         """Views that have stood still and differ: one whole state mends what gossip lost."""
         if not told.digest or self.standing is not Standing.IN or told.kind is Kind.NEWS:
             return
-        settled = min(now - self._table.changed_at, told.settled * MILLISECOND) >= self.rules.settle
+        settled = min(self._settled(now), told.settled * MILLISECOND) >= self.rules.settle
         if told.digest != self.digest and (settled or not self._ring):
             self._want_whole(now, told.me)
 
+    def _settled(self, now: int) -> int:
+        """For how long this view has stood still; not while there is something left to tell on."""
+        return 0 if self._gossip else now - self._table.changed_at
+
     def _want_whole(self, now: int, other: Claim) -> None:
         rest = self.rules.whole_rest if self.standing is Standing.IN else self.rules.interval
         if now - self._whole_at >= rest:
@@ -724,7 +728,7 @@
         if self.standing is not Standing.OUT:
             self._gossip.pack(to, self.rules.told(len(self._ring) + 1), load)
         self._budget.spend(ENVELOPE + room - load.room)
-        settled = min((now - self._table.changed_at) // MILLISECOND, 1 << 30)
+        settled = min(self._settled(now) // MILLISECOND, 1 << 30)
         version = min(to.high, self.me.high)
         self._port.send(
             to.address,
--- a/tests/lab/test_scale_membership.py
+++ b/tests/lab/test_scale_membership.py
@@ -133,6 +133,10 @@
 
     def __init__(self):
         self.sent = []
+        self.asked = []
+
+    def ask_whole(self, to):
+        self.asked.append(to)
 
     def send(self, to, version, datagram):
         self.sent.append(datagram)
@@ -201,3 +205,15 @@
     fleet.nodes[3].kill()
     fleet.run(30 * SECOND)
     assert {node.core.members["m3"].degree for node in fleet.living} == {Degree.GONE}
+
+
+def test_a_view_with_updates_left_to_tell_asks_for_no_full_state():
+    """They are on their way: a full state is for what gossip has lost."""
+    port = RecordingPort()
+    core = full_of_news(port, [(Rank.SUSPECTED, 1)])
+    other = Told(Kind.ACK, 1, claim_of(1), digest=1, settled=60_000)
+    core.heard(60 * SECOND, other)
+    assert port.asked == []
+    core._gossip.clear()
+    core.heard(61 * SECOND, other)
+    assert port.asked == [claim_of(1).address]
