--- a/tests/lab/test_scale_membership.py
+++ b/tests/lab/test_scale_membership.py
@@ -73,7 +73,12 @@
     core.heard(MILLISECOND, Told(Kind.NEWS, 0, claim_of(1), claims=(again,)))
 
 
-EVENTS = (ping, contact, suspicion_told, leave_told, join_told, life_told)
+def contacts_kept(core):
+    """As the relay does for its folder every ten seconds."""
+    assert len(core.some_contacts(8)) == 8
+
+
+EVENTS = (contacts_kept, ping, contact, suspicion_told, leave_told, join_told, life_told)
 
 
 @pytest.mark.parametrize("event", EVENTS)
@@ -82,6 +87,16 @@
     assert is_flat(steps), steps
 
 
+def test_a_name_too_many_costs_the_same_in_each_full_table():
+    steps = []
+    for size in TABLES:
+        core = lone_core(size, SEED)
+        core._table.most = len(core.members)
+        steps.append(steps_of(join_told, core))
+        assert core.full
+    assert is_flat(steps), steps
+
+
 def test_a_death_costs_each_member_the_same_in_each_fleet():
     """But for the logarithm: how often it is told, and how long it is suspected."""
     costs = []
@@ -118,6 +133,10 @@
 
     def __init__(self):
         self.sent = []
+        self.asked = []
+
+    def ask_whole(self, to):
+        self.asked.append(to)
 
     def send(self, to, version, datagram):
         self.sent.append(datagram)
@@ -186,3 +205,15 @@
     fleet.nodes[3].kill()
     fleet.run(30 * SECOND)
     assert {node.core.members["m3"].degree for node in fleet.living} == {Degree.GONE}
+
+
+def test_a_view_with_updates_left_to_tell_asks_for_no_full_state():
+    """They are on their way: a full state is for what gossip has lost."""
+    port = RecordingPort()
+    core = full_of_news(port, [(Rank.SUSPECTED, 1)])
+    other = Told(Kind.ACK, 1, claim_of(1), digest=1, settled=60_000)
+    core.heard(60 * SECOND, other)
+    assert port.asked == []
+    core._gossip.clear()
+    core.heard(61 * SECOND, other)
+    assert port.asked == [claim_of(1).address]
