--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -18,7 +18,7 @@
 from millweir.net.control import ControlDoor
 from millweir.net.counters import Counters
 from millweir.net.desk import Desk
-from millweir.net.journal import Journal, Parcel
+from millweir.net.journal import Journal, OwedMessage
 from millweir.net.log import Log
 
 if TYPE_CHECKING:
@@ -46,7 +46,7 @@
 async def serve(config: Config, operator: Operator | None = None) -> None:
     """Run until told to stop."""
     loop, counters = asyncio.get_running_loop(), Counters()
-    facade: Facade[Parcel] = Facade(config.settings, config.limits, config.seed, clock.steady())
+    facade: Facade[OwedMessage] = Facade(config.settings, config.limits, config.seed, clock.steady())
     bounds = facade.bounds
     log = Log(bounds.log_lines)
     loop.set_exception_handler(
--- a/millweir/lab/scale/journal.py
+++ b/millweir/lab/scale/journal.py
@@ -30,7 +30,7 @@
 from millweir.lab.scale.guard import Guard, LimitExceeded, resident_memory
 from millweir.lab.scale.measurement import Figure
 from millweir.lab.scale.timing import Spread, Subject
-from millweir.net.journal import Journal, Parcel, named
+from millweir.net.journal import Journal, OwedMessage, named
 
 PART = "journal"
 BODY = 200  # bytes
@@ -72,9 +72,9 @@
     return Journal(folder, FILE_MOST, FILE_MOST, print)
 
 
-def parcel(number: int) -> Parcel:
+def message(number: int) -> OwedMessage:
     """An owed message."""
-    return Parcel(
+    return OwedMessage(
         ident=b"message-%012d" % number,
         profile=b"status",
         account=b"account-%04d" % (number % 1000),
@@ -128,7 +128,7 @@
 
     def take(numbers: range) -> None:
         for number in numbers:
-            journal.taken(parcel(number))
+            journal.taken(message(number))
 
     for batch in range(batches):
         after = subject.size * (batch + 1) // batches
--- a/millweir/lab/scale/network.py
+++ b/millweir/lab/scale/network.py
@@ -18,7 +18,7 @@
 from millweir.net.counters import Counters
 from millweir.net.desk import Desk
 from millweir.net.discovery import read_list
-from millweir.net.journal import Journal, Parcel
+from millweir.net.journal import Journal, OwedMessage
 from millweir.net.log import Log
 
 LIMITS = Limits(descriptors=1024, disk=64 << 20, memory=1 << 30)
@@ -66,7 +66,7 @@
             settings=given,
             given=SETTINGS,
         )
-        self.facade: Facade[Parcel] = Facade(given, LIMITS, self._seed, clock.steady())
+        self.facade: Facade[OwedMessage] = Facade(given, LIMITS, self._seed, clock.steady())
         log, bounds = Log(NO_LOG), self.facade.bounds
         self._journal = Journal(self._folder, bounds.journal_file, bounds.journal_live, log.say)
         self.desk = Desk(loop, config, self.facade, self._journal, log, Counters())
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -20,7 +20,7 @@
 from millweir.net.ended import EndedIds
 from millweir.net.heads import Request, read_number
 from millweir.net.hosts import Hosts
-from millweir.net.journal import Journal, Parcel
+from millweir.net.journal import Journal, OwedMessage
 from millweir.net.lag import Lag
 from millweir.net.log import Log
 from millweir.net.notices import Notices
@@ -36,7 +36,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         config: Config,
-        facade: Facade[Parcel],
+        facade: Facade[OwedMessage],
         journal: Journal,
         log: Log,
         counters: Counters,
@@ -48,8 +48,8 @@
         self._tenants = {tenant.name.encode(): at for at, tenant in enumerate(settings.tenants)}
         self._reports = settings.reports
         self._discovery = config.discovery
-        self._owed: dict[bytes, Parcel] = {}
-        self._backlog: deque[Parcel] = deque()  # owed, and not handed in yet; in the order taken
+        self._owed: dict[bytes, OwedMessage] = {}
+        self._backlog: deque[OwedMessage] = deque()  # owed, and not handed in yet; in the order taken
         self._ended = EndedIds(bounds.ids_known)
         self._scheduled = self._listed = self._leaving = self._lingered = self._quiet = False
         self._replies = Replies()
@@ -71,8 +71,8 @@
             self._list(Change.CACHED, replace(self._known_list, entries=tuple(leaving)))
             loop.call_later(bounds.opening / 1e9, clock.once_read, loop, self._open)
         self._cordons.read()
-        for parcel in list(journal.owed.values()):
-            self._restore(parcel)
+        for message in list(journal.owed.values()):
+            self._restore(message)
         self._adopt_later()
         self._waits.start()
         index = self._known_list.index if self._known_list else -1
@@ -109,8 +109,8 @@
         except OSError as fault:
             self._log.say(f"journal-failed adopt {fault}")
             orphans = []
-        for parcel in orphans:
-            self._restore(parcel)
+        for message in orphans:
+            self._restore(message)
         if orphans:
             self._log.must(f"adopted owed={len(orphans)}")
             clock.once_read(self._loop, self.wake)
@@ -181,14 +181,14 @@
         self._waits.bind(news.addresses)
         self.wake()
 
-    def _restore(self, parcel: Parcel) -> None:
+    def _restore(self, message: OwedMessage) -> None:
         """What an earlier life took on is owed its end; known at once, handed in by the turns to come."""
-        self._owed[parcel.id] = parcel
+        self._owed[message.id] = message
         self._counters.add("packets_restored")
-        if parcel.given_up:
-            self._notices.add(parcel)
+        if message.given_up:
+            self._notices.add(message)
         else:
-            self._backlog.append(parcel)
+            self._backlog.append(message)
 
     def _work_off_backlog(self) -> None:
         """Hand in a part of the backlog.
@@ -207,18 +207,18 @@
         full = self._backlog and 0 < self._classes.settings.max_open <= len(self._owed)
         return 0 if full else self._journal.room
 
-    def _hand_in(self, parcel: Parcel) -> None:
-        tenant, now = self._tenants.get(parcel.account, len(self._tenants)), clock.to_wall(clock.steady())
+    def _hand_in(self, message: OwedMessage) -> None:
+        tenant, now = self._tenants.get(message.account, len(self._tenants)), clock.to_wall(clock.steady())
         # Guards rule 2 where the wall clock was set back: a trip out at a time to come may be of any age.
-        trips = tuple((clock.from_wall(at if at <= now else 0), bool(void)) for at, void in parcel.trips)
+        trips = tuple((clock.from_wall(at if at <= now else 0), bool(void)) for at, void in message.trips)
         self._facade.take(
             clock.steady(),
-            parcel,
-            self._classes.number(parcel.profile),
+            message,
+            self._classes.number(message.profile),
             tenant,
-            int.from_bytes(parcel.key),
-            clock.from_wall(parcel.hard_stop),
-            parcel.destination,
+            int.from_bytes(message.key),
+            clock.from_wall(message.hard_stop),
+            message.destination,
             trips,
         )
 
@@ -321,7 +321,7 @@
             return
         now, stop = clock.steady(), request.read_at + request.left
         self._lag.note(now, now - request.read_at)
-        parcel = Parcel(
+        message = OwedMessage(
             request.id,
             request.profile,
             request.account,
@@ -332,28 +332,30 @@
             request.body,
         )
         wait = self._facade.refusal(
-            parcel.destination, parcel.size, self._room, stop - now, self._lag.at(now)
+            message.destination, message.size, self._room, stop - now, self._lag.at(now)
         )
         if not wait:
             try:
-                self._journal.taken(parcel)
+                self._journal.taken(message)
             except OSError as fault:
                 self._log.say(f"journal-failed taken {fault}")
-                wait = self._facade.refusal(parcel.destination, 1, 0, stop - now, 0)
+                wait = self._facade.refusal(message.destination, 1, 0, stop - now, 0)
         if wait:
             self._counters.add("packets_refused")
-            self._replies.add(parcel.profile, Reply.OVERLOAD)
+            self._replies.add(message.profile, Reply.OVERLOAD)
             link.answer(request, 503, wait=wait, keep=not self._leaving)
             return
-        self._owed[parcel.id] = parcel
+        self._owed[message.id] = message
         self._counters.add("packets_taken")
         link.answer(request, 202)
         if self._backlog:
-            self._backlog.append(parcel)  # behind those taken before it, so that keys keep their order
+            self._backlog.append(message)  # behind those taken before it, so that keys keep their order
         else:
-            self._hand_in(parcel)
+            self._hand_in(message)
 
-    def _report(self, part: Part[Parcel], outcome: Outcome, finished: bool, wait: int, load: bytes) -> None:
+    def _report(
+        self, part: Part[OwedMessage], outcome: Outcome, finished: bool, wait: int, load: bytes
+    ) -> None:
         if wait > 0:
             self._waits.told(part.job.host, wait)
         self._counters.add("trips_" + outcome.name.lower())
@@ -374,16 +376,16 @@
         except (ValueError, KeyError):
             return ()
 
-    def _give_up(self, parcel: Parcel, again: bool, wait: int) -> None:
+    def _give_up(self, message: OwedMessage, again: bool, wait: int) -> None:
         self._counters.add("packets_dismissed" if again else "packets_errored")
-        self._replies.add(parcel.profile, Reply.OVERLOAD if again else Reply.ERROR)
-        self._journal.given_up(parcel, again, wait)
-        self._notices.add(parcel)
-
-    def _over(self, parcel: Parcel) -> None:
-        if self._owed.pop(parcel.id, None):
-            self._journal.over(parcel)
-            self._ended.add(parcel.id, clock.from_wall(parcel.hard_stop), clock.steady())
+        self._replies.add(message.profile, Reply.OVERLOAD if again else Reply.ERROR)
+        self._journal.given_up(message, again, wait)
+        self._notices.add(message)
+
+    def _over(self, message: OwedMessage) -> None:
+        if self._owed.pop(message.id, None):
+            self._journal.over(message)
+            self._ended.add(message.id, clock.from_wall(message.hard_stop), clock.steady())
 
     def reload(self, config: Config) -> None:
         """SIGHUP: discovery and notices move to the address given now; profiles new or changed are used from
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -11,7 +11,7 @@
 from millweir.interface import MILLISECOND, Bounds, Outcome
 from millweir.net import clock
 from millweir.net.counters import Counters
-from millweir.net.journal import Journal, Parcel
+from millweir.net.journal import Journal, OwedMessage
 from millweir.net.links import Link
 from millweir.net.log import Log
 
@@ -35,8 +35,8 @@
     "no_more": Outcome.MOOT,
 }
 
-Still = Callable[[int, Part[Parcel]], bool]
-Report = Callable[[Part[Parcel], Outcome, bool, int, bytes], None]
+Still = Callable[[int, Part[OwedMessage]], bool]
+Report = Callable[[Part[OwedMessage], Outcome, bool, int, bytes], None]
 
 
 class Door:
@@ -55,16 +55,16 @@
 
     __slots__ = ("_hosts", "_trips", "_written", "_written_at", "door", "job", "link", "timer", "waiting")
 
-    def __init__(self, hosts: Hosts, job: Job[Parcel], door: Door) -> None:
+    def __init__(self, hosts: Hosts, job: Job[OwedMessage], door: Door) -> None:
         self._hosts = hosts
         self.job = job
         self.door = door
-        self.waiting: dict[Part[Parcel], None] = dict.fromkeys(job.parts)
+        self.waiting: dict[Part[OwedMessage], None] = dict.fromkeys(job.parts)
         self.link: Link | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self._written: list[Part[Parcel]] = []
+        self._written: list[Part[OwedMessage]] = []
         self._written_at = 0
-        self._trips: dict[Part[Parcel], int] = {}  # in the journal, and on their way since
+        self._trips: dict[Part[OwedMessage], int] = {}  # in the journal, and on their way since
 
     def write(self, link: Link) -> None:
         """Write the call but for its last byte."""
@@ -79,10 +79,10 @@
         self.link, self._written, self._written_at = link, parts, now
         left = max(1, -(-(max(part.until for part in parts) - now) // MILLISECOND))
         if len(parts) == 1:
-            parcel = parts[0].item
-            path, body, ident = b"/hook", parcel.body, b"X-Correlation-Id: %b\r\n" % parcel.id
-            if parcel.mark:
-                ident += b"Idempotency-Key: %b\r\n" % parcel.mark
+            message = parts[0].item
+            path, body, ident = b"/hook", message.body, b"X-Correlation-Id: %b\r\n" % message.id
+            if message.mark:
+                ident += b"Idempotency-Key: %b\r\n" % message.mark
         else:
             rows = []
             for part in parts:
@@ -119,7 +119,7 @@
         hosts.counters.add("trips_sent", len(parts))
         return True
 
-    def _check_still(self, parts: list[Part[Parcel]]) -> None:
+    def _check_still(self, parts: list[Part[OwedMessage]]) -> None:
         """OSError unless all that was written may still go."""
         now = clock.steady()
         still = all(self._hosts.still(now, part) for part in parts)
@@ -127,7 +127,12 @@
             raise OSError("given up in part, answered already, or its host told to wait or left")
 
     def over(
-        self, part: Part[Parcel], outcome: Outcome, finished: bool = False, wait: int = 0, load: bytes = b""
+        self,
+        part: Part[OwedMessage],
+        outcome: Outcome,
+        finished: bool = False,
+        wait: int = 0,
+        load: bytes = b"",
     ) -> None:
         """One part has its outcome."""
         if part not in self.waiting:
@@ -143,7 +148,7 @@
         for part in list(self.waiting):
             self.over(part, outcome, finished, wait, load)
 
-    def give_up(self, part: Part[Parcel], outcome: Outcome) -> None:
+    def give_up(self, part: Part[OwedMessage], outcome: Outcome) -> None:
         """Stop waiting for a part; the last one takes the connection with it."""
         if part not in self.waiting:
             return
@@ -246,7 +251,7 @@
         self._connect_timeout = connect_timeout / 1e9
         self._doors: dict[str, Door] = {}
         self._idle: dict[Link, Door] = {}  # the one idle longest first
-        self._calls: dict[Job[Parcel], Call] = {}
+        self._calls: dict[Job[OwedMessage], Call] = {}
         self._dialling: set[asyncio.Task[None]] = set()
 
     def listed(self, addresses: dict[str, tuple[str, int]], gone: Iterable[str]) -> None:
@@ -269,7 +274,7 @@
         while door and door.idle:
             self._drop(door.idle[-1], "freed")
 
-    def start(self, job: Job[Parcel]) -> None:
+    def start(self, job: Job[OwedMessage]) -> None:
         """Carry out a job on the link that was used last, or on a new one."""
         door = self._doors.get(job.host) or Door(job.host, NOWHERE)
         call = self._calls[job] = Call(self, job, door)
@@ -321,7 +326,7 @@
             call.timer.cancel()
         self._make_way()
 
-    def drop(self, part: Part[Parcel]) -> None:
+    def drop(self, part: Part[OwedMessage]) -> None:
         """A trip is no longer to be waited for."""
         call = self._calls.get(part.job)
         if call:
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -35,7 +35,7 @@
     return (FILE if slot == 0 else f"{FILE}.{slot}") + end
 
 
-class Parcel:
+class OwedMessage:
     """A packet as the sockets know it, from being taken on to its end."""
 
     __slots__ = (
@@ -118,11 +118,11 @@
 
 
 class Journal:
-    """Every parcel that is still owed its end, in memory and on disk alike."""
+    """Every message that is still owed its end, in memory and on disk alike."""
 
     def __init__(self, folder: Path, file_most: int, live_most: int, say: Callable[[str], None]) -> None:
         self.folder, self._file_most, self._live_most, self._say = folder, file_most, live_most, say
-        self.owed: dict[int, Parcel] = {}
+        self.owed: dict[int, OwedMessage] = {}
         self.torn = 0  # bytes dropped from the end of the file at start
         self._live = self._size = self._last = 0
         self._reserve = -1  # a descriptor that is lent to the next file
@@ -150,9 +150,9 @@
         self._locks[slot] = fd
         return True
 
-    def orphans(self) -> list[Parcel]:
+    def orphans(self) -> list[OwedMessage]:
         """What a process that ended beside this one still owed, now owed by this one and written here."""
-        found: list[Parcel] = []
+        found: list[OwedMessage] = []
         for slot in range(SLOTS):
             path = self.folder / named(slot)
             if slot == self.slot or not path.exists() or not self._lock(slot):
@@ -166,23 +166,23 @@
                 self._take_over(path, theirs, found)
             except OSError as fault:  # out of descriptors or disk: it stays as it is, and is tried again
                 self.owed, self._last, self.torn = mine, last, torn
-                self._live = sum(parcel.size for parcel in mine.values())
+                self._live = sum(message.size for message in mine.values())
                 self._say(f"journal-failed adopt slot={slot} {fault}")
             os.close(self._locks.pop(slot))
         return found
 
-    def _take_over(self, path: Path, theirs: dict[int, Parcel], found: list[Parcel]) -> None:
+    def _take_over(self, path: Path, theirs: dict[int, OwedMessage], found: list[OwedMessage]) -> None:
         """Each is written here before it goes there; OSError where this disk takes no more.
 
         Guards rule 2 where a kill falls between the two: what is here already is not taken on once more.
         """
-        known = {parcel.id for parcel in self.owed.values()}
+        known = {message.id for message in self.owed.values()}
         numbers = list(theirs)  # as that file has them; taken on, they get others
         try:
-            for parcel in theirs.values():
-                if parcel.id not in known:
-                    self.taken(parcel)
-                    found.append(parcel)
+            for message in theirs.values():
+                if message.id not in known:
+                    self.taken(message)
+                    found.append(message)
         except OSError:
             gone = [number for number in numbers if theirs[number] in found or theirs[number].id in known]
             with open(path, "ab") as file:  # the rest of them stays there
@@ -202,39 +202,39 @@
 
     @property
     def room(self) -> int:
-        """How large a parcel may be taken on."""
+        """How large a message may be taken on."""
         return self._live_most - self._live
 
-    def taken(self, parcel: Parcel) -> None:
+    def taken(self, message: OwedMessage) -> None:
         """Written before its client hears of it; OSError where the disk won't take it."""
-        self._last = parcel.number = self._last + 1
-        self._write(parcel.records())
-        self.owed[parcel.number] = parcel
-        self._live += parcel.size
+        self._last = message.number = self._last + 1
+        self._write(message.records())
+        self.owed[message.number] = message
+        self._live += message.size
 
-    def trip(self, parcels: list[Parcel], at: int) -> None:
+    def trip(self, messages: list[OwedMessage], at: int) -> None:
         """Written before the last byte of their call goes out."""
-        self._write([TRIP.pack(TRIP_KIND, parcel.number, at) for parcel in parcels])
-        for parcel in parcels:
-            parcel.went_out(at)
+        self._write([TRIP.pack(TRIP_KIND, message.number, at) for message in messages])
+        for message in messages:
+            message.went_out(at)
             self._live += TRIP_SIZE
 
-    def void(self, parcel: Parcel, at: int) -> None:
+    def void(self, message: OwedMessage, at: int) -> None:
         """One of its trips never ran."""
-        parcel.trips[at][1] = 1
-        if parcel.number in self.owed:  # of what is over, nothing more is told
-            self._note("void", VOID.pack(VOID_KIND, parcel.number, at))
+        message.trips[at][1] = 1
+        if message.number in self.owed:  # of what is over, nothing more is told
+            self._note("void", VOID.pack(VOID_KIND, message.number, at))
 
-    def given_up(self, parcel: Parcel, again: bool, wait: int) -> None:
+    def given_up(self, message: OwedMessage, again: bool, wait: int) -> None:
         """Its end is known, the platform has yet to be told."""
-        parcel.given_up = (again, wait)
-        self._note("given-up", GIVEN_UP.pack(GIVEN_UP_KIND, parcel.number, again, wait))
+        message.given_up = (again, wait)
+        self._note("given-up", GIVEN_UP.pack(GIVEN_UP_KIND, message.number, again, wait))
 
-    def over(self, parcel: Parcel) -> None:
+    def over(self, message: OwedMessage) -> None:
         """Nothing more is owed for it."""
-        if self.owed.pop(parcel.number, None):
-            self._live -= parcel.size
-            self._note("over", OVER.pack(OVER_KIND, parcel.number))
+        if self.owed.pop(message.number, None):
+            self._live -= message.size
+            self._note("over", OVER.pack(OVER_KIND, message.number))
 
     def _note(self, what: str, body: bytes) -> None:
         """Where the disk won't take it, work goes on; after a restart less is known to have ended."""
@@ -288,7 +288,7 @@
             self._reserve = -1
 
     def _replace_file(self) -> None:
-        bodies = [body for parcel in self.owed.values() for body in parcel.records()]
+        bodies = [body for message in self.owed.values() for body in message.records()]
         raw = framed([_clock_record(), *bodies])
         new, name = self.folder / named(self.slot, ".new"), self.folder / named(self.slot)
         fresh = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
@@ -314,7 +314,7 @@
                 break
             at += FRAME.size + size
         self.torn = len(raw) - at
-        self._live = sum(parcel.size for parcel in self.owed.values())
+        self._live = sum(message.size for message in self.owed.values())
 
     def _replay(self, body: bytes) -> bool:
         """Take in one record; False where it makes no sense."""
@@ -325,9 +325,9 @@
                 for length in lengths:
                     texts.append(body[at : at + length])
                     at += length
-                parcel = Parcel(*texts, destination, hard_stop, body[at:])
-                parcel.number = self._last = number
-                self.owed[number] = parcel
+                message = OwedMessage(*texts, destination, hard_stop, body[at:])
+                message.number = self._last = number
+                self.owed[number] = message
                 return True
             if body[0] == CLOCK_KIND:
                 _, _, ahead, boot = CLOCK.unpack(body)
@@ -335,20 +335,20 @@
                 if self._set_back is None or self._set_back >= MILLISECOND:
                     self._say(f"clock-set-back ns={'unknown' if self._set_back is None else self._set_back}")
                 return True
-            parcel = self.owed.get(struct.unpack_from("<Q", body, 1)[0])
+            message = self.owed.get(struct.unpack_from("<Q", body, 1)[0])
             if body[0] == OVER_KIND:
-                if parcel:
-                    del self.owed[parcel.number]
-            elif parcel is None:
-                pass  # Guards what comes after: a late word on a parcel that is over is no damage.
+                if message:
+                    del self.owed[message.number]
+            elif message is None:
+                pass  # Guards what comes after: a late word on a message that is over is no damage.
             elif body[0] == TRIP_KIND:
                 at = TRIP.unpack(body)[2]
-                parcel.went_out(OF_ANY_AGE if self._set_back is None else at - self._set_back)
+                message.went_out(OF_ANY_AGE if self._set_back is None else at - self._set_back)
             elif body[0] == VOID_KIND:
-                parcel.trips[VOID.unpack(body)[2]][1] = 1
+                message.trips[VOID.unpack(body)[2]][1] = 1
             elif body[0] == GIVEN_UP_KIND:
                 _, _, again, wait = GIVEN_UP.unpack(body)
-                parcel.given_up = (bool(again), wait)
+                message.given_up = (bool(again), wait)
             else:
                 return False
         except (struct.error, IndexError):
--- a/millweir/net/notices.py
+++ b/millweir/net/notices.py
@@ -10,7 +10,7 @@
 from millweir.net.counters import Counters
 from millweir.net.exchange import Exchange
 from millweir.net.heads import AnswerReader
-from millweir.net.journal import Parcel
+from millweir.net.journal import OwedMessage
 from millweir.net.log import Log
 
 
@@ -22,7 +22,7 @@
         loop: asyncio.AbstractEventLoop,
         address: tuple[str, int],
         bounds: Bounds,
-        done: Callable[[Parcel], None],
+        done: Callable[[OwedMessage], None],
         log: Log,
         counters: Counters,
     ) -> None:
@@ -30,8 +30,8 @@
         self._counters = counters
         self._exchange = self._to(address)
         self._next: Exchange | None = None  # takes its place once what is out has its answer
-        self._waiting: dict[Parcel, None] = {}
-        self._sent: list[Parcel] = []
+        self._waiting: dict[OwedMessage, None] = {}
+        self._sent: list[OwedMessage] = []
         self._most = bounds.notices
         self._resting = False
 
@@ -56,8 +56,8 @@
     def busy(self) -> bool:
         return bool(self._waiting or self._sent)
 
-    def add(self, parcel: Parcel) -> None:
-        self._waiting[parcel] = None
+    def add(self, message: OwedMessage) -> None:
+        self._waiting[message] = None
 
     def send(self) -> None:
         """Send what waits, unless a request is out or the last one failed a moment ago."""
@@ -65,10 +65,10 @@
             return
         self._sent = list(self._waiting)[: self._most]
         lines = []
-        for parcel in self._sent:
-            del self._waiting[parcel]
-            again, wait = parcel.given_up
-            line = {"ref": parcel.id.decode(), "result": "bounced" if again else "dead"}
+        for message in self._sent:
+            del self._waiting[message]
+            again, wait = message.given_up
+            line = {"ref": message.id.decode(), "result": "bounced" if again else "dead"}
             if again and wait:
                 line["wait_ms"] = -(-wait // MILLISECOND)
             lines.append(json.dumps(line, separators=(",", ":")) + "\n")
@@ -83,8 +83,8 @@
         if reader is not None and reader.status == 204:
             self._counters.add("notices_sent", len(sent))
             self._most = self._bounds.notices
-            for parcel in sent:
-                self._done(parcel)
+            for message in sent:
+                self._done(message)
         else:
             self._counters.add("notices_failed", len(sent))
             self._log.say(f"notices-failed {len(sent)} status={reader.status if reader else 'none'}")
--- a/tests/net/inside.py
+++ b/tests/net/inside.py
@@ -199,7 +199,7 @@
         """What the folder holds, as the next start reads it: id and trips; after the end of this one."""
         self.desk._journal.close()
         journal = Journal(self.folder, 500_000, 400_000, print)
-        found = {parcel.id.decode(): len(parcel.trips) for parcel in journal.owed.values()}
+        found = {message.id.decode(): len(message.trips) for message in journal.owed.values()}
         journal.close()
         return found
 
--- a/tests/net/test_descriptors.py
+++ b/tests/net/test_descriptors.py
@@ -15,7 +15,7 @@
 from millweir.interface import SECOND, Limits
 from millweir.net.config import read_descriptors
 from millweir.net.control import LINKS_MOST
-from millweir.net.journal import FILE, Journal, Parcel
+from millweir.net.journal import FILE, Journal, OwedMessage
 from net.inside import play, request
 
 # Loop, signals, standard streams, listeners, lock, journal and its reserve: 17 on a running relay.  Two feeds
@@ -57,7 +57,7 @@
 def test_the_journal_is_written_anew_also_when_all_other_descriptors_are_taken(tmp_path, start):
     journal = Journal(tmp_path, 2000, 1500, print)
     if start == "resumed":  # the file of an earlier life is gone on with
-        journal.taken(Parcel(b"first", b"again", b"", b"", b"", 0, 1, b"x" * 100))
+        journal.taken(OwedMessage(b"first", b"again", b"", b"", b"", 0, 1, b"x" * 100))
         journal.close()
         file = (tmp_path / FILE).stat().st_ino
         journal = Journal(tmp_path, 2000, 1500, print)
@@ -67,13 +67,13 @@
         with pytest.raises(OSError, match="Too many open files"):
             os.open(os.devnull, os.O_RDONLY)
         for n in range(40):  # the file is full several times over
-            parcel = Parcel(b"r%d" % n, b"again", b"", b"", b"", 0, 1, b"x" * 100)
-            journal.taken(parcel)
+            message = OwedMessage(b"r%d" % n, b"again", b"", b"", b"", 0, 1, b"x" * 100)
+            journal.taken(message)
             if n != 7:
-                journal.over(parcel)
+                journal.over(message)
     journal.close()
     again = Journal(tmp_path, 2000, 1500, print)
-    assert [parcel.id for parcel in again.owed.values()] == [b"r7"]
+    assert [message.id for message in again.owed.values()] == [b"r7"]
     again.close()
 
 
--- a/tests/net/test_ready.py
+++ b/tests/net/test_ready.py
@@ -12,7 +12,7 @@
 from millweir.net import clock
 from millweir.net.counters import Counters
 from millweir.net.desk import Desk
-from millweir.net.journal import FILE, Journal, Parcel
+from millweir.net.journal import FILE, Journal, OwedMessage
 from millweir.net.service_classes import ServiceClasses
 from net.inside import play, request
 from net.test_calls import handed_in
@@ -27,10 +27,12 @@
     journal = Journal(folder, 1 << 30, 1 << 30, print)
     stop = clock.to_wall(clock.steady() + 60 * SECOND)
     for number in range(count):
-        parcel = Parcel(b"p%d" % number, profile, b"", key, b"m%d" % number, number % 10, stop, b"hello")
-        journal.taken(parcel)
+        message = OwedMessage(
+            b"p%d" % number, profile, b"", key, b"m%d" % number, number % 10, stop, b"hello"
+        )
+        journal.taken(message)
         for _ in range(attempts):
-            journal.trip([parcel], clock.to_wall(clock.steady()))
+            journal.trip([message], clock.to_wall(clock.steady()))
     journal.close()
 
 
@@ -44,8 +46,8 @@
     desk._owed, desk._backlog, desk._scheduled = {}, deque(), True
     desk._classes, desk._tenants = ServiceClasses(chosen, facade), {}
     desk._classes._by_name = {b"again": 0}
-    for parcel in journal.owed.values():
-        desk._restore(parcel)
+    for message in journal.owed.values():
+        desk._restore(message)
     return desk
 
 
@@ -177,8 +179,8 @@
 def test_a_start_rewrites_a_file_that_it_can_not_go_on_with(tmp_path, fault):
     leave_owed(tmp_path, 100)
     journal = Journal(tmp_path, 1 << 20, 1 << 19, print)
-    for parcel in list(journal.owed.values())[: 95 if fault == "mostly-over" else 0]:
-        journal.over(parcel)
+    for message in list(journal.owed.values())[: 95 if fault == "mostly-over" else 0]:
+        journal.over(message)
     left = list(journal.owed)
     journal.close()
     path, most = tmp_path / FILE, 1 << 20
@@ -189,7 +191,7 @@
     before = inode(tmp_path)
     again = Journal(tmp_path, most, most, print)
     assert inode(tmp_path) != before and list(again.owed) == left
-    again.taken(Parcel(b"new", b"again", b"", b"", b"", 0, 0, b""))
+    again.taken(OwedMessage(b"new", b"again", b"", b"", b"", 0, 0, b""))
     again.close()
     last = Journal(tmp_path, most, most, print)
     assert list(last.owed) == [*left, max(left) + 1] and not last.torn
--- a/tests/net/test_repeat_window.py
+++ b/tests/net/test_repeat_window.py
@@ -11,7 +11,7 @@
 from millweir.net import clock
 from millweir.net.counters import Counters
 from millweir.net.desk import Desk
-from millweir.net.journal import FILE, FRAME, OVER, OVER_KIND, Journal, Parcel
+from millweir.net.journal import FILE, FRAME, OVER, OVER_KIND, Journal, OwedMessage
 from millweir.net.service_classes import ServiceClasses
 from net.inside import play
 from net.test_calls import QUICK, handed_in, held_back, jump
@@ -45,9 +45,9 @@
         """A life that sent one keyed packet so long ago, and was killed before its answer."""
         journal = self.journal()
         stop = clock.to_wall(NOW + 15 * SECOND)
-        parcel = Parcel(b"p", b"marked", b"", b"", b"mark", 0, stop, b"body")
-        journal.taken(parcel)
-        journal.trip([parcel], clock.to_wall(NOW - age))
+        message = OwedMessage(b"p", b"marked", b"", b"", b"mark", 0, stop, b"body")
+        journal.taken(message)
+        journal.trip([message], clock.to_wall(NOW - age))
         journal.close()
 
     def restart(self, listed=True):
@@ -62,8 +62,8 @@
         desk._owed, desk._backlog = {}, deque()
         desk._classes, desk._tenants = ServiceClasses(SETTINGS, facade), {}
         desk._classes._by_name = {b"marked": REFERENCED}
-        for parcel in journal.owed.values():
-            desk._restore(parcel)
+        for message in journal.owed.values():
+            desk._restore(message)
         desk._work_off_backlog()
         journal.close()
         facade.tick(self.steady)
@@ -133,9 +133,9 @@
     machine.set(NOW, WALL_AHEAD - SECOND // 4, BOOT)
     journal = machine.journal()
     stop = clock.to_wall(NOW + 15 * SECOND)
-    parcel = Parcel(b"q", b"marked", b"", b"", b"mark", 0, stop, b"body")
-    journal.taken(parcel)
-    journal.trip([parcel], clock.to_wall(NOW - WINDOW // 2))
+    message = OwedMessage(b"q", b"marked", b"", b"", b"mark", 0, stop, b"body")
+    journal.taken(message)
+    journal.trip([message], clock.to_wall(NOW - WINDOW // 2))
     journal.close()
     machine.set(NOW, WALL_AHEAD - SECOND // 2, BOOT)
     journal = machine.journal()
@@ -205,8 +205,8 @@
         await held_back(relay)
         written_by = clock.to_wall(clock.steady())
         await relay.until(lambda: platform.sent("p"))
-        (parcel,) = relay.desk._journal.owed.values()
-        assert [sent_at <= written_by for sent_at, _ in parcel.trips] == [True]
+        (message,) = relay.desk._journal.owed.values()
+        assert [sent_at <= written_by for sent_at, _ in message.trips] == [True]
 
     play(platform, tmp_path, monkeypatch, steps, hold=QUICK)
 
@@ -215,9 +215,9 @@
     platform, journal_trip = Platform(hosts=1), Journal.trip
     platform.decide = lambda call: "reset"
 
-    def slow_trip(journal, parcels, at):
-        journal_trip(journal, parcels, at)
-        if parcels[0].trips[1:]:
+    def slow_trip(journal, messages, at):
+        journal_trip(journal, messages, at)
+        if messages[0].trips[1:]:
             jump(monkeypatch, 7 * SECOND)  # known for 6 s
 
     monkeypatch.setattr(Journal, "trip", slow_trip)
@@ -233,11 +233,11 @@
 def test_a_call_withheld_after_it_was_journalled_is_journalled_as_never_run(tmp_path, monkeypatch):
     platform, journal_trip, seen = Platform(hosts=1), Journal.trip, []
 
-    def slow_trip(journal, parcels, at):
-        journal_trip(journal, parcels, at)
+    def slow_trip(journal, messages, at):
+        journal_trip(journal, messages, at)
         if not seen:
             until = clock.steady() + SECOND // 2
-            seen.append((parcels[0], until))
+            seen.append((messages[0], until))
             relays[0].desk._facade.wait_told(clock.steady(), b"h0", until)
 
     monkeypatch.setattr(Journal, "trip", slow_trip)
@@ -247,8 +247,8 @@
         relays.append(relay)
         await handed_in(relay, "p", profile="once")
         await relay.until(lambda: platform.sent("p"))
-        parcel, until = seen[0]
-        assert [void for _, void in parcel.trips] == [1, 0] and len(platform.calls) == 1
+        message, until = seen[0]
+        assert [void for _, void in message.trips] == [1, 0] and len(platform.calls) == 1
         assert platform.calls[0].at * SECOND >= until
 
     play(platform, tmp_path, monkeypatch, steps)
@@ -261,9 +261,9 @@
     monkeypatch.setattr(clock, "_WALL_AHEAD", wall_ahead + set_back)
     journal = Journal(folder, 500_000, 400_000, print)
     stop = clock.to_wall(clock.steady() + 15 * SECOND)
-    parcel = Parcel(b"p", b"marked", b"", b"", b"mark", 0, stop, b"body")
-    journal.taken(parcel)
-    journal.trip([parcel], clock.to_wall(clock.steady() - WINDOW))
+    message = OwedMessage(b"p", b"marked", b"", b"", b"mark", 0, stop, b"body")
+    journal.taken(message)
+    journal.trip([message], clock.to_wall(clock.steady() - WINDOW))
     journal.close()
     monkeypatch.setattr(clock, "_WALL_AHEAD", wall_ahead)
     grades = [dict(grade, **{"dedup-window-us": WINDOW // 1000}) for grade in CONFIG["grades"]]
--- a/tests/net/test_restored.py
+++ b/tests/net/test_restored.py
@@ -11,7 +11,7 @@
 
 from millweir.control import bounds
 from millweir.interface import Limits
-from millweir.net.journal import FILE, Journal, Parcel, named
+from millweir.net.journal import FILE, Journal, OwedMessage, named
 from millweir.settings import read_settings
 from net.inside import play
 
@@ -59,10 +59,10 @@
     journal = Journal(home, 500_000, 400_000, print)
     for ident, profile, trips in packets:
         stop = time.time_ns() + 15 * 10**9
-        parcel = Parcel(ident, profile, b"", b"", b"m" + ident, 0, stop, b"hello")
-        journal.taken(parcel)
+        message = OwedMessage(ident, profile, b"", b"", b"m" + ident, 0, stop, b"hello")
+        journal.taken(message)
         for _ in range(trips):
-            journal.trip([parcel], time.time_ns())
+            journal.trip([message], time.time_ns())
     journal.close()
     if slot:
         (home / FILE).rename(folder / named(slot))
@@ -177,7 +177,9 @@
         desk = relay.desk
         fewer = replace(desk._classes.settings, max_trips=1)
         desk.reload(SimpleNamespace(settings=fewer, discovery=desk._discovery))
-        desk._restore(Parcel(b"a", b"forgotten", b"", b"", b"", 0, time.time_ns() + 15 * 10**9, b"hello"))
+        desk._restore(
+            OwedMessage(b"a", b"forgotten", b"", b"", b"", 0, time.time_ns() + 15 * 10**9, b"hello")
+        )
         assert desk._facade._relay._max_trips == 1  # fewer trips bind at once, and go on to
 
     play(Platform(hosts=1), tmp_path, monkeypatch, steps)
@@ -200,18 +202,18 @@
     journal = Journal.__new__(Journal)
     real, left = Journal.taken, [2]
 
-    def taken(self, parcel):
+    def taken(self, message):
         if not left[0]:
             raise OSError("full")
         left[0] -= 1
-        real(self, parcel)
+        real(self, message)
 
     monkeypatch.setattr(Journal, "taken", taken)
     said = []
     journal.__init__(tmp_path, 500_000, 400_000, said.append)
     assert sorted(p.id for p in journal.owed.values()) == [b"p0", b"p1"] and "full" in said[0]
-    for parcel in list(journal.owed.values()):
-        journal.over(parcel)  # ended before the rest of them is adopted
+    for message in list(journal.owed.values()):
+        journal.over(message)  # ended before the rest of them is adopted
     left[0] = 9
     assert sorted(p.id for p in journal.orphans()) == [b"p2", b"p3"]  # none comes twice
     assert all(p.trips for p in journal.owed.values()) and not (tmp_path / named(1)).exists()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,14 +14,14 @@
 from millweir.net.discovery import Garbled, read_list
 from millweir.net.heads import AnswerReader, RequestReader, read_seconds, read_span
 from millweir.net.hosts import Hosts
-from millweir.net.journal import FILE, VOID, VOID_KIND, Journal, Parcel, framed
+from millweir.net.journal import FILE, VOID, VOID_KIND, Journal, OwedMessage, framed
 from millweir.net.lag import Lag
 from millweir.net.log import Log
 from millweir.net.retry_after import SharedWaits
 
 
-def parcel(name, body=b""):
-    return Parcel(name, b"again", b"", b"k", b"m", 3, 99, body)
+def message(name, body=b""):
+    return OwedMessage(name, b"again", b"", b"k", b"m", 3, 99, body)
 
 
 def state(journal):
@@ -42,7 +42,7 @@
         if step == "l" and ended:
             journal.void(ended[-1], 0)  # a late word, perhaps on what is over
         elif step == "t" and journal.room > 2500:
-            journal.taken(parcel(b"p%d" % n, chance.randbytes(chance.randrange(2000))))
+            journal.taken(message(b"p%d" % n, chance.randbytes(chance.randrange(2000))))
         elif owed and (p := chance.choice(owed)):
             if step == "r":
                 journal.trip([p], n)
@@ -73,7 +73,7 @@
 def test_journal_that_is_damaged_in_the_middle_keeps_what_comes_before(tmp_path):
     journal = Journal(tmp_path, 20_000, 15_000, print)
     for n in range(3):
-        journal.taken(parcel(b"p%d" % n))
+        journal.taken(message(b"p%d" % n))
     raw = bytearray((tmp_path / FILE).read_bytes())
     raw[len(raw) // 2] ^= 1
     (tmp_path / FILE).write_bytes(raw)
@@ -83,7 +83,7 @@
 
 def test_a_late_word_on_what_is_over_hides_nothing_that_comes_after_it(tmp_path):
     journal = Journal(tmp_path, 20_000, 15_000, print)
-    first, second = parcel(b"a"), parcel(b"b")
+    first, second = message(b"a"), message(b"b")
     journal.taken(first)
     journal.trip([first], 1)
     journal.over(first)
@@ -98,10 +98,10 @@
 
 def test_journal_numbers_go_on_after_a_restart(tmp_path):
     journal = Journal(tmp_path, 20_000, 15_000, print)
-    journal.taken(parcel(b"a"))
+    journal.taken(message(b"a"))
     journal.close()
     again = Journal(tmp_path, 20_000, 15_000, print)
-    again.taken(parcel(b"b"))
+    again.taken(message(b"b"))
     again.close()
     assert [p.id for p in Journal(tmp_path, 20_000, 15_000, print).owed.values()] == [b"a", b"b"]
 
@@ -211,7 +211,7 @@
     facade = Facade(settings(), Limits(256, 1 << 20, 1 << 26), 1, now)
     facade.told(now, Change.CACHED, (replace(entry(0, 0, kind=1), host=b"h0"),))
     journal = Journal(folder, 20_000, 15_000, print)
-    owed = parcel(b"p", b"body")
+    owed = message(b"p", b"body")
     journal.taken(owed)
 
     async def play():
@@ -295,11 +295,11 @@
     # Guards rules 1 and 2 in an upgrade: nothing the old process owes is sent by the new one while the old
     # one lives, and all of it is owed by the new one once the old one has ended.
     old = Journal(tmp_path, 20_000, 15_000, print)
-    old.taken(parcel(b"a"))
+    old.taken(message(b"a"))
     new = Journal(tmp_path, 20_000, 15_000, print)
     assert new.slot != old.slot and not new.owed and not new.orphans()
-    old.taken(parcel(b"b"))
-    new.taken(parcel(b"c"))
+    old.taken(message(b"b"))
+    new.taken(message(b"c"))
     old.close()  # it exited, or was killed
     assert sorted(p.id for p in new.orphans()) == [b"a", b"b"]
     assert sorted(p.id for p in new.owed.values()) == [b"a", b"b", b"c"]
