Listeners, host pools and loop lag are named so

Change: ClientListener, ControlListener, HostPool, LoopLag, their variables and tests. No change of behaviour.

--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -15,7 +15,7 @@
 from millweir.net import clock
 from millweir.net.clients import ClientLink
 from millweir.net.config import Config, Misconfigured, read_config
-from millweir.net.control import ControlDoor
+from millweir.net.control import ControlListener
 from millweir.net.counters import Counters
 from millweir.net.desk import Desk
 from millweir.net.journal import Journal, OwedMessage
@@ -73,8 +73,8 @@
         lambda: ClientLink(desk.clients), *config.listen, backlog=512, reuse_port=True
     )
     if config.control:
-        door = ControlDoor(loop, desk)
-        await loop.create_server(door.link, *config.control, backlog=64)
+        listener = ControlListener(loop, desk)
+        await loop.create_server(listener.link, *config.control, backlog=64)
     log.must(
         f"ready name={config.name} listen={':'.join(map(str, config.listen))} "
         f"discovery={':'.join(map(str, config.discovery))} owed={len(journal.owed)}"
--- a/millweir/net/clients.py
+++ b/millweir/net/clients.py
@@ -24,7 +24,7 @@
     """
 
     __slots__ = (
-        "_door",
+        "_listener",
         "_reader",
         "_transport",
         "_unread",
@@ -36,9 +36,9 @@
         "reason",
     )
 
-    def __init__(self, door: ClientDoor) -> None:
-        self._door = door
-        self._reader = RequestReader(door.bounds.head_most, door.bounds.body_most)
+    def __init__(self, listener: ClientListener) -> None:
+        self._listener = listener
+        self._reader = RequestReader(listener.bounds.head_most, listener.bounds.body_most)
         self._unread = 0  # bytes thrown away since its end began
         self._transport: asyncio.Transport | None = None
         self.pending = 0  # requests read and not answered
@@ -53,12 +53,12 @@
         self.open = True
         peer = transport.get_extra_info("peername")
         self.peer = f"{peer[0]}:{peer[1]}" if peer else "?"
-        self._door.opened(self)
+        self._listener.opened(self)
 
     def data_received(self, data: bytes) -> None:
         if self.reason:
             self._unread += len(data)
-            if self._unread > self._door.bounds.body_most:
+            if self._unread > self._listener.bounds.body_most:
                 self.abort()
             return
         was_busy = self._reader.busy
@@ -70,9 +70,9 @@
             request.read_at = clock.steady()
             self.pending += 1
             self.asked += 1
-            self._door.read(self, request)
+            self._listener.read(self, request)
         self._reader.requests.clear()
-        if self.pending > PENDING_TURNS * self._door.bounds.turn_reads:
+        if self.pending > PENDING_TURNS * self._listener.bounds.turn_reads:
             self.end("flood")  # guards the table of what has arrived: none of it is taken on
             self.abort()
 
@@ -87,7 +87,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.open = False
         self._reader.close()
-        self._door.closed(self, self.reason or ("reset" if exc else "client-closed"))
+        self._listener.closed(self, self.reason or ("reset" if exc else "client-closed"))
 
     @property
     def idle(self) -> bool:
@@ -119,12 +119,13 @@
         self.pending -= 1
         if not self.open:
             return
-        keep = keep and request.keep and not self._door.closing  # a drain: each link ends after its answer
+        drained = self._listener.closing  # each link ends after its answer
+        keep = keep and request.keep and not drained
         self._transport.writelines(answer(status, keep, body, wait))
         if not keep:
             self.end("bad-request" if request.fault else "told-close")
         elif self.idle:
-            self._door.rested(self)
+            self._listener.rested(self)
 
     def end(self, reason: str) -> None:
         """The one way to end it from here; `time_out` closes it where the other end does not."""
@@ -141,7 +142,7 @@
             self._transport.abort()
 
 
-class ClientDoor:
+class ClientListener:
     """All client connections, bounded in number, and the requests that wait for their turn."""
 
     def __init__(
@@ -163,7 +164,7 @@
         self._sweep()
 
     def _sweep(self) -> None:
-        """Guards the door against those who connect and never ask, or never finish asking, or never close."""
+        """Guards against those who connect and never ask, or never finish asking, or never close."""
         now = clock.steady()
         for link in list(self._links):
             if self.closing and link.idle and not link.reason and not link.fresh(self._awaited(now)):
@@ -187,7 +188,7 @@
             ending.abort()
 
     def _spare(self, newest: ClientLink) -> ClientLink:
-        """Whom to close: who keeps the door busy with nothing, else who is idle longest, else who is slow."""
+        """Whom to close: who sends nothing whole, else who is idle longest, else who is slow."""
         doubtful, idle, slow = clock.steady() - self.bounds.doubtful, None, None
         for link in self._links:
             if link.stalls(doubtful):
--- a/millweir/net/control.py
+++ b/millweir/net/control.py
@@ -29,7 +29,7 @@
     def resume(self) -> None: ...
 
 
-class ControlDoor:
+class ControlListener:
     """The connections of the second address and what their calls do at the desk."""
 
     __slots__ = ("_desk", "_loop", "links")
@@ -73,10 +73,10 @@
 class ControlLink(asyncio.Protocol):
     """One caller: its line, at most LINE_MOST bytes, within WAIT seconds."""
 
-    __slots__ = ("_buffer", "_door", "_done", "_timer", "_transport")
+    __slots__ = ("_buffer", "_listener", "_done", "_timer", "_transport")
 
-    def __init__(self, door: ControlDoor) -> None:
-        self._door = door
+    def __init__(self, listener: ControlListener) -> None:
+        self._listener = listener
         self._buffer = b""
         self._done = False
         self._timer: asyncio.TimerHandle | None = None
@@ -84,11 +84,11 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
-        self._door.links += 1
-        if self._door.links > LINKS_MOST:
+        self._listener.links += 1
+        if self._listener.links > LINKS_MOST:
             self._finish(b"FAILURE busy: too many control connections\n")
             return
-        self._timer = self._door._loop.call_later(WAIT, self._late)
+        self._timer = self._listener._loop.call_later(WAIT, self._late)
 
     def data_received(self, data: bytes) -> None:
         if self._done:
@@ -109,7 +109,7 @@
         if len(line) > LINE_MOST:
             self._finish(b"FAILURE the line is longer than %d bytes\n" % LINE_MOST)
         else:
-            answer = self._door.call(line.rstrip(b"\r"))
+            answer = self._listener.call(line.rstrip(b"\r"))
             self._finish(answer)
 
     def _late(self) -> None:
@@ -128,7 +128,7 @@
         self._transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._door.links -= 1
+        self._listener.links -= 1
         self._done = True
         if self._timer:
             self._timer.cancel()
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -12,7 +12,7 @@
 from millweir.facade import Facade, Part
 from millweir.interface import Change, Outcome, Phase
 from millweir.net import clock
-from millweir.net.clients import ClientDoor, ClientLink
+from millweir.net.clients import ClientLink, ClientListener
 from millweir.net.config import Config
 from millweir.net.cordons import Cordons
 from millweir.net.counters import Counters
@@ -21,7 +21,7 @@
 from millweir.net.heads import Request, read_number
 from millweir.net.hosts import Hosts
 from millweir.net.journal import Journal, OwedMessage
-from millweir.net.lag import Lag
+from millweir.net.lag import LoopLag
 from millweir.net.log import Log
 from millweir.net.notices import Notices
 from millweir.net.replies import Replies, Reply
@@ -58,9 +58,9 @@
         self.reloads = [0, 0]  # taken, turned down
         self._alarm: asyncio.TimerHandle | None = None
         self._alarm_at = 0
-        self._lag = Lag(bounds.lag_kept, clock.steady())
+        self._lag = LoopLag(bounds.lag_kept, clock.steady())
         self.stopped = loop.create_future()
-        self.clients = ClientDoor(loop, bounds, self.wake, log, counters)
+        self.clients = ClientListener(loop, bounds, self.wake, log, counters)
         self._hosts = Hosts(
             loop, bounds, settings.connect_timeout, journal, facade.still, self._report, log, counters
         )
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -39,7 +39,7 @@
 Report = Callable[[Part[OwedMessage], Outcome, bool, int, bytes], None]
 
 
-class Door:
+class HostPool:
     """Where one host is, and this relay's links to it."""
 
     __slots__ = ("address", "idle", "name")
@@ -53,12 +53,12 @@
 class Call:
     """One job under way."""
 
-    __slots__ = ("_hosts", "_trips", "_written", "_written_at", "door", "job", "link", "timer", "waiting")
+    __slots__ = ("_hosts", "_trips", "_written", "_written_at", "job", "link", "pool", "timer", "waiting")
 
-    def __init__(self, hosts: Hosts, job: Job[OwedMessage], door: Door) -> None:
+    def __init__(self, hosts: Hosts, job: Job[OwedMessage], pool: HostPool) -> None:
         self._hosts = hosts
         self.job = job
-        self.door = door
+        self.pool = pool
         self.waiting: dict[Part[OwedMessage], None] = dict.fromkeys(job.parts)
         self.link: Link | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -74,7 +74,7 @@
                 self.over(part, Outcome.MOOT)
         parts = list(self.waiting)
         if not parts:
-            hosts.keep(self.door, link)
+            hosts.keep(self.pool, link)
             return
         self.link, self._written, self._written_at = link, parts, now
         left = max(1, -(-(max(part.until for part in parts) - now) // MILLISECOND))
@@ -94,7 +94,7 @@
             path, body, ident = b"/hook/batch", json.dumps(rows, separators=(",", ":")).encode(), b""
         head = b"POST %b HTTP/1.1\r\nHost: %b\r\n%bX-Time-Left: %dm\r\nContent-Length: %d\r\n\r\n" % (
             path,
-            self.door.name.encode(),
+            self.pool.name.encode(),
             ident,
             left,
             len(body),
@@ -182,7 +182,7 @@
 
     def answered(self, link: Link) -> None:
         reader = link.reader
-        self._hosts.keep(self.door, link)
+        self._hosts.keep(self.pool, link)
         if reader.status == 200 and not self._trips:
             self.all_over(Outcome.CUT_OFF)  # said before the last byte went out: of another call, or of none
         elif reader.status == 200 and not self.alone:
@@ -195,7 +195,7 @@
                 outcome = Outcome.CROWDED  # a new link that is closed with the refusal: too many of them
             finished = outcome is Outcome.FULFILLED or reader.status == 410
             if reader.status not in (200, 410, 429, 500, 503, 504):
-                self._hosts.log.say(f"odd-answer host={self.door.name} status={reader.status}")
+                self._hosts.log.say(f"odd-answer host={self.pool.name} status={reader.status}")
             self.all_over(outcome, finished, reader.wait, reader.load)
 
     def _read_states(self, body: bytes, wait: int, load: bytes) -> None:
@@ -203,7 +203,7 @@
             states = {row["id"]: row["state"] for row in json.loads(body)}
         except (ValueError, KeyError, TypeError, RecursionError):
             states = {}  # it may all have run
-            self._hosts.log.say(f"garbled-answer host={self.door.name}")
+            self._hosts.log.say(f"garbled-answer host={self.pool.name}")
         for part in list(self.waiting):
             state = states.get(part.item.id.decode())
             outcome = STATES.get(state, Outcome.SPOILT) if isinstance(state, str) else Outcome.SPOILT
@@ -228,7 +228,7 @@
 
 
 class Hosts:
-    """All doors, and the calls under way."""
+    """The links to all hosts, and the calls under way."""
 
     def __init__(
         self,
@@ -249,8 +249,8 @@
         self.counters = counters
         self.bounds = bounds
         self._connect_timeout = connect_timeout / 1e9
-        self._doors: dict[str, Door] = {}
-        self._idle: dict[Link, Door] = {}  # the one idle longest first
+        self._pools: dict[str, HostPool] = {}
+        self._idle: dict[Link, HostPool] = {}  # the one idle longest first
         self._calls: dict[Job[OwedMessage], Call] = {}
         self._dialling: set[asyncio.Task[None]] = set()
 
@@ -258,30 +258,30 @@
         """Where hosts are, by the list; links to one that left, or is elsewhere now, are not kept."""
         for name in gone:
             self.free(name)
-            self._doors.pop(name, None)
+            self._pools.pop(name, None)
         for name, address in addresses.items():
-            if name not in self._doors or self._doors[name].address != address:
+            if name not in self._pools or self._pools[name].address != address:
                 self.free(name)
-                self._doors[name] = Door(name, address)
+                self._pools[name] = HostPool(name, address)
 
     def all_but(self, names: Container[str]) -> list[str]:
         """The hosts known that are not among these."""
-        return [name for name in self._doors if name not in names]
+        return [name for name in self._pools if name not in names]
 
     def free(self, name: str) -> None:
         """Close the idle links to a host."""
-        door = self._doors.get(name)
-        while door and door.idle:
-            self._drop(door.idle[-1], "freed")
+        pool = self._pools.get(name)
+        while pool and pool.idle:
+            self._drop(pool.idle[-1], "freed")
 
     def start(self, job: Job[OwedMessage]) -> None:
         """Carry out a job on the link that was used last, or on a new one."""
-        door = self._doors.get(job.host) or Door(job.host, NOWHERE)
-        call = self._calls[job] = Call(self, job, door)
+        pool = self._pools.get(job.host) or HostPool(job.host, NOWHERE)
+        call = self._calls[job] = Call(self, job, pool)
         call.arm()
         limit = clock.steady() - self.bounds.link_life
-        while door.idle:
-            link = door.idle.pop()
+        while pool.idle:
+            link = pool.idle.pop()
             del self._idle[link]
             if link.open and link.idle_since > limit:
                 call.write(link)
@@ -293,10 +293,10 @@
         task.add_done_callback(self._dialling.discard)
 
     async def _dial(self, call: Call) -> None:
-        door = call.door
+        pool = call.pool
         link = Link(
             self.loop,
-            f"{door.name}/{door.address[0]}:{door.address[1]}",
+            f"{pool.name}/{pool.address[0]}:{pool.address[1]}",
             self.bounds.answer_most,
             self.bounds.answer_time,
             self.log,
@@ -304,10 +304,10 @@
         )
         try:
             async with asyncio.timeout(self._connect_timeout):
-                await self.loop.create_connection(lambda: link, *door.address)
+                await self.loop.create_connection(lambda: link, *pool.address)
         except (OSError, TimeoutError) as fault:
             self.counters.add("connects_failed")
-            self.log.say(f"link-end peer={door.name} reason=unconnected {type(fault).__name__}")
+            self.log.say(f"link-end peer={pool.name} reason=unconnected {type(fault).__name__}")
             call.all_over(Outcome.UNCONNECTED)
             return
         link.when_closed = self._closed
@@ -316,7 +316,7 @@
         elif call.waiting:
             call.write(link)
         else:
-            self.keep(door, link)
+            self.keep(pool, link)
 
     def done(self, call: Call) -> None:
         """No part of the call is waited for any more."""
@@ -332,13 +332,13 @@
         if call:
             call.give_up(part, Outcome.CANCELLED)
 
-    def keep(self, door: Door, link: Link) -> None:
+    def keep(self, pool: HostPool, link: Link) -> None:
         """A link that is free again."""
-        if self._doors.get(door.name) is not door:
+        if self._pools.get(pool.name) is not pool:
             link.close("host-left")
         if link.open:
-            door.idle.append(link)
-            self._idle[link] = door
+            pool.idle.append(link)
+            self._idle[link] = pool
             self._trim(self.bounds.host_links)
 
     def _make_way(self) -> None:
@@ -361,9 +361,9 @@
         link.close(reason)
 
     def _closed(self, link: Link) -> None:
-        door = self._idle.pop(link, None)
-        if door:
-            door.idle.remove(link)
+        pool = self._idle.pop(link, None)
+        if pool:
+            pool.idle.remove(link)
 
     def close(self) -> None:
         """At exit: calls still out end here; the journal knows of them."""
--- a/millweir/net/lag.py
+++ b/millweir/net/lag.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 
-class Lag:
+class LoopLag:
     """The longest wait noted within the last one to two spans; it fades by itself (nanoseconds)."""
 
     __slots__ = ("_before", "_began", "_most", "_span")
--- a/tests/test_control_address.py
+++ b/tests/test_control_address.py
@@ -6,7 +6,7 @@
 import pytest
 
 from millweir.net import control
-from millweir.net.control import ControlDoor
+from millweir.net.control import ControlListener
 
 
 class FakeDesk:
@@ -50,14 +50,14 @@
     ],
 )
 def test_each_call_gets_one_line_that_says_success_or_failure(line, starts):
-    answer = ControlDoor(None, FakeDesk()).call(line)
+    answer = ControlListener(None, FakeDesk()).call(line)
     assert answer.startswith(starts) and answer.endswith(b"\n")
     assert answer.count(b"\n") == 1
 
 
 def test_counters_are_one_json_line_then_eot():
     # The form that the operators' bench reads: the JSON object alone on its line, then EOT.
-    lines = ControlDoor(None, FakeDesk()).call(b"counters").split(b"\n")
+    lines = ControlListener(None, FakeDesk()).call(b"counters").split(b"\n")
     assert lines[1] == b"EOT" and lines[2] == b""
     assert json.loads(lines[0])["replies"]["gold"]["success"] == 3
 
@@ -65,7 +65,7 @@
 def test_health_says_no_when_not_ready():
     desk = FakeDesk()
     desk.ready = False
-    assert ControlDoor(None, desk).call(b"health").startswith(b"FAILURE")
+    assert ControlListener(None, desk).call(b"health").startswith(b"FAILURE")
 
 
 async def talk(port, data, close=False):
@@ -83,8 +83,8 @@
 
     async def run():
         loop = asyncio.get_running_loop()
-        door = ControlDoor(loop, FakeDesk())
-        server = await loop.create_server(door.link, "127.0.0.1", 0)
+        listener = ControlListener(loop, FakeDesk())
+        server = await loop.create_server(listener.link, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         answers = await asyncio.gather(
             talk(port, b"health\n"),
@@ -95,7 +95,7 @@
             talk(port, b"health\r\nextra\n"),
         )
         server.close()
-        return answers, door.links
+        return answers, listener.links
 
     answers, links = asyncio.run(run())
     assert answers[0] == b"SUCCESS ready\r\n"
@@ -112,8 +112,8 @@
 
     async def run():
         loop = asyncio.get_running_loop()
-        door = ControlDoor(loop, FakeDesk())
-        server = await loop.create_server(door.link, "127.0.0.1", 0)
+        listener = ControlListener(loop, FakeDesk())
+        server = await loop.create_server(listener.link, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(2)]
         await asyncio.sleep(0.05)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,7 +15,7 @@
 from millweir.net.heads import AnswerReader, RequestReader, read_seconds, read_span
 from millweir.net.hosts import Hosts
 from millweir.net.journal import FILE, VOID, VOID_KIND, Journal, OwedMessage, framed
-from millweir.net.lag import Lag
+from millweir.net.lag import LoopLag
 from millweir.net.log import Log
 from millweir.net.retry_after import SharedWaits
 
@@ -237,7 +237,7 @@
             await asyncio.sleep(0.01)
         hosts.listed({}, ["h0"])
         await asyncio.sleep(0.01)
-        assert not hosts._doors and not hosts._idle and not hosts._calls
+        assert not hosts._pools and not hosts._idle and not hosts._calls
         hosts.close()
         server.close()
 
@@ -282,7 +282,7 @@
 
 
 def test_lag_is_the_longest_wait_of_late_and_fades():
-    lag = Lag(SECOND, 0)
+    lag = LoopLag(SECOND, 0)
     lag.note(SECOND // 2, 300)
     lag.note(SECOND // 2, 100)
     assert lag.at(SECOND // 2) == lag.at(2 * SECOND - 1) == 300
