Discovery: after a refusal a call waits for news as long as the bound allows

Change: what the rest leaves of the longest one is waited for news, so far as the call's whole course stays within it; from the second refusal on rests fall in the upper half. told_within is unchanged: 4 s, 5.55 s with one silent connection.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -1,8 +1,7 @@
 """Every decision of a relay: which packet goes to which host, when, and what it is told in the end.
 
-Make one Relay with a port, the settings, a seed and the clock; call one method for each thing that happens,
-then round_over once all that came in together has been told; it acts by calling the port.  Types and port in
-millweir/interface.py, records in records.py, held packets' order in order.py, departures: docs/design.md."""
+Make one Relay with a port, settings, seed and clock; tell it each thing that happens by one method, then call
+round_over.  Types and port: interface.py; records: records.py; held packets: order.py; see docs/design.md."""
 
 import random
 from collections import defaultdict
@@ -34,7 +33,7 @@
     """What the network code keeps to: links, journal, waits for discovery, the stop and the log."""
     half, memory, head, body = SECOND // 2, limits.memory // 8, 16 << 10, 64 << 10
     watch = min(20 * SECOND, max(2 * SECOND, settings.relays * APIECE * ASKS))  # a fifth of discovery's time
-    return Bounds(link_life=settings.idle_close * 9 // 10, linger=half,  # idle longer, it may be closed there
+    return Bounds(link_life=settings.idle_close * 9 // 10, linger=half, rest=APIECE_MOST,  # idle: closed
                   host_links=limits.descriptors // 4, ids_known=memory >> 10, head_most=head, body_most=body,
                   client_links=min(limits.descriptors // 3, memory // (head + body)), request=4 * half,
                   doubtful=half, journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # two fit
@@ -148,7 +147,8 @@
 
     def rest(self, failures: int) -> int:
         """Until discovery is asked: at random, as all fail as one; its news counts as told 6 s after that."""
-        return int(self._random() * min(self._relays * APIECE << min(failures, RESTS), APIECE_MOST))
+        spread = self._random() if failures < 2 else 1 - self._random() / 2  # more evenly after the first
+        return int(spread * min(self._relays * APIECE << min(failures, RESTS), APIECE_MOST))
 
     def refusal(self, destination: int, size: int, room: int, left: int, lag: int) -> int:
         """0 where a packet may be handed in and stored, else how long its client ought to wait."""
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -215,6 +215,7 @@
     notices: int
     lag_kept: int
     turn_reads: int
+    rest: int  # nanoseconds, the longest after a call that discovery turned away
     turn_calls: int
 
 
--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -69,14 +69,23 @@
     silence: int
 
 
-def patience_after(bounds: Bounds, proven: bool, failures: int, unread: bool) -> Patience:
-    """The patience of the next call to an address: only what follows a list is a long watch."""
+def patience_after(
+    bounds: Bounds, proven: bool, failures: int, unread: bool, rested: int | None = None
+) -> Patience:
+    """The patience of the next call to an address: only what follows a list is a long watch.
+
+    `rested`: how long the relay has rested after it was turned away, None where it was not.  What is left of
+    the longest rest is waited for news: an overbooked discovery is asked as seldom as the bound allows.  The
+    whole course of such a call (patience, half an answer, the pause) lasts no longer than the longest rest.
+    """
     if not proven:
         return Patience(MILLISECOND, bounds.proofs[min(failures, len(bounds.proofs) - 1)])
     if not failures and not unread:
         return Patience(bounds.watch, bounds.silence)
     on_the_way = bounds.silence - bounds.watch
-    wait = min(bounds.watch, bounds.proofs[-1] - on_the_way)
+    course = bounds.proofs[-1] + bounds.resend + bounds.redial
+    unused_rest = 0 if rested is None else max(0, bounds.rest - max(rested, course))
+    wait = min(bounds.watch, bounds.proofs[-1] - on_the_way + unused_rest)
     return Patience(wait, wait + on_the_way)
 
 
@@ -91,11 +100,13 @@
     It holds after any call that failed, was turned away or given up.  What is under way at first may be the
     rest after a call that was turned away, the pause after one that failed, or a call that began just before
     and that nothing answers any more: its patience, more time if half of its answer had come, and the pause.
-    Each of `silent_links` is a connection that falls silent although discovery can be reached.
+    Each of `silent_links` is a connection that falls silent although discovery can be reached; a rest and the
+    longer wait after it share the longest rest, so that such a one costs no more there.
     """
     retry = patience_after(bounds, proven=True, failures=1, unread=False).silence
     patience = max(retry, *bounds.proofs)
-    under_way = max(longest_rest, bounds.resend, patience + bounds.resend + bounds.redial)
+    longest = patience_after(bounds, proven=True, failures=1, unread=False, rested=0).silence
+    under_way = max(longest_rest, bounds.resend, max(patience, longest) + bounds.resend + bounds.redial)
     return under_way + silent_links * (patience + bounds.redial)
 
 
@@ -108,7 +119,7 @@
     could be reached (`told_within`, docs/design/crossings.md).
     """
 
-    __slots__ = ("_asked_at", "_exchange", "_failures", "_loop", "_watch", "closed", "proven")
+    __slots__ = ("_asked_at", "_exchange", "_failures", "_loop", "_rested", "_watch", "closed", "proven")
 
     def __init__(
         self,
@@ -126,11 +137,13 @@
         )
         self.proven = self.closed = False
         self._failures, self._asked_at = 0, loop.time()
+        self._rested: int | None = None  # before the call that is due, after one that was turned away
 
     def ask(self, unread: bool = False) -> None:
         """Call for what is newer.  `unread`: once more, as the last call found its connection closed."""
         if not self.closed:
-            patience = patience_after(self._watch.bounds, self.proven, self._failures, unread)
+            patience = patience_after(self._watch.bounds, self.proven, self._failures, unread, self._rested)
+            self._rested = None
             query = self._watch.query(patience.wait)
             head = b"GET /v1/endpoints%b HTTP/1.1\r\nHost: %b\r\n\r\n" % (query, self._exchange.host)
             self._asked_at = self._loop.time()
@@ -151,6 +164,7 @@
             spent = int((self._loop.time() - self._asked_at) * 1e9)
             soon = pause_after(self._watch.bounds, self._failures, spent)
             rest = self._watch.rest(self._failures) if self.proven else soon
+            self._rested = rest if self.proven else None
             self._loop.call_later(rest / 1e9, self.ask)
 
     def close(self) -> None:
