--- a/millweir/control.py
+++ b/millweir/control.py
@@ -33,14 +33,37 @@
     """What the network code keeps to: links, journal, waits for discovery, the stop and the log."""
     half, memory, head, body = SECOND // 2, limits.memory // 8, 16 << 10, 64 << 10
     watch = min(20 * SECOND, max(2 * SECOND, settings.relays * APIECE * ASKS))  # a fifth of discovery's time
-    return Bounds(link_life=settings.idle_close * 9 // 10, linger=half, rest=APIECE_MOST,  # idle: closed
-                  host_links=limits.descriptors // 4, ids_known=memory >> 10, head_most=head, body_most=body,
-                  client_links=min(limits.descriptors // 3, memory // (head + body)), request=4 * half,
-                  doubtful=half, journal_file=limits.disk // 2, journal_live=limits.disk * 3 // 8,  # two fit
-                  resend=SECOND, redial=SECOND // 20, watch=watch, silence=watch + half, lag_kept=half // 2,
-                  proofs=(SECOND, SECOND, 3 * half), opening=5 * SECOND // 4, leave=33 * SECOND // 10,
-                  parting=SECOND // 5, log_lines=200, notices=500, answer_most=body, answer_time=half,
-                  hold=SECOND // 500, list_most=min(16 << 20, memory), turn_reads=64, turn_calls=16)
+    return Bounds(
+        link_life=settings.idle_close * 9 // 10,
+        linger=half,
+        rest=APIECE_MOST,  # idle: closed
+        host_links=limits.descriptors // 4,
+        ids_known=memory >> 10,
+        head_most=head,
+        body_most=body,
+        client_links=min(limits.descriptors // 3, memory // (head + body)),
+        request=4 * half,
+        doubtful=half,
+        journal_file=limits.disk // 2,
+        journal_live=limits.disk * 3 // 8,  # two fit
+        resend=SECOND,
+        redial=SECOND // 20,
+        watch=watch,
+        silence=watch + half,
+        lag_kept=half // 2,
+        proofs=(SECOND, SECOND, 3 * half),
+        opening=5 * SECOND // 4,
+        leave=33 * SECOND // 10,
+        parting=SECOND // 5,
+        log_lines=200,
+        notices=500,
+        answer_most=body,
+        answer_time=half,
+        hold=SECOND // 500,
+        list_most=min(16 << 20, memory),
+        turn_reads=64,
+        turn_calls=16,
+    )
 
 
 class Relay(Books):
@@ -56,7 +79,8 @@
         self._quotas = [tenant.quota / self._relays for tenant in given.tenants]
         self._shares = [(quota, now) for quota in self._quotas]
         self._left_field, self._limit_field = (  # where a report has them
-            given.reports.index(name) if name in given.reports else None for name in ("x0", "x1"))
+            given.reports.index(name) if name in given.reports else None for name in ("x0", "x1")
+        )
         self._grace, self._slow = given.drain_grace - self._margin, given.connect_timeout // 2
         self._quiet, self._fall_time, self._cold_time = given.key_quiet, given.fall_time, given.cold_time
         self._least = LEAST if given.rates_rough else LEAST * ROUGH
@@ -88,8 +112,11 @@
         self._failed_asks *= change is Change.CACHED
         for host in self._departed.take_idle(now - FORGOTTEN_AFTER):
             del self._hosts[host.id]
-        gone = ([entry.host for entry in entries if entry.phase is Phase.GONE] if change is Change.DELTA
-                else filterfalse({entry.host for entry in entries}.__contains__, self._hosts))
+        gone = (
+            [entry.host for entry in entries if entry.phase is Phase.GONE]
+            if change is Change.DELTA
+            else filterfalse({entry.host for entry in entries}.__contains__, self._hosts)
+        )
         for host in filter(None, map(self._hosts.get, gone)):
             if host in host.destination.hosts:  # kept, lest a list that flaps lose its wait or its doubt
                 host.left_at, self._stirred[host.destination] = host.left_at or now, None
@@ -168,8 +195,17 @@
         known = packet.profile.effect is not Effect.REFERENCED or now < first + packet.profile.repeat_known
         return known and now >= host.route.wait_until and not 0 < host.left_at <= now - self._grace
 
-    def packet_taken(self, now: int, ident: int, profile: int, tenant: int, key: int, hard_stop: int,
-                     destination: int, earlier: tuple[tuple[int, bool], ...] = ()) -> None:
+    def packet_taken(
+        self,
+        now: int,
+        ident: int,
+        profile: int,
+        tenant: int,
+        key: int,
+        hard_stop: int,
+        destination: int,
+        earlier: tuple[tuple[int, bool], ...] = (),
+    ) -> None:
         """A packet was handed in, or is owed from an earlier life; round_over finds room for it."""
         self._now, home = now, self._destinations[destination]
         packet = Packet(ident, self._order(), *self._profiles[profile], home, hard_stop)
@@ -228,8 +264,11 @@
 
     def _finish(self, packet: Packet) -> None:
         """Rule 1: the one place that gives an answer; dismissed where no trip may have run, else errored."""
-        (self._port.error(packet) if self._first_risk(packet) else
-         self._port.dismiss(packet, self._advice(packet)))
+        (
+            self._port.error(packet)
+            if self._first_risk(packet)
+            else self._port.dismiss(packet, self._advice(packet))
+        )
         self._end(packet)
 
     def _advice(self, packet: Packet) -> int:
@@ -270,8 +309,17 @@
         if packet and not packet.ended:
             self._end(packet)
 
-    def trip_ended(self, now: int, ident: int, number: int, outcome: Outcome, finished: bool, latency: int,
-                   wait: int, report: tuple[float, ...]) -> None:
+    def trip_ended(
+        self,
+        now: int,
+        ident: int,
+        number: int,
+        outcome: Outcome,
+        finished: bool,
+        latency: int,
+        wait: int,
+        report: tuple[float, ...],
+    ) -> None:
         """A trip has its outcome; unless that finished the packet, its answer is still owed."""
         self._now, packet = now, self._packets.get(ident)
         if packet is None or number >= len(packet.trips) or packet.trips[number].over:
@@ -310,8 +358,9 @@
             known, packet.bound = known and host is not None, host and host.zone
         return known and self._now < first + packet.profile.repeat_known - self._margin
 
-    def _judge_call(self, call: Call, outcome: Outcome, latency: int, wait: int,
-                    report: tuple[float, ...]) -> None:
+    def _judge_call(
+        self, call: Call, outcome: Outcome, latency: int, wait: int, report: tuple[float, ...]
+    ) -> None:
         """One call has one fate, though each packet in it tells of it."""
         host, route = call.host, call.host.route
         self._stirred[host.destination] = None
@@ -559,8 +608,11 @@
     def _has_room(self, host: Host) -> bool:
         """Told waits, the windowed count against the limit, as designed; then what guards slots."""
         route, now = host.route, self._now
-        opens = max(route.wait_until, self._trickle_opens(host) if host.pace else 0,
-                    host.clear_at if host.tight(now) else 0)
+        opens = max(
+            route.wait_until,
+            self._trickle_opens(host) if host.pace else 0,
+            host.clear_at if host.tight(now) else 0,
+        )
         if opens <= now:
             if route.pressed and route.limit < route.top and now - route.raised_at >= ROUND:
                 route.limit = min(route.top, route.limit + RAISE * max(route.share, route.limit))
--- a/millweir/order.py
+++ b/millweir/order.py
@@ -5,7 +5,6 @@
 only falls: the best of a piece stands at one of its ends, so each line is asked at a few places.
 """
 
-
 from collections import defaultdict
 from functools import partial
 from itertools import pairwise
@@ -26,8 +25,9 @@
         self.worth, self._span = partial(profile.worth, halves), span
         starts = sorted({-NEVER, NEVER, *(turn - at for turn in profile.turns(halves) for at in (0, span))})
         # Each piece: its first and last lateness, and whether the latest packet in it loses most.
-        self._pieces = [(first, after - 1, self.loss(after - 1) >= self.loss(first))
-                        for first, after in pairwise(starts)]
+        self._pieces = [
+            (first, after - 1, self.loss(after - 1) >= self.loss(first)) for first, after in pairwise(starts)
+        ]
 
     def loss(self, late: int) -> float:
         """A little more than nothing at least, so that the greater gain goes first."""
@@ -78,6 +78,9 @@
 
     def least(self, at: int) -> Packet | None:
         """The packet that is worth least when fulfilled at that time: in each line the latest."""
-        heads = ((weight * curve.worth(at - line[0][0]), line[0][2])
-                 for (curve, weight, *_), line in self._lines.items() if line)
+        heads = (
+            (weight * curve.worth(at - line[0][0]), line[0][2])
+            for (curve, weight, *_), line in self._lines.items()
+            if line
+        )
         return min(heads, key=itemgetter(0), default=(0, None))[1]
