--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -25,7 +25,6 @@
 from millweir.lab.wire import Faults, Wire
 
 POLL = 0.25  # seconds between looks at the views
-GROUPS = 2
 DUE = 8.6  # seconds after the last packet until every end is due
 
 
@@ -65,8 +64,8 @@
         self.hosts = [
             Host(
                 f"h{n}",
-                n % GROUPS,
-                40.0,
+                n % scenario.groups,
+                scenario.host_rate,
                 (self.host, 8000 + n),
                 self.history,
                 random.Random(self.chance.getrandbits(60)),
@@ -147,7 +146,7 @@
         for host in self.hosts:
             await host.open()
             await self.platform.put(host)
-        for start in self.scenario.names:
+        for start in self.scenario.names if self.scenario.members else ():
             for end in self.scenario.names:
                 if start != end:
                     chance = random.Random(self.chance.getrandbits(60))
@@ -161,7 +160,7 @@
                 self.folder / name,
                 (self.host, 7000 + number),
                 lambda name=name: self.config(name),
-                self.operator(name),
+                self.operator(name) if self.scenario.members else "",
             )
             relay.spawn()
         await asyncio.gather(*(relay.ready() for relay in self.relays.values()))
@@ -300,6 +299,10 @@
             await self.platform.put(host, "DRAINING")
             await asyncio.sleep(fault.span / 1e9)
             await self.platform.put(host)
+        elif fault.kind == "refuse":
+            host.shut()
+            await asyncio.sleep(fault.span / 1e9)
+            await host.reopen()
         else:
             host.hang(True)
             await asyncio.sleep(fault.span / 1e9)
@@ -335,19 +338,20 @@
 
     async def play(self, say: Callable[[str], None] = lambda line: None) -> Played:
         scenario, faults = self.scenario, timeline(self.scenario, self.seed)
-        await self.agreed()
+        if scenario.members:
+            await self.agreed()
         watched = Watched()
         began = time.monotonic()
         self.truth.began = began
         self._clients = Clients(
             lambda: [(relay.name, relay.listen) for relay in self.relays.values() if relay.up],
-            GROUPS,
+            scenario.groups,
             scenario.rate,
             self.history,
             random.Random(self.chance.getrandbits(60)),
         )
         load = self.task(self._clients.run(scenario.span / 1e9)) if scenario.rate else None
-        watch = self.task(self._watch(watched))
+        watch = self.task(self._watch(watched)) if scenario.members else None
         running = []
         for fault in faults:
             await asyncio.sleep(max(began + fault.at / 1e9 - time.monotonic(), 0))
@@ -357,12 +361,14 @@
         if running:
             await asyncio.wait(running)
         with contextlib.suppress(TookTooLong):
-            await self.agreed(30.0, tuple(relay.name for relay in self.relays.values() if relay.up))
+            if scenario.members:
+                await self.agreed(30.0, tuple(relay.name for relay in self.relays.values() if relay.up))
         if load:
             await load
             await asyncio.sleep(DUE)
-        watched.last = await self.views()
-        watch.cancel()
+        if watch:
+            watched.last = await self.views()
+            watch.cancel()
         self.truth.over = time.monotonic()
         self.failures += [
             f"{relay.name} ended by itself: {relay.tail()}"
--- a/millweir/lab/processes.py
+++ b/millweir/lab/processes.py
@@ -38,7 +38,12 @@
     """One relay's process, folder and log; what it is told is fixed, its processes come and go."""
 
     def __init__(
-        self, name: str, folder: Path, listen: Address, config: Callable[[], dict], operator: str
+        self,
+        name: str,
+        folder: Path,
+        listen: Address,
+        config: Callable[[], dict],
+        operator: str = "",
     ) -> None:
         self.name, self.folder, self.listen = name, folder, listen
         self._config = config
@@ -49,7 +54,8 @@
         folder.mkdir(parents=True)
         (folder / "state").mkdir()
         self.operator = folder / "operator.toml"
-        self.operator.write_text(operator)
+        if operator:
+            self.operator.write_text(operator)
 
     @property
     def alive(self) -> bool:
@@ -72,9 +78,10 @@
             "MILLWEIR_SKEW": str(self.folder / "skew"),
             "PYTHONPATH": os.pathsep.join((str(ROOT / "millweir" / "lab" / "skewed"), str(ROOT))),
         }
+        operator = ["--operator", str(self.operator)] if self.operator.exists() else []
         with open(self.folder / "log", "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "millweir", "--operator", str(self.operator)],
+                [sys.executable, "-m", "millweir", *operator],
                 env=env,
                 stderr=log,
                 stdout=log,
--- a/millweir/lab/scenario.py
+++ b/millweir/lab/scenario.py
@@ -12,7 +12,9 @@
 
 SECOND = 1_000_000_000
 PROCESS = ("stop", "kill", "lose", "term", "starve", "full", "slow", "skew")
-HOST = ("drain", "hang")  # listed as draining; accepts calls and answers none, then is back cold
+# Listed as draining; accepts calls and answers none, then is back cold; ends its connections and refuses new
+# ones, then is back cold.
+HOST = ("drain", "hang", "refuse")
 LINK = ("cut", "cut-one-way", "loss", "delay", "reorder", "duplicate", "bandwidth", "flap", "split")
 
 
@@ -51,6 +53,9 @@
     suspicion: float = 5.0
     doubt_most: Span = Span(120 * SECOND)
     key: bool = True
+    members: bool = True  # relays know of each other; without it they are as the platform runs them
+    groups: int = 2  # destinations; the hosts are dealt out over them
+    host_rate: float = 40.0  # calls a second that a warm host takes
     protocols: dict[str, int] = {}  # relay: highest version of the members' protocol
     fault: tuple[Fault, ...] = ()
     compose: tuple[str, ...] = ()  # kinds drawn by the seed, besides those above
--- a/millweir/lab/standins.py
+++ b/millweir/lab/standins.py
@@ -77,8 +77,14 @@
     return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{extra}\r\n".encode() + body
 
 
-async def serve(address: Address, handle: Callable) -> asyncio.Server:
+async def serve(
+    address: Address, handle: Callable, open_writers: set[asyncio.StreamWriter] | None = None
+) -> asyncio.Server:
+    """Answer requests with `handle`; connections that are open stand in `open_writers`."""
+    writers = open_writers if open_writers is not None else set()
+
     async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writers.add(writer)
         try:
             while (message := await read_http(reader)) is not None:
                 raw = await handle(*message)
@@ -89,6 +95,7 @@
         except (OSError, asyncio.CancelledError):
             pass
         finally:
+            writers.discard(writer)
             writer.close()
 
     return await asyncio.start_server(talk, *address, backlog=256)
@@ -118,13 +125,26 @@
         self._cold_at = 0  # when it came back; 0 for warm
         self._recent: deque[int] = deque()  # calls within the settings' time
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> None:
-        self._server = await serve(self.address, self._asked)
+        self._server = await serve(self.address, self._asked, self._writers)
 
     def close(self) -> None:
         self._server.close()
 
+    def shut(self) -> None:
+        """Its process is gone: connections end by a reset, new ones are refused."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def reopen(self) -> None:
+        """Back, and cold."""
+        self._cold_at = steady()
+        self._recent.clear()
+        await self.open()
+
     def hang(self, on: bool) -> None:
         """Accept calls and answer none, or come back cold."""
         self.hung = on
