Slow start is a decision module of its own: ejection, trials, ramp

Change: millweir/slow_start.py out of control.py, fields by the field's terms (failure_score, ejected_at, recovered_at, last_call_at); named as policy. No change of behaviour.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -4,31 +4,30 @@
 round_over.  Types and port: interface.py; records: records.py; held packets: order.py; see docs/design.md."""
 
 import random
-from collections import defaultdict, deque
+from collections import defaultdict
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count, filterfalse, islice, takewhile
 
-from millweir.events import EndReason, HostState, HostTransition, RefusalReason
+from millweir.events import EndReason, HostTransition, RefusalReason
 from millweir.interface import SECOND, Bounds, Change, Effect, Entry, Limits, Outcome, Phase, Port, Settings
 from millweir.order import Curve, Order
 from millweir.records import NEVER, Books, Call, Destination, Due, Host, Key, Load, Packet, Route, Trip
+from millweir.slow_start import EJECT_AT, FAILED_WEIGHT, REFUSED_WEIGHT, SlowStart
 
 WINDOW = 3 * SECOND // 10  # of the send log; longer where the limit lets less than one call through in it
 MILLISECOND, ROUND = SECOND // 1000, SECOND  # ROUND: without a refusal, before the limit is raised
 CUT, CUT_AGAIN, RAISE = 0.5, 0.125, 0.25  # a refusal cuts to this part of own use; a round without one adds
 LEAST, ROUGH = 0.5, 1.5  # of the even share; a rough rate is up to half too high, an exact one bears more
-FULFILLED_WEIGHT, FAILED_WEIGHT, REFUSED_WEIGHT = -1.4, 1.4, 0.9  # log odds: 4 in 5 fail against 1 in 5
-SICK, ROUTE_SHARE = 4.6, 3  # log odds of a hundred to one: set aside; a route fills one in so many slots
+ROUTE_SHARE = 3  # a route fills one in so many slots
 STALE_KEPT, STALE_LEAST = 30 * SECOND, SECOND // 2  # idle links go stale: so long kept; idle less: not stale
 STALE_PROOF, STALE_HOSTS = 5 * SECOND, 3  # what is told of all hosts: within that time, by so many of them
 SHARE_DEPTH, FORGOTTEN_AFTER = 2, 60 * SECOND  # seconds of a tenant's share sent at once; a host that left
 FAR, FAR_OFF, MUCH_LEFT, LEARNED = 2, 4, 0.75, 4  # zones; quoted times; unused: not refused for it; outcomes
 LATE, WEIGHED, AT_ONCE = 16, 32, 64  # parts of the quoted time: late turns, loads weighed again; so many
 GATHER, SCARCE = 8, 10 * SECOND  # part of the quoted time for which short calls wait, so long after a cut
-SPREADS, YOUNG = 6, 5 * SECOND  # overdue past mean latency and so many deviations; first seconds tell little
+SPREADS = 6  # overdue past mean latency and so many deviations
 APIECE, APIECE_MOST, RESTS, ASKS = SECOND // 10, 4 * SECOND, 2, 5  # of discovery for each; most; doublings
-TRANSITIONS_KEPT = 1024  # changes of hosts' states that were not picked up for the log yet
 
 
 def bounds(settings: Settings, limits: Limits) -> Bounds:
@@ -84,13 +83,12 @@
             given.reports.index(name) if name in given.reports else None for name in ("x0", "x1")
         )
         self._grace, self._slow = given.drain_grace - self._margin, given.connect_timeout // 2
-        self._quiet, self._fall_time, self._cold_time = given.key_quiet, given.fall_time, given.cold_time
+        self._quiet, self._fall_time = given.key_quiet, given.fall_time
         self._least = LEAST if given.rates_rough else LEAST * ROUGH
         self._zone, self._known_rates, self._max_wait = given.zone, given.rates_listed, given.max_wait
         self._aim = min((p.quoted for p in given.profiles), default=SECOND)
         self._profiles = [(p, Curve(p, self._aim, given.halves)) for p in given.profiles]
-        self._cold_share = min(1.0, given.fall_multiple * given.cold_from)
-        self._warming = (1 - given.cold_from) / (given.cold_from or 1.0) / max(1, given.cold_time)
+        self._slow_start = SlowStart(given, chance.random, now)
         self._ask_every = given.must_ask_in // 4 if given.must_ask else 0
         gain = sum(p.gain for p in given.profiles) / max(1, len(given.profiles))  # fees: parts of a mean one
         self._fees = {zone: fee * gain for zone, fee in enumerate(given.fees) if any(given.fees)}
@@ -101,11 +99,14 @@
         self._drained: defaultdict[int, float] = defaultdict(float)
         self._spare, self._spare_idle = Order(), 2 * given.idle_close // self._relays  # held: dismissable
         self._order, self._alarm_at, self._leave_at, self._failed_asks = count().__next__, 0, NEVER, 0
-        self.transitions: deque[HostTransition] = deque(maxlen=TRANSITIONS_KEPT)  # for the log, newest last
         self.refused_for = RefusalReason.NONE  # what the last refusal was for
         if given.must_ask:
             port.watch()
 
+    def transition(self) -> HostTransition | None:
+        """The next change of a host's state that was not picked up yet."""
+        return self._slow_start.transitions.popleft() if self._slow_start.transitions else None
+
     def list_told(self, now: int, change: Change, entries: tuple[Entry, ...]) -> None:
         """News of the list: changes, or the whole of it, in which case what is not in it is gone."""
         self._now = now
@@ -148,8 +149,8 @@
             route.limit = min(top, max((route.share * top) ** 0.5, SECOND / ROUND))
         fee = self._fees.get(entry.zone, 0.0) * (entry.kind in self._apart)
         host = self._hosts[entry.host] = Host(entry, home, route, fee)
-        if route.ill and route.ill.pace and all(other.pace for other in home.hosts):
-            host.set_aside_as(route.ill)  # guards rule 4: all that is held would go there at once
+        if route.last_ejected and route.last_ejected.pace and all(other.pace for other in home.hosts):
+            host.eject_like(route.last_ejected)  # guards rule 4: all that is held would go there at once
         return host
 
     def host_cordoned(self, now: int, ident: bytes, out: bool, since: int) -> bool:
@@ -161,9 +162,7 @@
             self._cordoned.setdefault(ident, since)
         elif self._cordoned.pop(ident, 0) and host and host.ready:
             host.left_at = 0
-            self._went_ill(
-                host, SICK, "uncordoned"
-            )  # it is cold: a trickle that grows while all goes well (rule 4)
+            self._slow_start.failed(host, EJECT_AT, "uncordoned", self._now)  # it is cold (rule 4)
         if host:
             host.left_at, self._stirred[host.destination] = host.left_at or self._cordoned.get(ident, 0), None
         return True
@@ -416,7 +415,7 @@
         if outcome is Outcome.FULFILLED:
             host.spread += (abs(latency - host.latency) - host.spread) // 4 if host.latency else latency // 2
             host.latency += (latency - host.latency) // 8 if host.latency else latency
-            self._went_well(host, call)
+            self._slow_start.succeeded(host, call, self._now)
             self._drained[host.kind] *= 1 if route.raised_at < NEVER else 1 - 1 / LEARNED
             route.raised_at = min(route.raised_at, self._now)
             if call.idle >= STALE_LEAST:
@@ -426,7 +425,7 @@
             left = report[self._left_field] if report and self._left_field is not None else 0.0
             if call.sent_at > route.cut_at:  # refusals of calls sent before the cut say nothing new
                 if route.limit <= route.share * LEAST:  # hardly anything was sent: sick, not full
-                    self._went_ill(host, REFUSED_WEIGHT, "refused at the least limit")
+                    self._slow_start.failed(host, REFUSED_WEIGHT, "refused at the least limit", self._now)
                 sent = sum(at > self._now - ROUND for at in route.log)  # a limit far above use says nothing
                 # Guards sparse senders against starving: what is left tells, in a run of refusals, buckets
                 # full for moments from those that it uses up; firsts are cut so as far as they became runs.
@@ -440,8 +439,8 @@
             # A long wait tells of a shut destination, much of its limit left twice in a row of a hung one.
             seldom = host.destination.taken * self._fall_time < self._now - self._born
             if wait > 2 * ROUND or left > MUCH_LEFT and seldom:
-                weight = SICK if wait > 2 * ROUND else SICK / 2
-                self._all_went_ill(host, weight, "long wait or limit left")
+                weight = EJECT_AT if wait > 2 * ROUND else EJECT_AT / 2
+                self._slow_start.siblings_failed(host, weight, "long wait or limit left", self._now)
         elif outcome in (Outcome.UNCONNECTED, Outcome.CROWDED):
             host.links = host.out - (call.left > 0)  # without this call, lest a bundle hide a dead host
             slow = outcome is Outcome.UNCONNECTED and latency >= self._slow
@@ -458,12 +457,14 @@
             if outcome is Outcome.UNCONNECTED and not host.links and (slow or route.turned > 1):
                 # Guards rule 4: all hosts of what is down are judged, but where full tables came free.
                 tables = not slow and self._tables_at > self._now - STALE_KEPT
-                (self._went_ill if tables else self._all_went_ill)(host, SICK / 2, outcome.value)
+                slow_start = self._slow_start
+                judge = slow_start.failed if tables else slow_start.siblings_failed
+                judge(host, EJECT_AT / 2, outcome.value, self._now)
         elif outcome is Outcome.CUT_OFF or outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
         elif outcome in (Outcome.FAULT, Outcome.TIMED_OUT, Outcome.RESET, Outcome.SPOILT) and not call.late:
             weight = REFUSED_WEIGHT if outcome is Outcome.SPOILT else FAILED_WEIGHT
-            self._went_ill(host, weight, outcome.value)
+            self._slow_start.failed(host, weight, outcome.value, self._now)
 
     def _linger(self, packet: Packet, lingers: bool) -> None:
         """Guards against two trips at once: one given up here runs on there till a later one is done."""
@@ -476,7 +477,7 @@
         a reset or two losses, to all once three lost calls on links idle longer than any answered of late."""
         host = call.host
         weight = REFUSED_WEIGHT if reset and call.idle >= STALE_LEAST else weight
-        self._went_ill(host, weight, "link reset" if reset else "overdue")
+        self._slow_start.failed(host, weight, "link reset" if reset else "overdue", self._now)
         if call.idle < STALE_LEAST:
             host.lost, host.stale_at = 0, -NEVER if call.fresh else host.stale_at
             return
@@ -502,42 +503,6 @@
             self._port.free_links(host)
             host.freed_at, call.idle, call.fresh = self._now, 0, True
 
-    def _went_well(self, host: Host, call: Call) -> None:
-        host.doubt = max(0.0, host.doubt + FULFILLED_WEIGHT)
-        if host.pace and call.sent_at >= host.set_at:
-            if not host.back_at:
-                host.back_at = self._now
-                self._tell_state(host, HostState.SLOW_START, "fulfilled")
-            if self._now - host.back_at >= self._cold_time:
-                host.pace, host.doubt = 0.0, 0.0
-                self._tell_state(host, HostState.HEALTHY, "warm")
-
-    def _trickle_opens(self, host: Host) -> int:
-        """When a host set aside may be sent its next call; its trickle doubles up to a budget (rule 4)."""
-        back = self._now - host.back_at if host.back_at else 0
-        pace = host.pace * min(2 ** (back / self._fall_time), 1 + self._warming * (back + self._fall_time))
-        return host.tried_at + int(SECOND / pace) if back < self._cold_time else 0
-
-    def _tell_state(self, host: Host, state: HostState, cause: str) -> None:
-        self.transitions.append(HostTransition(host.id, state, cause, host.pace))
-
-    def _went_ill(self, host: Host, weight: float, cause: str) -> None:
-        """Sequential test on outcomes; a host found sick gets its part of what rule 4 leaves all."""
-        host.doubt = min(SICK, host.doubt + weight)
-        ejected = host.pace and not host.back_at
-        if host.pace or host.doubt >= SICK:
-            used = max(host.route.share, host.destination.taken * SECOND / max(self._now - self._born, YOUNG))
-            host.pace = self._cold_share * min(used, host.route.listed) / max(1, len(host.destination.hosts))
-            host.route.ill, host.set_at, host.back_at, spread = host, self._now, 0, self._random() / 2
-            host.tried_at = max(self._now, host.route.wait_until) - int(spread * SECOND / host.pace)
-            if not ejected:
-                self._tell_state(host, HostState.EJECTED, cause)
-
-    def _all_went_ill(self, host: Host, weight: float, cause: str) -> None:
-        """An outage mostly takes all hosts of a destination."""
-        for other in [other for other in host.destination.hosts if other.route is host.route]:
-            self._went_ill(other, weight, cause)
-
     def round_over(self, now: int) -> None:
         """All that came in together has been told: send what has room, then sleep until something is due."""
         self._now = now
@@ -624,7 +589,7 @@
                 self._enter(what.yields_at, what)
                 self._enter(what.stop - self._margin, what)
                 silent = what.host.used_at < what.sent_at  # it answered nothing in all that time
-                self._link_lost(what, SICK / 2 if silent else FAILED_WEIGHT, reset=False)
+                self._link_lost(what, EJECT_AT / 2 if silent else FAILED_WEIGHT, reset=False)
             elif what.left and what.shared and self._cancels and self._now >= what.stop - self._margin:
                 self._give_up(what)  # one fate: overdue, it has outlasted one of its packets
 
@@ -647,7 +612,7 @@
         route, now = host.route, self._now
         opens = max(
             route.wait_until,
-            self._trickle_opens(host) if host.pace else 0,
+            self._slow_start.opens_at(host, now),
             host.clear_at if host.tight(now) else 0,
         )
         if opens <= now:
@@ -660,10 +625,9 @@
                 if route.limit < route.top:
                     opens = min(opens, route.raised_at + ROUND)
         if opens > now:
-            soon = now + self._fall_time // 32 if host.pace else NEVER  # a trickle opens sooner than it seems
-            self._look_again(host.destination, min(opens, soon))
+            self._look_again(host.destination, min(opens, self._slow_start.may_open_sooner(host, now)))
             return False
-        on_trial = host.pace and not host.back_at and host.out > host.overdue
+        on_trial = self._slow_start.on_trial(host) and host.out > host.overdue
         return not on_trial and route.out < self._route_slots and now + self._patience(host) <= self._leave_at
 
     def _load(self, home: Destination) -> Load | None:
@@ -673,7 +637,7 @@
         took = min(host.latency for host in hosts) or self._aim // 8
         kind, route = hosts[0].kind, hosts[0].route
         hosts = [host for host in hosts if host.kind == kind]  # a list may be behind on some
-        trial = all(host.pace and not host.back_at for host in hosts)
+        trial = all(self._slow_start.on_trial(host) for host in hosts)
         most = 1 if trial or kind >= len(self._bundle) else self._bundle[kind]
         ranked = home.order.best(self._now + took, most, trial, {host.zone for host in hosts}, kind)
         until = self._now + self._patience(hosts[0])  # what may not last as long as a call goes alone
@@ -690,7 +654,9 @@
 
     def _burden(self, load: Load, host: Host) -> tuple[bool, float]:
         """What a call there costs: its fee, and the gain that its packets lose in the time it takes."""
-        busy = 2 - (host.used_at > host.freed_at) + host.out + 2 * host.doubt  # a new link: round trips
+        busy = (
+            2 - (host.used_at > host.freed_at) + host.out + 2 * host.failure_score
+        )  # a new link: round trips
         time = (1 if host.zone == self._zone else FAR) * busy * (MILLISECOND + host.latency)
         return host.pace > 0, host.fee * len(load.packets) + load.loss * time / self._aim
 
@@ -704,7 +670,7 @@
             call.carry(packet)
             self._port.send(packet, host, self._time_out(packet, patience))
         route.log.append(now)
-        route.out, host.out, self._out, host.tried_at = route.out + 1, host.out + 1, self._out + 1, now
+        route.out, host.out, self._out, host.last_call_at = route.out + 1, host.out + 1, self._out + 1, now
         # Giving up loses what can't go again; where no copies may run, all that no idle link has swallowed.
         lost = any(p.profile.effect is Effect.SINGLE_USE for p in packets)
         lost |= not self._copies and call.idle < STALE_LEAST
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -88,7 +88,7 @@
 
     def transition(self) -> HostTransition | None:
         """The next change of a host's state that the log has not been told of."""
-        return self._relay.transitions.popleft() if self._relay.transitions else None
+        return self._relay.transition()
 
     def take(
         self,
@@ -153,7 +153,7 @@
     def targets(self) -> tuple[int, int]:
         """Hosts in the list, and of those the ones avoided now: out by hand, draining, or set aside."""
         listed = [host for host in self._relay._hosts.values() if host in host.destination.hosts]
-        return len(listed), sum(1 for host in listed if host.left_at or (host.pace and not host.back_at))
+        return len(listed), sum(1 for host in listed if host.left_at or (host.pace and not host.recovered_at))
 
     def leave(self, leave_at: int) -> None:
         """The process is to stop then."""
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -23,7 +23,7 @@
 
     __slots__ = (
         "cut_at",
-        "ill",
+        "last_ejected",
         "limit",
         "listed",
         "log",
@@ -50,17 +50,17 @@
         self.cut_at = now - 1  # nothing is known of its limit yet
         self.turned = 0
         self.turned_at = -NEVER
-        self.ill: Host | None = None  # the host there that was set aside last
+        self.last_ejected: Host | None = None  # the host there that was set aside last
 
 
 class Host:
     """All that is known of one host."""
 
     __slots__ = (
-        "back_at",
+        "recovered_at",
         "clear_at",
         "destination",
-        "doubt",
+        "failure_score",
         "fee",
         "freed_at",
         "id",
@@ -76,10 +76,10 @@
         "pace",
         "ready",
         "route",
-        "set_at",
+        "ejected_at",
         "spread",
         "stale_at",
-        "tried_at",
+        "last_call_at",
         "used_at",
         "zone",
     )
@@ -99,11 +99,11 @@
         self.spread = 0
         self.links = 0
         self.clear_at = 0
-        self.doubt = 0.0
+        self.failure_score = 0.0
         self.pace = 0.0
-        self.set_at = 0
-        self.back_at = 0
-        self.tried_at = 0
+        self.ejected_at = 0
+        self.recovered_at = 0
+        self.last_call_at = 0
         self.used_at = 0
         self.lost = 0
         self.freed_at = 0
@@ -111,10 +111,10 @@
         self.idle_lost = 0
         self.lingering: list[Packet] = []  # whose trips here were given up and may run on
 
-    def set_aside_as(self, other: Host) -> None:
+    def eject_like(self, other: Host) -> None:
         """It has that one's place in its way back."""
-        self.doubt, self.pace, self.set_at = other.doubt, other.pace, other.set_at
-        self.back_at, self.tried_at = other.back_at, other.tried_at
+        self.failure_score, self.pace, self.ejected_at = other.failure_score, other.pace, other.ejected_at
+        self.recovered_at, self.last_call_at = other.recovered_at, other.last_call_at
 
     def tight(self, now: int) -> bool:
         """Its connection table was full a moment ago, and it has as many calls as then."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -339,7 +339,7 @@
     busy(20 * SECOND, lambda s: Outcome.UNCONNECTED if rig.now - s.at > 50 * MILLISECOND else None)
     # Three until it is set aside, then the part of its own use (one a second) that rule 4 leaves to each
     # relay, spread over a quarter less than its span.
-    assert len(rig.sent) <= 3 + 20 * rig.relay._cold_share / 0.75
+    assert len(rig.sent) <= 3 + 20 * rig.relay._slow_start.cold_share / 0.75
     busy(60 * SECOND, well()(rig))
     assert sum(s.at > rig.now - 5 * SECOND for s in rig.sent) >= 4
 
@@ -428,7 +428,11 @@
     worn = rig.take(0)
     rig.pass_time(STEP)
     rig.end(rig.sent[0], Outcome.FAULT)
-    host.doubt, host.pace, host.tried_at = 4.6, 1.0, rig.now  # set aside: one call a second on trial
+    host.failure_score, host.pace, host.last_call_at = (
+        4.6,
+        1.0,
+        rig.now,
+    )  # set aside: one call a second on trial
     fresh = rig.take(0)
     rig.pass_time(2 * SECOND, lambda s: Outcome.FAULT)
     assert [s.packet.id for s in rig.sent[:2]] == [worn, fresh], "the one with a trip to spare tries it"
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -19,9 +19,10 @@
 import pytest
 from rig import Rig, entry, settings
 
-from millweir.control import SICK, Relay
+from millweir.control import Relay
 from millweir.interface import MILLISECOND, SECOND, Change, Entry, Outcome, Settings
 from millweir.records import Host, Packet
+from millweir.slow_start import EJECT_AT
 
 WARM_UP = 12 * SECOND
 OUTAGE = 10 * SECOND
@@ -253,5 +254,5 @@
     for ident in range(1, 9):
         rig.relay.packet_taken(rig.now, ident, 0, 0, 0, hard_stop, 0)
     host = rig.relay._hosts[rig.entries[0].host]
-    rig.relay._went_ill(host, SICK, "test")
-    assert host.pace == pytest.approx(rig.relay._cold_share * host.route.share)
+    rig.relay._slow_start.failed(host, EJECT_AT, "test", rig.now)
+    assert host.pace == pytest.approx(rig.relay._slow_start.cold_share * host.route.share)
