--- a/tests/net/test_calls.py
+++ b/tests/net/test_calls.py
@@ -164,15 +164,11 @@
     play(platform, tmp_path, monkeypatch, steps, hold=QUICK)
 
 
-@pytest.mark.parametrize("profile, trips", [("again", 2), ("marked", 2), ("once", 1)])
-@pytest.mark.parametrize(
-    "answer",
-    [(b"HTTP/1.1 20",), [b"HTTP/1.1 2", 1.5], (b"",), "reset"],
-    ids=["cut", "silent", "nothing", "reset"],
-)
-def test_half_a_status_line_may_have_run_and_goes_again_where_that_is_safe(
-    tmp_path, monkeypatch, answer, profile, trips
-):
+EFFECTS = pytest.mark.parametrize("profile, trips", [("again", 2), ("marked", 2), ("once", 1)])
+
+
+def cut_answer_is_no_delivery(tmp_path, monkeypatch, answer, profile, trips):
+    """The first answer ends early: what may go again does, the other ends as failed."""
     platform = Platform(hosts=1)
     platform.decide = lambda call: answer if len(platform.calls) == 1 else reply(200)
 
@@ -185,6 +181,34 @@
     play(platform, tmp_path, monkeypatch, steps)
 
 
+@EFFECTS
+@pytest.mark.parametrize(
+    "answer",
+    [(b"HTTP/1.1 20",), [b"HTTP/1.1 2", 1.5], (b"",), "reset"],
+    ids=["cut", "silent", "nothing", "reset"],
+)
+def test_half_a_status_line_may_have_run_and_goes_again_where_that_is_safe(
+    tmp_path, monkeypatch, answer, profile, trips
+):
+    cut_answer_is_no_delivery(tmp_path, monkeypatch, answer, profile, trips)
+
+
+@EFFECTS
+@pytest.mark.parametrize(
+    "answer",
+    [
+        (b"HTTP/1.1 200 O",),
+        [b"HTTP/1.1 200 OK\r", 1.5],
+        (b"HTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK",),
+    ],
+    ids=["cut-in-reason", "silent-before-line-feed", "cut-after-interim"],
+)
+def test_a_first_line_with_200_that_is_not_whole_delivers_nothing(
+    tmp_path, monkeypatch, answer, profile, trips
+):
+    cut_answer_is_no_delivery(tmp_path, monkeypatch, answer, profile, trips)
+
+
 @pytest.mark.parametrize("ends", [False, True])
 @pytest.mark.parametrize(
     "said",
