--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -162,6 +162,45 @@
     assert [s.packet.id for s in rig.sent if s.at == next(x.at for x in rig.sent if x.packet.id == 1)] == [1]
 
 
+def shared_call_to_a_host_without_a_known_latency(left):
+    """Three messages in one call; the first has so much time left, in seconds, the others have plenty.
+
+    The sibling of that host is known to answer fast, so by its patience all of them may travel together.
+    """
+    rig = Rig(entries=[entry(0, 0, rate=90.0), entry(0, 1, rate=90.0)], relays=1, slots=9)
+    rig.take(0)
+    rig.pass_time(SECOND, well(50 * MILLISECOND)(rig))
+    known = rig.sent[0].host
+    rig.sent.clear()
+    for ident, seconds in ((11, left), (12, 12.0), (13, 12.0)):
+        stop = rig.now + int(seconds * SECOND)
+        rig.taken[ident], rig.stirred = {"hard_stop": stop, "key": 0}, True
+        rig.relay.packet_taken(rig.now, ident, 0, 0, 0, stop, 0)
+    rig.pass_time(STEP)
+    return rig, known
+
+
+def test_a_call_that_outlasts_one_of_its_messages_is_waited_for_no_longer_also_if_it_is_not_overdue():
+    # Issue 47: an answer to a call of several that comes after the time of one of them counts for none, so
+    # the others were taken for delivered and lost.
+    rig, known = shared_call_to_a_host_without_a_known_latency(left=1.5)
+    calls = {}
+    for sent in rig.sent:
+        calls.setdefault((sent.host.id, sent.at), []).append(sent)
+    rig.pass_time(int(1.6 * SECOND))
+    for together in calls.values():
+        if any(sent.packet.id == 11 for sent in together):
+            assert all(sent.outcome is Outcome.CANCELLED for sent in together if sent.packet.id != 11)
+    assert rig.answers[11] == "errored"
+
+
+def test_what_may_not_last_as_long_as_a_call_to_any_host_goes_alone():
+    rig, known = shared_call_to_a_host_without_a_known_latency(left=1.5)
+    (first,) = [sent for sent in rig.sent if sent.packet.id == 11]
+    together = [sent for sent in rig.sent if (sent.host, sent.at) == (first.host, first.at)]
+    assert first.host is known or together == [first]
+
+
 def test_overdue_calls_give_up_links_that_run_short():
     rig = Rig(entries=[entry(0, 0, kind=1, rate=50.0)], relays=1, slots=9)
     rig.relay._hosts[rig.entries[0].host].proven = True  # else no second call goes beside the first one
