A shared call ends with the time of its first message; a 200 counts once its line is whole

Cause: only overdue calls were given up at the time of one of their messages, and what may share a call was decided by the patience of one host while another got it; an answer after that time was taken for the delivery of the others. And a status text still arriving was taken for a first line. Change: every shared call is given up at that time, what is read after it counts for none, X-Time-Left says so; the longest patience decides; the status is heeded at the line's end.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -585,16 +585,24 @@
                 if not what.out and self._now - max(what.used_at, what.freed_at) >= self._spare_idle:
                     what.freed_at = self._now
                     self._port.free_links(what)
-            elif what.left and not what.late:
-                what.late, what.host.overdue = True, what.host.overdue + 1
-                self._overdue[what] = self._stirred[what.host.destination] = None
-                self._enter(what.yields_at, what)
-                self._enter(what.stop - self._margin, what)
-                silent = what.host.used_at < what.sent_at  # it answered nothing in all that time
-                alone = not silent or what.idle >= STALE_LEAST  # it is up, or that link was cut on the way
-                self._link_lost(what, EJECT_AT / 2 if silent else FAILED_WEIGHT, reset=False, alone=alone)
-            elif what.left and what.shared and self._cancels and self._now >= what.stop - self._margin:
-                self._give_up(what)  # one fate: overdue, it has outlasted one of its packets
+            elif what.left:
+                self._settle_call(what)
+
+    def _settle_call(self, call: Call) -> None:
+        """A call that is out is overdue, or has outlasted one of its packets.
+
+        Guards rule 1: an answer to a shared call that comes after the time of one of its packets counts for
+        none of them, so nobody waits for it.
+        """
+        if call.shared and self._cancels and self._now >= call.stop - self._margin:
+            self._give_up(call)
+        elif not call.late and self._now >= call.overdue_at:
+            call.late, call.host.overdue = True, call.host.overdue + 1
+            self._overdue[call] = self._stirred[call.host.destination] = None
+            self._enter(call.yields_at, call)
+            silent = call.host.used_at < call.sent_at  # it answered nothing in all that time
+            alone = not silent or call.idle >= STALE_LEAST  # it is up, or that link was cut on the way
+            self._link_lost(call, EJECT_AT / 2 if silent else FAILED_WEIGHT, reset=False, alone=alone)
 
     def _hosts_with_room(self, home: Destination) -> list[Host]:
         """Hosts of the destination that may be sent a call now; notes when the next one may."""
@@ -645,7 +653,7 @@
         trial = all(self._slow_start.on_trial(host) for host in hosts)
         most = 1 if trial or kind >= len(self._bundle) else self._bundle[kind]
         ranked = home.order.best(self._now + took, most, trial, {host.zone for host in hosts}, kind)
-        until = self._now + self._patience(hosts[0])  # what may not last as long as a call goes alone
+        until = self._now + max(map(self._patience, hosts))  # what may not last as long as a call goes alone
         ranked = [p for p in ranked if p is ranked[0] or min(p[1].hard_stop, ranked[0][1].hard_stop) > until]
         if 0 < len(ranked) < most and not ranked[0][1].alone and self._now < route.cut_at + SCARCE:
             since = min(packet.aim_at - packet.profile.quoted for _, packet in ranked)
@@ -683,7 +691,10 @@
         lost = any(p.profile.effect is Effect.SINGLE_USE for p in packets)
         lost |= not self._copies and call.idle < STALE_LEAST
         call.yields_at = now + patience * (1 + lost)
-        self._enter(now + patience, call)
+        call.overdue_at = now + patience
+        self._enter(call.overdue_at, call)
+        if call.shared:
+            self._enter(call.stop - self._margin, call)
 
     def _patience(self, host: Host) -> int:
         return max(self._aim // 4, host.latency + SPREADS * host.spread) if host.latency else self._aim
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -34,14 +34,20 @@
 class Job(Generic[Item]):
     """One call to make: a host and what travels to it."""
 
-    __slots__ = ("_goal", "host", "parts", "picked_at")
+    __slots__ = ("_call", "_goal", "host", "parts", "picked_at")
 
-    def __init__(self, goal: Host, now: int) -> None:
+    def __init__(self, goal: Host, call: Call, now: int) -> None:
         self._goal = goal  # for the facade alone
+        self._call = call
         self.host = goal.id.decode()
         self.picked_at = now
         self.parts: list[Part[Item]] = []
 
+    @property
+    def answer_by(self) -> int:
+        """When the time of the first of its messages is up."""
+        return self._call.stop
+
 
 class Ending(Generic[Item]):
     """A packet that ended undelivered; where it may come again, after how long."""
@@ -195,7 +201,7 @@
         call = packet.trips[number].call
         job = self._filling.get(call)
         if job is None:
-            job = self._filling[call] = Job(host, self._now)
+            job = self._filling[call] = Job(host, call, self._now)
             self._jobs.append(job)
         until = self._now + time_out if time_out else packet.hard_stop
         part = Part(self._items[packet.id], job, until, packet, number)
--- a/millweir/net/heads.py
+++ b/millweir/net/heads.py
@@ -215,6 +215,8 @@
 
     __slots__ = (
         "_bodies",
+        "_head",
+        "_interims",
         "_most",
         "_parser",
         "_seen",
@@ -238,6 +240,8 @@
         """Ready for the next answer; a parser that is used again still has the status of the last one."""
         self._parser = httptools.HttpResponseParser(self)
         self._seen = 0
+        self._head = b""  # as it came, until the first line of the answer is whole
+        self._interims = 0  # words on the way that stand in front of it there
         self._start()
 
     def close(self) -> None:
@@ -254,18 +258,30 @@
     def feed(self, data: bytes) -> bool:
         """False where this is no answer, or one too long; a good one stays good whatever comes behind it."""
         self._seen += len(data)
+        if not self.says:
+            self._head += data
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as fault:  # a word on the way that names another protocol
             self._parser = httptools.HttpResponseParser(self)
+            self._head, self._interims = b"", 0
             return not data[fault.args[0] :] or self.feed(data[fault.args[0] :])
         except httptools.HttpParserError as fault:
-            if not self.says and not isinstance(fault, httptools.HttpParserInvalidStatusError):
-                self.says = self._parser.get_status_code()
+            if not isinstance(fault, httptools.HttpParserInvalidStatusError):
+                self._read_first_line()
             self.keep = False
             return self.complete
+        self._read_first_line()
         return self.complete or self._seen <= self._most
 
+    def _read_first_line(self) -> None:
+        """Heed the status once its line is whole: the parser tells it from the first piece on."""
+        if self.says:
+            return
+        *_, line = self._head.replace(b"\r\n", b"\n").split(b"\n\n", self._interims)
+        if b"\n" in line.lstrip(b"\n"):
+            self.says = self._parser.get_status_code()
+
     def end(self) -> None:
         """The connection ended: an answer without a length is complete now."""
         if self.status and not self.keep and not self._sized:
@@ -276,10 +292,6 @@
         if self.complete:  # bytes behind an answer: what they belong to can't be told
             self.keep = False
 
-    def on_status(self, text: bytes) -> None:
-        if not self.complete:
-            self.says = self._parser.get_status_code()
-
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
         if self.complete:
@@ -305,6 +317,7 @@
 
     def on_message_complete(self) -> None:
         if 100 <= self.status < 200 and not self.complete:
+            self._interims += 1
             self._start()  # only a word on the way
         elif not self.complete:
             self.body, self.complete = b"".join(self._bodies), True
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -77,7 +77,8 @@
             hosts.keep(self.pool, link)
             return
         self.link, self._written, self._written_at = link, parts, now
-        left = max(1, -(-(max(part.until for part in parts) - now) // MILLISECOND))
+        until = min(self.job.answer_by, max(part.until for part in parts))
+        left = max(1, -(-(until - now) // MILLISECOND))
         if len(parts) == 1:
             message = parts[0].item
             path, body, ident = b"/hook", message.body, b"X-Correlation-Id: %b\r\n" % message.id
@@ -185,6 +186,8 @@
         self._hosts.keep(self.pool, link)
         if reader.status == 200 and not self._trips:
             self.all_over(Outcome.CUT_OFF)  # said before the last byte went out: of another call, or of none
+        elif reader.status == 200 and not self.alone and clock.steady() >= self.job.answer_by:
+            self.all_over(Outcome.CANCELLED)  # after the time of one of them it counts for none (rule 1)
         elif reader.status == 200 and not self.alone:
             self._read_states(reader.body, reader.wait, reader.load)
         elif reader.over_slots:
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -183,6 +183,7 @@
         "judged",
         "late",
         "left",
+        "overdue_at",
         "sent_at",
         "shared",
         "stop",
@@ -200,6 +201,7 @@
         self.given_up = False
         self.idle = 0
         self.fresh = False
+        self.overdue_at = 0
         self.yields_at = 0
         self.stop = NEVER  # when the first of its packets has to end
         self.trips: list[tuple[Packet, int]] = []
--- a/millweir/slow_start.py
+++ b/millweir/slow_start.py
@@ -126,10 +126,10 @@
     def rank(self, host: Host, bears_trials: bool) -> int:
         """Which of several hosts with room goes first: the lowest.
 
-        A suspected one is asked at once whether it is well, by a message that may go again; otherwise its
-        siblings would take all calls and nobody would ever know.
+        One whose trial is due gets it, by a message that may go again; otherwise its siblings would take all
+        calls and nobody would ever know that it is back.
         """
-        if host.suspected_at:
+        if self.on_trial(host):
             return 0 if bears_trials else 2
         return 2 if host.pace else 1
 
