Slow start: siblings of an ejected host that have not answered since are suspected

Cause: hosts of one destination that fail or hang one by one were each given their own tries. Change: at an ejection its siblings are suspected, unless the failure has a cause of its own.

--- a/millweir/slow_start.py
+++ b/millweir/slow_start.py
@@ -78,18 +78,20 @@
         no outage, and counts for the sequential test only.
         """
         host.failure_score = min(EJECT_AT, host.failure_score + weight)
-        if host.failure_score >= EJECT_AT:
-            self._eject(host, cause, now)
+        after_suspicion = call is None or call.sent_at >= host.suspected_at
+        if host.failure_score >= EJECT_AT or host.pace and not host.suspected_at:
+            self._eject(host, cause, now, alone)
+        elif weight < FAILED_WEIGHT or alone:
+            return
         elif host.suspected_at:
-            if weight >= FAILED_WEIGHT and (call is None or call.sent_at >= host.suspected_at):
+            if after_suspicion:
                 self._eject(host, cause, now)
-        elif host.pace:
-            self._eject(host, cause, now)
-        elif weight >= FAILED_WEIGHT and not alone:
+        elif host.proven and not any(map(self.on_trial, self._siblings(host))):
+            self._suspect(host, cause, now)
+        else:
             # No second call at once where none went well in this life, as a whole fleet may have been
             # restarted just now, nor where a sibling is on trial already.
-            known_well = host.proven and not any(map(self.on_trial, self._siblings(host)))
-            (self._suspect if known_well else self._eject)(host, cause, now)
+            self._eject(host, cause, now)
 
     def siblings_failed(
         self, host: Host, weight: float, cause: str, now: int, call: Call, alone: bool = False
@@ -160,8 +162,12 @@
         host.confirm_by = max(now, host.clear_at) + self._confirm_time
         self._enter(host, HostState.SUSPECTED, cause)
 
-    def _eject(self, host: Host, cause: str, now: int) -> None:
+    def _eject(self, host: Host, cause: str, now: int, alone: bool = False) -> None:
         ejected = self.on_trial(host) and not host.suspected_at
+        since = host.suspected_at or now
+        for sibling in () if alone else self._siblings(host):  # an outage mostly takes all of them
+            if sibling is not host and not sibling.pace and sibling.used_at < since:
+                self._suspect(sibling, "sibling ejected", now)
         self._hold(host, now)
         host.suspected_at = host.confirm_by = 0
         if not ejected:
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -212,6 +212,8 @@
     "hung": {"outcome": Outcome.TIMED_OUT},
     "a wait told to all": {"outcome": Outcome.FULL, "tells_wait": True},
     "three hosts": {"outcome": Outcome.UNCONNECTED, "hosts": 3},
+    "three hosts failing one by one": {"hosts": 3},
+    "three hosts hung one by one": {"outcome": Outcome.TIMED_OUT, "hosts": 3},
     "uneven traffic": {"outcome": Outcome.UNCONNECTED, "skew": 1.0},
     "restarted in the outage": {"outcome": Outcome.UNCONNECTED, "restart": 5 * SECOND},
     "reset": {"outcome": Outcome.RESET},
