--- a/tests/net/test_restored.py
+++ b/tests/net/test_restored.py
@@ -148,6 +148,21 @@
     assert not platform.notices
 
 
+@pytest.mark.parametrize("profile", ["again", "once"])
+def test_what_a_restart_found_untried_gives_way_to_nothing_that_can_be_refused(tmp_path, start, profile):
+    # Brink days: 33 of 46 such messages were given up at once, with most of their time left.
+    most = CONFIG["ceilings"]["max-open"]
+    restored = [b"p%d" % n for n in range(most - 10)]
+    owed(tmp_path / STATE, *((ident, profile.encode(), 0) for ident in restored))
+    platform = Gated(hosts=1)
+    platform.decide = lambda call: [0.2, reply(200)]  # slower than messages come
+    relay = start(platform)
+    statuses = [relay.hand_in(f"new{n}", "again") for n in range(3 * most)]
+    until(lambda: {ident.decode() for ident in restored} <= {call.id for call in platform.calls})
+    assert 202 in statuses and 503 in statuses
+    assert not [ident for ident in restored if platform.noticed(ident.decode())]
+
+
 @pytest.mark.parametrize("trips, calls, ends", [(0, 1, []), (1, 0, ["dead"])])
 def test_what_was_taken_on_under_a_profile_listed_no_more_is_still_tried_once(
     tmp_path, start, trips, calls, ends
