A full table gives up what a restart found only for what was restored as well

Cause: _worst chose among all held messages; those of an earlier life are the oldest, worth least. Change: restored messages are marked, kept apart, and given up only where the table is over its size; their number is no own use either.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -97,7 +97,8 @@
         self._swallowed_at = self._tables_at = -NEVER  # nor lost to them, nor of full connection tables
         self._destinations: defaultdict[int, Destination] = defaultdict(lambda: Destination(Order()))
         self._drained: defaultdict[int, float] = defaultdict(float)
-        self._spare, self._spare_idle = Order(), 2 * given.idle_close // self._relays  # held: dismissable
+        self._spare, self._spare_restored = Order(), Order()  # held, may be dismissed
+        self._spare_idle = 2 * given.idle_close // self._relays
         self._order, self._alarm_at, self._leave_at, self._failed_asks = count().__next__, 0, NEVER, 0
         self.refused_for = RefusalReason.NONE  # what the last refusal was for
         if given.must_ask:
@@ -218,11 +219,13 @@
         hard_stop: int,
         destination: int,
         earlier: tuple[tuple[int, bool], ...] = (),
+        restored: bool = False,
     ) -> None:
         """A packet was handed in, or is owed from an earlier life; round_over finds room for it."""
         self._now, home = now, self._destinations[destination]
         packet = Packet(ident, self._order(), *self._profiles[profile], home, hard_stop)
         packet.gain = packet.profile.gain * self._worth_of_share(tenant)
+        packet.restored = restored
         if packet.profile.in_order and key:
             packet.key = self._keys.get(key) or self._keys.setdefault(key, Key(key))
             packet.key.line.append(packet)
@@ -231,7 +234,7 @@
         if packet.key and self._first_risk(packet):
             packet.key.rest_until = now + self._quiet
         self._packets[ident], self._open = packet, self._open + 1
-        home.taken += hard_stop - packet.profile.give_up >= self._born  # not what an earlier life owes
+        home.taken += not restored and hard_stop - packet.profile.give_up >= self._born  # of this life alone
         self._enter(hard_stop - self._margin, packet)
         self._hold(packet)
         if earlier and not self._may_go_again(packet):
@@ -253,7 +256,8 @@
         packet.last = len(packet.trips) + 1 == self._max_trips if held else packet.last
         packet.held, packet.destination.held = held, packet.destination.held + (1 if held else -1)
         if not (first := self._first_risk(packet)):
-            (self._spare.add if held else self._spare.remove)(packet, packet.gain)
+            spare = self._spare_restored if packet.restored else self._spare
+            (spare.add if held else spare.remove)(packet, packet.gain)
         elif held and packet.profile.effect is Effect.REFERENCED:
             self._enter(first + packet.profile.repeat_known - self._margin, packet)
         self._place(packet)
@@ -306,7 +310,13 @@
         """Guards the packet table: what its destination can't take for long gives way before the others."""
         home = max((home for home in self._destinations.values() if home.held), key=self._delay)
         worst = home.order.least(self._now + ROUND) if self._delay(home) > FAR_OFF * self._aim else None
-        return worst if worst and not self._first_risk(worst) else self._spare.least(self._now + ROUND)
+        if worst and not self._first_risk(worst) and not worst.restored:
+            return worst
+        # What an earlier life took on goes last: whoever comes now can be refused at the door.
+        worst = self._spare.least(self._now + ROUND)
+        if worst is None and self._open > self._max_open:
+            return self._spare_restored.least(self._now + ROUND)
+        return worst
 
     def _end(self, packet: Packet) -> None:
         packet.ended, self._open = True, self._open - 1
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -106,11 +106,15 @@
         hard_stop: int,
         destination: int,
         earlier: tuple[tuple[int, bool], ...] = (),
+        restored: bool = False,
     ) -> None:
-        """Hand in a packet; `earlier` holds the trips of an earlier life: when, and whether it never ran."""
+        """Hand in a packet; `earlier` holds the trips of an earlier life: when, and whether it never ran.
+
+        `restored`: an earlier life took it on.
+        """
         ident = self._idents()
         self._now, self._items[ident] = now, item
-        self._relay.packet_taken(now, ident, profile, tenant, key, hard_stop, destination, earlier)
+        self._relay.packet_taken(now, ident, profile, tenant, key, hard_stop, destination, earlier, restored)
 
     def told(self, now: int, change: Change, entries: tuple[Entry, ...]) -> None:
         """News of the list."""
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -183,6 +183,7 @@
 
     def _restore(self, message: OwedMessage) -> None:
         """What an earlier life took on is owed its end; known at once, handed in by the turns to come."""
+        message.restored = True
         self._owed[message.id] = message
         self._counters.add("packets_restored")
         self._log.say(
@@ -224,6 +225,7 @@
             clock.from_wall(message.hard_stop),
             message.destination,
             trips,
+            message.restored,
         )
 
     def wake(self) -> None:
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -49,6 +49,7 @@
         "mark",
         "number",
         "profile",
+        "restored",
         "size",
         "trips",
     )
@@ -75,6 +76,7 @@
         self.body = body
         self.trips: list[list[int]] = []  # when each went out, and 1 once it is known that it never ran
         self.given_up: tuple[bool, int] | None = None
+        self.restored = False  # an earlier life took it on
         self.size = FIXED_SIZE + sum(map(len, self.texts)) + len(body)  # the most that it takes in a file
 
     @property
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -246,6 +246,7 @@
         "nth",
         "out",
         "profile",
+        "restored",
         "trips",
         "weight",
     )
@@ -261,6 +262,7 @@
         self.hard_stop = hard_stop
         self.aim_at = hard_stop - profile.give_up + profile.quoted  # by when it is wanted
         self.gain = 0.0
+        self.restored = False  # an earlier life took it on
         self.key: Key | None = None
         self.trips: list[Trip] = []
         self.out = 0
