--- a/millweir/lab/checker.py
+++ b/millweir/lab/checker.py
@@ -20,6 +20,7 @@
 
 MILLISECOND = 1_000_000
 SLACK = 50 * MILLISECOND  # every limit is longer by this
+ENDS_PROCESS = ("kill", "lose", "term", "roll", "kill-twice")
 NEVER_RAN = (429, 503, 504, 410)
 
 
@@ -75,7 +76,7 @@
     spans: dict[str, list[tuple[int, int, bool]]] = defaultdict(list)
     stops: dict[str, int] = {}
     for row in history.of(Struck):
-        if row.kind in ("kill", "lose", "term") and not row.over:
+        if row.kind in ENDS_PROCESS and not row.over:
             back = min((at for at in ready[row.who] if at > row.at), default=1 << 62)
             spans[row.who].append((row.at, back, row.kind == "lose"))
         elif row.kind in ("stop", "starve") and not row.over:
@@ -87,6 +88,17 @@
     return spans
 
 
+def _answer_by(offered: dict[str, Offered], calls: dict[str, list[Called]]) -> dict[int, int]:
+    """Of each shared call, when the time of its first message is up: a later answer counts for none."""
+    answer_by: dict[int, int] = {}
+    for ident, made in calls.items():
+        for call in made:
+            if call.shared and ident in offered:
+                due = offered[ident].at + offered[ident].left + SLACK
+                answer_by[call.shared] = min(due, answer_by.get(call.shared, due))
+    return answer_by
+
+
 def _ends(
     history: History,
     terms: Terms,
@@ -98,6 +110,7 @@
 ) -> None:
     """Rule 1: what was taken on gets one end, in time."""
     statuses = {row.id: row for row in history.of(Answered)}
+    answer_by = _answer_by(offered, calls)
     notices: dict[str, list[Noticed]] = defaultdict(list)
     for row in history.of(Noticed):
         notices[row.id].append(row)
@@ -107,7 +120,9 @@
         delivered = [
             returns[call.call].at
             for call in calls[ident]
-            if call.call in returns and returns[call.call].status == 200
+            if call.call in returns
+            and returns[call.call].status == 200
+            and returns[call.call].at <= answer_by.get(call.shared, 1 << 62)
         ]
         if answer is None or answer.status not in (200, 202):
             verdict.counts["refused" if answer and answer.status else "unanswered"] += 1
@@ -212,7 +227,7 @@
         if isinstance(row, Returned) and row.wait:
             key = hosts[row.call], relays.get(row.id, "")
             until[key] = max(until.get(key, (0, 0)), (row.at + row.wait, row.at + terms.wait_grace))
-        elif isinstance(row, Struck) and row.kind in ("kill", "lose", "term"):
+        elif isinstance(row, Struck) and row.kind in ENDS_PROCESS:
             until = {key: wait for key, wait in until.items() if key[1] != row.who}
         elif isinstance(row, Called):
             end, free = until.get((row.host, relays.get(row.id, "")), (0, 0))
--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -24,6 +24,9 @@
 from millweir.lab.views import Finding, Truth, Watched, findings
 from millweir.lab.wire import Faults, Wire
 
+KILL_AFTER = 3.7  # seconds from SIGTERM to SIGKILL at the earliest
+RESTART_AFTER = 0.6  # seconds from SIGKILL to the next start
+RELOADS = 3  # signals in a row
 POLL = 0.25  # seconds between looks at the views
 DUE = 8.6  # seconds after the last packet until every end is due
 
@@ -136,7 +139,11 @@
             "limits": {"memory_mb": 192, "sockets": 512, "disk_mb": 16},
             "discovery": f"{self.platform.address[0]}:{self.platform.address[1]}",
             "known": self.platform.list() | {"index": 0},
-            "settings": SETTINGS | {"balancers": self.scenario.relays},
+            "settings": SETTINGS
+            | {
+                "balancers": self.scenario.relays,
+                "family-info": SETTINGS["family-info"] | {"bundle-max": [self.scenario.bundle]},
+            },
         }
 
     # Start and end.
@@ -272,9 +279,24 @@
             relay.skew(fault.hours)
             await asyncio.sleep(seconds)
             relay.skew(0)
+        elif fault.kind == "reload":
+            for _ in range(RELOADS):
+                relay.signal(signal.SIGHUP)
+                await asyncio.sleep(seconds / RELOADS)
         elif relay.alive:
             if fault.kind == "term":
                 await relay.end()
+            elif fault.kind == "roll":
+                relay.killed = True  # whoever waits for it to be ready waits no longer
+                relay.signal(signal.SIGTERM)
+                await asyncio.sleep(KILL_AFTER)
+                relay.kill()
+            elif fault.kind == "kill-twice":
+                relay.kill()
+                await asyncio.sleep(RESTART_AFTER)
+                relay.spawn()
+                await asyncio.sleep(self.chance.uniform(0.0, RESTART_AFTER))
+                relay.kill()
             else:
                 relay.kill(fault.kind == "lose")
             self.truth.died(time.monotonic(), relay.name, fault.kind)
@@ -303,6 +325,10 @@
             host.shut()
             await asyncio.sleep(fault.span / 1e9)
             await host.reopen()
+        elif fault.kind in ("mute", "short"):
+            setattr(host, fault.kind, True)
+            await asyncio.sleep(fault.span / 1e9)
+            setattr(host, fault.kind, False)
         else:
             host.hang(True)
             await asyncio.sleep(fault.span / 1e9)
@@ -350,6 +376,8 @@
             self.history,
             random.Random(self.chance.getrandbits(60)),
         )
+        for relay in self.relays.values():
+            await self._clients.rest(relay.name, relay.listen, scenario.crowd)
         load = self.task(self._clients.run(scenario.span / 1e9)) if scenario.rate else None
         watch = self.task(self._watch(watched)) if scenario.members else None
         running = []
@@ -377,7 +405,7 @@
         ]
         events = {relay.name: relay.read_events() for relay in self.relays.values()}
         verdict = check_rules(self.history, self.terms(), steady())
-        finding = findings(self.truth, watched, events)
+        finding = findings(self.truth, watched, events) if scenario.members else Finding()
         if self._keep:
             self.history.write(self.folder / "history.jsonl")
             (self.folder / "views.json").write_bytes(msgspec.json.encode(watched.rows))
--- a/millweir/lab/history.py
+++ b/millweir/lab/history.py
@@ -40,6 +40,7 @@
     id: str
     host: str
     call: int
+    shared: int = 0  # number of the call that carried it with others, 0 for one of its own
 
 
 class Returned(Seen, frozen=True, tag="returned"):
--- a/millweir/lab/scenario.py
+++ b/millweir/lab/scenario.py
@@ -11,10 +11,12 @@
 from millweir.operator.units import Span, decode
 
 SECOND = 1_000_000_000
-PROCESS = ("stop", "kill", "lose", "term", "starve", "full", "slow", "skew")
+# "roll" is a planned restart: SIGTERM, then SIGKILL when the platform sends it at the earliest; "kill-twice"
+# kills the next process while it starts; "reload" sends SIGHUP in a row.
+PROCESS = ("stop", "kill", "lose", "term", "starve", "full", "slow", "skew", "roll", "kill-twice", "reload")
 # Listed as draining; accepts calls and answers none, then is back cold; ends its connections and refuses new
-# ones, then is back cold.
-HOST = ("drain", "hang", "refuse")
+# ones, then is back cold; runs calls and writes no answer; writes answers that stop short.
+HOST = ("drain", "hang", "refuse", "mute", "short")
 LINK = ("cut", "cut-one-way", "loss", "delay", "reorder", "duplicate", "bandwidth", "flap", "split")
 
 
@@ -53,6 +55,8 @@
     suspicion: float = 5.0
     doubt_most: Span = Span(120 * SECOND)
     key: bool = True
+    bundle: int = 1  # messages in a call
+    crowd: int = 0  # idle connections of clients at each relay
     members: bool = True  # relays know of each other; without it they are as the platform runs them
     groups: int = 2  # destinations; the hosts are dealt out over them
     host_rate: float = 40.0  # calls a second that a warm host takes
@@ -93,6 +97,8 @@
         count = 1 if kind in ("term", "full", "slow", "skew") else chance.randint(1, max(1, len(names) // 2))
         if kind in ("kill", "lose", "term"):
             span = Span(round(min(chance.uniform(15, 30), max(most, 1)) * SECOND))
+        elif kind in ("roll", "kill-twice"):
+            span = Span(round(0.6 * SECOND))  # from the kill to the next start
         return Fault(
             at=Span(at),
             span=span,
@@ -103,7 +109,8 @@
             hours=chance.choice((-1.0, 1.0)),
         )
     if kind in HOST:
-        return Fault(at=Span(at), span=span, kind=kind, who=(f"h{chance.randrange(scenario.hosts)}",))
+        hosts = chance.sample(range(scenario.hosts), chance.randint(1, max(1, scenario.hosts // 2)))
+        return Fault(at=Span(at), span=span, kind=kind, who=tuple(f"h{host}" for host in hosts))
     side = chance.randint(1, len(names) - 1)
     start, end = tuple(names[:side]), tuple(names[side:])
     if kind in ("cut", "cut-one-way", "flap"):
--- a/millweir/lab/standins.py
+++ b/millweir/lab/standins.py
@@ -11,6 +11,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from millweir.lab.history import Answered, Called, Fallen, History, Listed, Noticed, Offered, Returned, steady
 
@@ -77,6 +78,14 @@
     return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{extra}\r\n".encode() + body
 
 
+@dataclass(frozen=True, slots=True)
+class Unfinished:
+    """What is written of an answer before its connection falls silent."""
+
+    raw: bytes
+    ended: Callable[[], None]  # told when the other side has ended the connection
+
+
 async def serve(
     address: Address, handle: Callable, open_writers: set[asyncio.StreamWriter] | None = None
 ) -> asyncio.Server:
@@ -87,9 +96,24 @@
         writers.add(writer)
         try:
             while (message := await read_http(reader)) is not None:
-                raw = await handle(*message)
+                work = asyncio.ensure_future(handle(*message))
+                gone = asyncio.ensure_future(reader.read(1))  # nobody asks twice at once
+                await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+                if not work.done():
+                    work.cancel()
+                    return
+                gone.cancel()
+                with contextlib.suppress(asyncio.CancelledError, OSError):
+                    await gone
+                raw = work.result()
                 if raw is None:
                     return
+                if isinstance(raw, Unfinished):
+                    writer.write(raw.raw)
+                    with contextlib.suppress(OSError):
+                        await reader.read()  # to the end of the connection, which the other side has to make
+                    raw.ended()
+                    return
                 writer.write(raw)
                 await writer.drain()
         except (OSError, asyncio.CancelledError):
@@ -121,11 +145,12 @@
         self.name, self.group, self.rate, self.address = name, group, rate, address
         self._history, self._chance, self._calls = history, chance, calls
         self._tokens, self._at = rate, steady()
-        self.hung = False
+        self.hung = self.mute = self.short = False
         self._cold_at = 0  # when it came back; 0 for warm
         self._recent: deque[int] = deque()  # calls within the settings' time
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._outages = 0
 
     async def open(self) -> None:
         self._server = await serve(self.address, self._asked, self._writers)
@@ -135,12 +160,16 @@
 
     def shut(self) -> None:
         """Its process is gone: connections end by a reset, new ones are refused."""
+        self._outages += 1
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
     async def reopen(self) -> None:
-        """Back, and cold."""
+        """Back, and cold, once the last of its outages is over."""
+        self._outages -= 1
+        if self._outages:
+            return
         self._cold_at = steady()
         self._recent.clear()
         await self.open()
@@ -174,12 +203,14 @@
             self._recent.clear()
 
     async def _asked(self, line: str, fields: dict[str, str], body: bytes) -> bytes | None:
-        ident = fields.get("x-correlation-id", "")
-        self._calls[0] += 1
-        call = self._calls[0]
-        self._history.add(Called(steady(), ident, self.name, call))
-        status, wait, ran = 200, 0.0, True
+        shared = line.split(" ")[1] == "/hook/batch"
+        idents = [row["id"] for row in json.loads(body)] if shared else [fields.get("x-correlation-id", "")]
+        calls = range(self._calls[0] + 1, self._calls[0] + 1 + len(idents))
+        self._calls[0] += len(idents)
         now = steady()
+        for ident, call in zip(idents, calls, strict=True):
+            self._history.add(Called(now, ident, self.name, call, calls[0] if shared else 0))
+        status, wait, ran = 200, 0.0, True
         warmth = self._warmth(now)
         if self._cold_at:
             self._falls(now, warmth)
@@ -190,11 +221,38 @@
             status, wait, ran = 429, round(self._chance.uniform(0.2, 0.8), 2), False
         else:
             self._tokens -= 1
-            await asyncio.sleep(min(self._chance.lognormvariate(-3.5, 0.6), 2.0))
-            while self.hung:
-                await asyncio.sleep(0.1)
-        self._history.add(Returned(steady(), ident, call, status, ran, int(wait * 1e9)))
-        return answer(status, **({"Retry-After": wait} if wait else {}))
+            try:
+                await asyncio.sleep(min(self._chance.lognormvariate(-3.5, 0.6), 2.0))
+                while self.hung:
+                    await asyncio.sleep(0.1)
+            except asyncio.CancelledError:
+                self._returned(idents, calls, 0, ran, 0.0)
+                raise
+        return self._answered(idents, calls, shared, status, ran, wait)
+
+    def _answered(
+        self, idents: list[str], calls: range, shared: bool, status: int, ran: bool, wait: float
+    ) -> bytes | Unfinished | None:
+        """Write the answer down as far as it counts: one message's from its whole first line on."""
+        rows = json.dumps([{"id": ident, "state": "accepted"} for ident in idents]).encode()
+        raw = answer(
+            status, rows if shared and status == 200 else b"", **({"Retry-After": wait} if wait else {})
+        )
+        sent = len(raw)
+        if self.mute and ran:
+            sent = 0
+        elif self.short and ran:
+            sent = self._chance.randrange(1, len(raw))
+        counts = sent == len(raw) or not shared and sent > raw.index(b"\n")
+        if counts:
+            self._returned(idents, calls, status, ran, wait)
+        if sent == len(raw):
+            return raw
+        return Unfinished(raw[:sent], lambda: counts or self._returned(idents, calls, 0, ran, 0.0))
+
+    def _returned(self, idents: list[str], calls: range, status: int, ran: bool, wait: float) -> None:
+        for ident, call in zip(idents, calls, strict=True):
+            self._history.add(Returned(steady(), ident, call, status, ran, int(wait * 1e9)))
 
 
 class Platform:
@@ -270,6 +328,7 @@
         self._history, self._chance = history, chance
         self._tasks: set[asyncio.Task[None]] = set()
         self._links: dict[Address, deque] = {}
+        self._resting: list[asyncio.StreamWriter] = []
         self._number = 0
 
     async def run(self, seconds: float) -> None:
@@ -288,6 +347,13 @@
         if self._tasks:
             await asyncio.wait(self._tasks)
 
+    async def rest(self, name: str, address: Address, count: int) -> None:
+        """Connections that ask nothing until the relay ends them."""
+        for _ in range(count):
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection(*address)
+                self._resting.append(writer)
+
     async def _hand_in(self, name: str, address: Address) -> None:
         self._number += 1
         ident = f"{self._chance.getrandbits(48):012x}{self._number:04x}"
@@ -327,3 +393,5 @@
         for idle in self._links.values():
             for _, writer in idle:
                 writer.close()
+        for writer in self._resting:
+            writer.close()
