--- a/millweir/slow_start.py
+++ b/millweir/slow_start.py
@@ -174,15 +174,11 @@
             self._enter(host, HostState.EJECTED, cause)
 
     def _hold(self, host: Host, now: int) -> None:
-        """From now on spaced trials.
-
-        The first one comes at random within the whole spacing, as all relays may have seen it fail at once;
-        after a trial that failed the spacing varies by a quarter, so that its mean is that of the pace.
-        """
-        spread = (self._chance() - 0.5) / 2 if self.on_trial(host) else self._chance()
+        """From now on spaced trials; the first one at random, as all relays may have seen it fail at once."""
         host.pace = self._part_of_budget(host, now)
         host.route.last_ejected = host
         host.ejected_at, host.recovered_at = now, 0
+        spread = self._chance() / 2
         host.last_call_at = max(now, host.route.wait_until) - int(spread * SECOND / host.pace)
 
     def _part_of_budget(self, host: Host, now: int) -> float:
