--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -18,6 +18,7 @@
 from rig import Rig, entry, settings
 
 from millweir.control import Relay
+from millweir.events import HostState
 from millweir.interface import MILLISECOND, SECOND, Change, Entry, Outcome, Settings
 from millweir.records import Host, Packet
 from millweir.slow_start import EJECT_AT
@@ -238,6 +239,39 @@
     assert min(worst.values()) > 0.0 or hazard in MAY_BE_QUIET, "no call at all"
 
 
+def test_settings_that_name_no_budget_leave_trials_at_the_pace_of_own_use():
+    rig = Rig(entries=[entry(0, 0, kind=1)], relays=1, fall_multiple=0.0, fall_time=0)
+    for _ in range(3):
+        rig.take(0)
+    rig.pass_time(2 * SECOND, lambda sent: Outcome.FAULT if rig.now > sent.at else None)
+    assert rig.relay._hosts[rig.entries[0].host].pace == pytest.approx(4.0, rel=0.2)
+    rig.pass_time(4 * SECOND, lambda sent: Outcome.FULFILLED if rig.now > sent.at else None)
+    assert list(rig.answers.values()) == ["fulfilled"] * 3
+
+
+def test_a_failure_that_stood_alone_holds_nothing_back():
+    rig = Rig(entries=[entry(0, 0, kind=1)], relays=300, slots=3)
+    rig.take(0)
+    rig.pass_time(SECOND, lambda sent: Outcome.FULFILLED if rig.now > sent.at else None)
+    failed = rig.take(0)
+    rig.pass_time(SECOND, lambda sent: Outcome.FAULT if len(rig.sent) == 2 else Outcome.FULFILLED)
+    host = rig.relay._hosts[rig.entries[0].host]
+    assert rig.answers[failed] == "fulfilled" and not host.pace
+    states = []
+    while change := rig.relay.transition():
+        states.append(change.state)
+    assert states == [HostState.SUSPECTED, HostState.HEALTHY]
+
+
+def test_a_second_failure_ejects_and_the_fleet_of_three_hundred_waits():
+    rig = Rig(entries=[entry(0, 0, kind=1)], relays=300, slots=3)
+    rig.take(0)
+    rig.pass_time(SECOND, lambda sent: Outcome.FULFILLED if rig.now > sent.at else None)
+    rig.take(0)
+    rig.pass_time(8 * SECOND, lambda sent: Outcome.FAULT if rig.now > sent.at else None)
+    assert len(rig.sent) == 3  # one that was well, the failure, and the one that follows it at once
+
+
 def test_what_an_earlier_life_owes_is_not_taken_for_own_use():
     rig = Rig(entries=[entry(0, 0, kind=1)], relays=30)
     hard_stop = rig.now + GIVE_UP - 8 * SECOND  # taken eight seconds before the start
