Slow start: an old process asks once more after a first reset or fault at a host it has not used

Cause: on split, a third of the ejections were single resets at hosts that a sparse relay had not used yet. Change: the first failure ejects there only in a life that has just begun, or where nobody answered.

--- a/millweir/slow_start.py
+++ b/millweir/slow_start.py
@@ -86,11 +86,9 @@
         elif host.suspected_at:
             if after_suspicion:
                 self._eject(host, cause, now)
-        elif host.proven and not any(map(self.on_trial, self._siblings(host))):
+        elif self._may_stand_alone(host, weight, now):
             self._suspect(host, cause, now)
         else:
-            # No second call at once where none went well in this life, as a whole fleet may have been
-            # restarted just now, nor where a sibling is on trial already.
             self._eject(host, cause, now)
 
     def siblings_failed(
@@ -144,6 +142,16 @@
         """All listed hosts that share its limit, itself among them."""
         return [other for other in host.destination.hosts if other.route is host.route]
 
+    def _may_stand_alone(self, host: Host, weight: float, now: int) -> bool:
+        """A first failure of which one more call may tell at once whether it stood alone.
+
+        Not at a host where none went well in this life if that life has just begun, as a whole fleet may have
+        been restarted, or if nobody answered at all; nor where a sibling is on trial already.
+        """
+        young = now - self._born < self._cold_time
+        answered = weight <= FAILED_WEIGHT  # more stands for silence, or nobody there
+        return (host.proven or answered and not young) and not any(map(self.on_trial, self._siblings(host)))
+
     def _stood_alone(self, host: Host, call: Call, now: int) -> bool:
         """The host answered as soon after its first failure as an outage would hardly end."""
         soon = host.suspected_at + self._confirm_time
