Slow start: an ejection casts doubt only on siblings that have not answered since the failing call began

Cause: found on reading: a host let back by hand, or ejected at its first failure, had all its siblings suspected, also those that had just answered. Change: the time from which it is known to fail is that of the failing call or of the suspicion; by hand there is none.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -163,7 +163,7 @@
             self._cordoned.setdefault(ident, since)
         elif self._cordoned.pop(ident, 0) and host and host.ready:
             host.left_at = 0
-            self._slow_start.failed(host, EJECT_AT, "uncordoned", self._now)  # it is cold (rule 4)
+            self._slow_start.failed(host, EJECT_AT, "uncordoned", self._now, alone=True)  # cold (rule 4)
         if host:
             host.left_at, self._stirred[host.destination] = host.left_at or self._cordoned.get(ident, 0), None
         return True
--- a/millweir/slow_start.py
+++ b/millweir/slow_start.py
@@ -24,7 +24,7 @@
 
 from millweir.events import HostState, HostTransition
 from millweir.interface import SECOND, Settings
-from millweir.records import Call, Host
+from millweir.records import NEVER, Call, Host
 
 FULFILLED_WEIGHT = -1.4  # log odds of a sequential test: 4 in 5 calls fail against 1 in 5
 FAILED_WEIGHT = 1.4
@@ -78,18 +78,18 @@
         no outage, and counts for the sequential test only.
         """
         host.failure_score = min(EJECT_AT, host.failure_score + weight)
-        after_suspicion = call is None or call.sent_at >= host.suspected_at
+        sent_at = call.sent_at if call else now
         if host.failure_score >= EJECT_AT or host.pace and not host.suspected_at:
-            self._eject(host, cause, now, alone)
+            self._eject(host, cause, now, NEVER if alone else sent_at)
         elif weight < FAILED_WEIGHT or alone:
             return
         elif host.suspected_at:
-            if after_suspicion:
-                self._eject(host, cause, now)
+            if sent_at >= host.suspected_at:
+                self._eject(host, cause, now, host.suspected_at)
         elif self._may_stand_alone(host, weight, now):
             self._suspect(host, cause, now)
         else:
-            self._eject(host, cause, now)
+            self._eject(host, cause, now, sent_at)
 
     def siblings_failed(
         self, host: Host, weight: float, cause: str, now: int, call: Call, alone: bool = False
@@ -170,11 +170,11 @@
         host.confirm_by = max(now, host.clear_at) + self._confirm_time
         self._enter(host, HostState.SUSPECTED, cause)
 
-    def _eject(self, host: Host, cause: str, now: int, alone: bool = False) -> None:
+    def _eject(self, host: Host, cause: str, now: int, began: int) -> None:
+        """`began`: since when it is known to fail; siblings that answered after that are well."""
         ejected = self.on_trial(host) and not host.suspected_at
-        since = host.suspected_at or now
-        for sibling in () if alone else self._siblings(host):  # an outage mostly takes all of them
-            if sibling is not host and not sibling.pace and sibling.used_at < since:
+        for sibling in self._siblings(host) if began < NEVER else ():  # an outage mostly takes all of them
+            if sibling is not host and not sibling.pace and sibling.used_at < began:
                 self._suspect(sibling, "sibling ejected", now)
         self._hold(host, now)
         host.suspected_at = host.confirm_by = 0
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -62,6 +62,16 @@
     assert first < last / 2  # rule 4: a trickle first
 
 
+def test_a_host_let_back_casts_no_doubt_on_its_siblings():
+    rig = Rig(entries=[entry(0, 0, rate=20.0), entry(0, 1, rate=20.0)], relays=1, slots=30)
+    out, sibling = (listed.host for listed in rig.entries)
+    busy(rig, 2 * SECOND, well()(rig))
+    rig.relay.host_cordoned(rig.now, out, True, rig.now)
+    busy(rig, SECOND, well()(rig))
+    rig.relay.host_cordoned(rig.now, out, False, rig.now)
+    assert rig.relay._hosts[out].pace and not rig.relay._hosts[sibling].pace
+
+
 def test_a_wait_told_to_the_process_beside_binds_here_too():
     # Guards rule 6 in an upgrade: both processes are one relay.
     rig = Rig(entries=[entry(0, 0)], relays=1, slots=20)
