A SIGHUP that comes while a process starts ends nothing, and what it tells of is read

Change: run ignores the signal from the shell on; the configuration is read again where its file has changed by the time the signal is heeded.

--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -14,7 +14,7 @@
 from millweir.facade import Facade
 from millweir.net import clock
 from millweir.net.clients import ClientLink
-from millweir.net.config import Config, Misconfigured, read_config
+from millweir.net.config import Config, Misconfigured, config_stamp, read_config
 from millweir.net.control import ControlListener
 from millweir.net.counters import Counters
 from millweir.net.desk import Desk
@@ -65,6 +65,8 @@
     loop.add_signal_handler(signal.SIGTERM, leave)
     loop.add_signal_handler(signal.SIGINT, leave)
     loop.add_signal_handler(signal.SIGHUP, reload, config, desk, log)
+    if config_stamp(config.path) != config.stamp:  # its SIGHUP may have come while none was heeded
+        loop.call_soon(reload, config, desk, log)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.must(counters.line()))
     if operator:
         await operator.start(config.name, config.state)
--- a/millweir/lab/processes.py
+++ b/millweir/lab/processes.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 ROOT = Path(__file__).parent.parent.parent
+RUN = "trap '' HUP; exec \"$@\""  # as the deploy file has it
 SLICE = 0.2  # seconds of a starved process's turns
 Address = tuple[str, int]
 
@@ -81,7 +82,7 @@
         operator = ["--operator", str(self.operator)] if self.operator.exists() else []
         with open(self.folder / "log", "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "millweir", *operator],
+                ["sh", "-c", RUN, "sh", sys.executable, "-m", "millweir", *operator],
                 env=env,
                 stderr=log,
                 stdout=log,
--- a/millweir/net/config.py
+++ b/millweir/net/config.py
@@ -34,6 +34,8 @@
     known: dict[str, Any]
     settings: Settings
     given: dict[str, Any]  # the settings as the file had them, to check a later file against
+    path: Path = Path()  # the file that it was read from, and by which its later changes are known
+    stamp: tuple[int, int, int] = (0, 0, 0)
 
 
 def read_address(text: object, what: str) -> tuple[str, int]:
@@ -50,6 +52,15 @@
     return told if most == resource.RLIM_INFINITY else min(told, most)
 
 
+def config_stamp(path: Path) -> tuple[int, int, int]:
+    """By which a configuration that was replaced or written to is known; zeros where there is none."""
+    try:
+        found = path.stat()
+    except OSError:
+        return 0, 0, 0
+    return found.st_ino, found.st_size, found.st_mtime_ns
+
+
 def read_config(environ: Mapping[str, str], again: bool = False, start: Config | None = None) -> Config:
     """Read RELAY_CONFIG; at start the other variables win over what the file says.
 
@@ -58,6 +69,7 @@
     path = environ.get("RELAY_CONFIG")
     if not path:
         raise Misconfigured("RELAY_CONFIG is not set")
+    stamp = config_stamp(Path(path))
     try:
         given = json.loads(Path(path).read_bytes())
     except OSError as fault:
@@ -87,6 +99,8 @@
             ),
             discovery=read_address(discovery, "RELAY_DISCOVERY"),
             state=Path(state),
+            path=Path(path),
+            stamp=stamp,
             seed=int(str(given.get("seed", "0")), 16),
             limits=Limits(
                 read_descriptors(int(limits.get("sockets", 1024))),
--- /dev/null
+++ b/tests/net/test_reload.py
@@ -0,0 +1,75 @@
+"""SIGHUP at the wrong moment: while the process starts, before or after its configuration was read."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+import tomllib
+from pathlib import Path
+
+from rig import CONFIG, Platform, until
+
+from millweir import __main__ as main
+from net.inside import play
+
+ROOT = Path(__file__).parent.parent.parent
+SHELL_STARTS = 0.02  # seconds: the shell of `run` has to get to its first command
+
+
+def test_signals_in_a_row_through_the_whole_start_end_nothing(tmp_path):
+    platform = Platform(hosts=1)
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    (tmp_path / "state").mkdir()
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        listen = f"127.0.0.1:{free.getsockname()[1]}"
+    config = {"seed": "2a", "limits": {}, "settings": CONFIG, "known": platform.list() | {"index": 0}}
+    (tmp_path / "config.json").write_text(json.dumps(config))
+    env = {
+        "RELAY_CONFIG": str(tmp_path / "config.json"),
+        "RELAY_STATE": str(tmp_path / "state"),
+        "RELAY_LISTEN": listen,
+        "RELAY_DISCOVERY": platform.discovery,
+        "PATH": "/usr/bin:/bin",
+    }
+    with open(tmp_path / "log", "wb") as log:
+        process = subprocess.Popen(
+            ["sh", "-c", run.replace(".venv/bin/python", sys.executable)], env=env, stderr=log, cwd=ROOT
+        )
+    try:
+        time.sleep(SHELL_STARTS)
+        until(lambda: process.send_signal(signal.SIGHUP) or b"ready " in (tmp_path / "log").read_bytes())
+        until(lambda: b"reloaded discovery=" in (tmp_path / "log").read_bytes())
+        assert process.poll() is None
+    finally:
+        process.kill()
+        process.wait()
+
+
+def test_a_configuration_that_changes_while_no_signal_is_heeded_yet_is_read(tmp_path, monkeypatch):
+    platform = Platform(hosts=1)
+    later = Platform(hosts=1)
+    path = tmp_path / "config.json"
+
+    class Journal(main.Journal):
+        """Reading what is owed may take long: meanwhile the platform names another discovery."""
+
+        def __init__(self, *args):
+            super().__init__(*args)
+            path.write_text(json.dumps(json.loads(path.read_text()) | {"discovery": later.discovery}))
+
+    monkeypatch.setattr(main, "Journal", Journal)
+    for name, value in {
+        "RELAY_CONFIG": str(path),
+        "RELAY_STATE": str(tmp_path / "state"),
+        "RELAY_DISCOVERY": platform.discovery,
+        "RELAY_LISTEN": "127.0.0.1:9",
+    }.items():
+        monkeypatch.setenv(name, value)
+
+    async def steps(relay):
+        host, _, port = later.discovery.partition(":")
+        await relay.until(lambda: relay.desk._discovery == (host, int(port)))
+
+    play(platform, tmp_path, monkeypatch, steps)
