After a pause, list news is read before its watch is given up, and its grace ran meanwhile

Change: patience counts once the sockets are read; a heartbeat of the loop tells when it stood still, and what is read right after counts from then.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -108,9 +108,12 @@
         """The next change of a host's state that was not picked up yet."""
         return self._slow_start.transitions.popleft() if self._slow_start.transitions else None
 
-    def list_told(self, now: int, change: Change, entries: tuple[Entry, ...]) -> None:
-        """News of the list: changes, or the whole of it, in which case what is not in it is gone."""
-        self._now = now
+    def list_told(self, now: int, change: Change, entries: tuple[Entry, ...], came_at: int = 0) -> None:
+        """News of the list: changes, or the whole of it, in which case what is not in it is gone.
+
+        `came_at`: when it may have come, where that is earlier: graces begin then (rule 3).
+        """
+        self._now, came_at = now, came_at or now
         if change is Change.FAILED:
             self._failed_asks += 1  # guards against drains deemed told, never heard of: the watch is renewed
             self._enter(now + min(self._ask_every, SECOND << min(self._failed_asks, 8) >> 2), None)
@@ -125,13 +128,13 @@
         )
         for host in filter(None, map(self._hosts.get, gone)):
             if host in host.destination.hosts:  # kept, lest a list that flaps lose its wait or its doubt
-                host.left_at, self._stirred[host.destination] = host.left_at or now, None
+                host.left_at, self._stirred[host.destination] = host.left_at or came_at, None
                 del host.destination.hosts[host]
                 self._departed.add(host)
         for entry in entries:
             if entry.phase is not Phase.GONE:
                 host = self._hosts.get(entry.host) or self._meet(entry)
-                told = max(1, now - self._grace) if change is Change.CACHED else now  # in an earlier life
+                told = max(1, now - self._grace) if change is Change.CACHED else came_at  # in an earlier life
                 host.kind, host.ready = entry.kind, entry.phase is Phase.READY
                 out = self._cordoned.get(entry.host, 0)
                 host.left_at = 0 if host.ready and not out else host.left_at or out or told
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -116,10 +116,10 @@
         self._now, self._items[ident] = now, item
         self._relay.packet_taken(now, ident, profile, tenant, key, hard_stop, destination, earlier, restored)
 
-    def told(self, now: int, change: Change, entries: tuple[Entry, ...]) -> None:
-        """News of the list."""
+    def told(self, now: int, change: Change, entries: tuple[Entry, ...], came_at: int = 0) -> None:
+        """News of the list; `came_at`: when it may have come, where this process stood still meanwhile."""
         self._now = now
-        self._relay.list_told(now, change, entries)
+        self._relay.list_told(now, change, entries, came_at or now)
 
     def report(
         self,
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -21,7 +21,7 @@
 from millweir.net.heads import Request, read_number
 from millweir.net.hosts import Hosts
 from millweir.net.journal import Journal, OwedMessage
-from millweir.net.lag import LoopLag
+from millweir.net.lag import LoopLag, LoopPulse
 from millweir.net.log import Log
 from millweir.net.notices import Notices
 from millweir.net.replies import Replies, Reply
@@ -58,6 +58,7 @@
         self.reloads = [0, 0]  # taken, turned down
         self._alarm: asyncio.TimerHandle | None = None
         self._alarm_at = 0
+        self._pulse = LoopPulse(loop, bounds.doubtful // 2)
         self._lag = LoopLag(bounds.lag_kept, clock.steady())
         self.stopped = loop.create_future()
         self.clients = ClientListener(loop, bounds, self.wake, log, counters)
@@ -176,7 +177,8 @@
         self._listed = True
         gone = news.gone if change is Change.DELTA else self._hosts.all_but(news.addresses)
         self._hosts.listed(news.addresses, gone)
-        self._facade.told(clock.steady(), change, news.entries)
+        now = clock.steady()
+        self._facade.told(now, change, news.entries, self._pulse.came_at(now))
         self._cordons.bind(news.addresses)
         self._waits.bind(news.addresses)
         self.wake()
--- a/millweir/net/exchange.py
+++ b/millweir/net/exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from millweir.net import clock
 from millweir.net.counters import Counters
 from millweir.net.heads import AnswerReader
 from millweir.net.links import Link
@@ -34,6 +35,7 @@
         "_timer",
         "_took",
         "_unread",
+        "_waits",
         "host",
     )
 
@@ -64,6 +66,7 @@
         self._link: Link | None = None
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._waits = 0
         self._begun = False  # its patience is over, its answer had begun
         self._pieces: list[bytes] = []
 
@@ -93,9 +96,15 @@
             self._tell(None)
 
     def _wait(self, patience: int) -> None:
-        self._timer = self._loop.call_later(patience / 1e9, self._give_up)
-
-    def _give_up(self) -> None:
+        self._waits += 1
+        self._timer = self._loop.call_later(
+            patience / 1e9, clock.once_read, self._loop, self._give_up, self._waits
+        )
+
+    def _give_up(self, wait: int) -> None:
+        """What is in the socket by now was read: a process that stood still may find its answer there."""
+        if self._timer is None or wait != self._waits:
+            return
         if self._link and self._link.reader.begun and not self._begun:
             self._begun = True  # guards long lists that come at the end of a wait
             self._wait(self._more)
