--- a/millweir/lab/standins.py
+++ b/millweir/lab/standins.py
@@ -203,7 +203,7 @@
             self._recent.clear()
 
     async def _asked(self, line: str, fields: dict[str, str], body: bytes) -> bytes | None:
-        shared = line.split(" ")[1] == "/hook/batch"
+        shared = " /hook/batch " in line
         idents = [row["id"] for row in json.loads(body)] if shared else [fields.get("x-correlation-id", "")]
         calls = range(self._calls[0] + 1, self._calls[0] + 1 + len(idents))
         self._calls[0] += len(idents)
