--- a/tests/net/test_repeat_window.py
+++ b/tests/net/test_repeat_window.py
@@ -12,6 +12,7 @@
 from millweir.net.counters import Counters
 from millweir.net.desk import Desk
 from millweir.net.journal import FILE, FRAME, OVER, OVER_KIND, Journal, OwedMessage
+from millweir.net.log import Log
 from millweir.net.service_classes import ServiceClasses
 from net.inside import play
 from net.test_calls import QUICK, handed_in, held_back, jump
@@ -60,6 +61,7 @@
         desk = Desk.__new__(Desk)
         desk._facade, desk._bounds, desk._counters = facade, facade.bounds, Counters()
         desk._owed, desk._backlog = {}, deque()
+        desk._log = Log(200)
         desk._classes, desk._tenants = ServiceClasses(SETTINGS, facade), {}
         desk._classes._by_name = {b"marked": REFERENCED}
         for message in journal.owed.values():
