--- a/tests/net/test_stall.py
+++ b/tests/net/test_stall.py
@@ -1,5 +1,6 @@
 """A process that stood still (SIGSTOP, no processor): what waited in its sockets came while it did."""
 
+import asyncio
 import signal
 import time
 
@@ -20,6 +21,7 @@
 
     async def steps(relay):
         client = relay.client()
+        await asyncio.sleep(0.3)  # its watch is open, so that the news goes out at once
         platform.add("h0", status="DRAINING")
         if stands_still:
             time.sleep(STALL)  # the list is in the socket by now
