A 200 behind an interim answer in pieces counts once its line is whole

Cause: found on reading the change again: bytes were not kept while a 1xx status was known, so the pieces behind it were taken for a whole first line. Change: they are kept until a final status is known. The whole suite is not run on it.

--- a/millweir/net/heads.py
+++ b/millweir/net/heads.py
@@ -258,7 +258,7 @@
     def feed(self, data: bytes) -> bool:
         """False where this is no answer, or one too long; a good one stays good whatever comes behind it."""
         self._seen += len(data)
-        if not self.says:
+        if self.says < 200:  # also behind a word on the way, which may come in pieces
             self._head += data
         try:
             self._parser.feed_data(data)
--- a/tests/net/test_calls.py
+++ b/tests/net/test_calls.py
@@ -200,8 +200,9 @@
         (b"HTTP/1.1 200 O",),
         [b"HTTP/1.1 200 OK\r", 1.5],
         (b"HTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK",),
+        [b"HTTP/1.1 103 X\r\nLink: x\r\n", 0.1, b"\r\nHTTP/1.1 200 OK", 1.5],
     ],
-    ids=["cut-in-reason", "silent-before-line-feed", "cut-after-interim"],
+    ids=["cut-in-reason", "silent-before-line-feed", "cut-after-interim", "silent-after-interim-in-pieces"],
 )
 def test_a_first_line_with_200_that_is_not_whole_delivers_nothing(
     tmp_path, monkeypatch, answer, profile, trips
