--- a/millweir/cli/lab.py
+++ b/millweir/cli/lab.py
@@ -157,3 +157,29 @@
         except ImportError as missing:
             raise click.ClickException(f"a plot needs matplotlib: {missing}") from None
         draw_ranking(model, plot)
+
+
+@lab.command()
+@click.option("--seeds", default="1:301", show_default=True, help="from and to, without the last")
+@click.option("--workers", type=click.IntRange(1), default=4, show_default=True)
+def outages(seeds: str, workers: int) -> None:
+    """Outages drawn from SEEDS, played by simulated fleets; exit 1 where a destination is pushed over."""
+    from concurrent.futures import ProcessPoolExecutor
+
+    from millweir.lab.outages.fleet import worst_part
+    from millweir.lab.outages.scenario import draw_scenario
+
+    first, _, last = seeds.partition(":")
+    try:
+        numbers = range(int(first), int(last))
+    except ValueError:
+        raise click.UsageError(f"no FROM:TO of whole numbers: {seeds!r}") from None
+    scenarios = [draw_scenario(number) for number in numbers]
+    with ProcessPoolExecutor(workers) as pool:
+        parts = list(pool.map(worst_part, scenarios, numbers, chunksize=4))
+    for number, scenario, part in zip(numbers, scenarios, parts, strict=True):
+        if part > 1:
+            click.echo(f"seed {number}: {part:.2f} of the bound; {scenario}")
+    over = sum(part > 1 for part in parts)
+    click.echo(f"{over} of {len(parts)} over the bound; the worst {max(parts, default=0.0):.2f}")
+    raise SystemExit(1 if over else 0)
--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -325,6 +325,10 @@
             host.shut()
             await asyncio.sleep(fault.span / 1e9)
             await host.reopen()
+        elif fault.kind == "shut":
+            host.shut_for(fault.span, fault.share)
+            await asyncio.sleep(fault.span / 1e9)
+            host.open_again()
         elif fault.kind in ("mute", "short"):
             setattr(host, fault.kind, True)
             await asyncio.sleep(fault.span / 1e9)
--- a/millweir/lab/scenario.py
+++ b/millweir/lab/scenario.py
@@ -15,8 +15,9 @@
 # kills the next process while it starts; "reload" sends SIGHUP in a row.
 PROCESS = ("stop", "kill", "lose", "term", "starve", "full", "slow", "skew", "roll", "kill-twice", "reload")
 # Listed as draining; accepts calls and answers none, then is back cold; ends its connections and refuses new
-# ones, then is back cold; runs calls and writes no answer; writes answers that stop short.
-HOST = ("drain", "hang", "refuse", "mute", "short")
+# ones, then is back cold; runs calls and writes no answer; writes answers that stop short;
+# refuses every call, a share of them with the time until it is back, then is back cold.
+HOST = ("drain", "hang", "refuse", "mute", "short", "shut")
 LINK = ("cut", "cut-one-way", "loss", "delay", "reorder", "duplicate", "bandwidth", "flap", "split")
 
 
@@ -29,7 +30,9 @@
     who: tuple[str, ...] = ()  # relays, or hosts (h0, h1, ...)
     start: tuple[str, ...] = ()
     end: tuple[str, ...] = ()
-    share: float = 0.3  # of loss and duplicates; of the processor that a starved one keeps
+    share: float = (
+        0.3  # of loss and duplicates; of the processor that a starved one keeps; told by a shut host
+    )
     wait: Span = Span(0)  # delay, reordering, half a period of flapping, slowness of a start
     bytes_second: float = 20_000.0
     hours: float = 1.0  # skew
--- a/millweir/lab/standins.py
+++ b/millweir/lab/standins.py
@@ -146,6 +146,8 @@
         self._history, self._chance, self._calls = history, chance, calls
         self._tokens, self._at = rate, steady()
         self.hung = self.mute = self.short = False
+        self.shut_until = 0  # refuses every call until then; 0 for open
+        self.told_share = 1.0  # of these refusals that tell so
         self._cold_at = 0  # when it came back; 0 for warm
         self._recent: deque[int] = deque()  # calls within the settings' time
         self._server: asyncio.Server | None = None
@@ -180,6 +182,15 @@
         self._cold_at = 0 if on else steady()
         self._recent.clear()
 
+    def shut_for(self, span: int, told_share: float) -> None:
+        """Refuse calls for so long; a part of the refusals tells the moment of the return."""
+        self.shut_until, self.told_share, self._cold_at = steady() + span, told_share, 0
+
+    def open_again(self) -> None:
+        """Take calls again, cold."""
+        self.shut_until, self._cold_at = 0, steady()
+        self._recent.clear()
+
     def _warmth(self, now: int) -> float:
         """The share of its rate that it bears."""
         if not self._cold_at:
@@ -217,7 +228,10 @@
         rate = self.rate * warmth
         self._tokens = min(rate, self._tokens + (now - self._at) / 1e9 * rate)
         self._at = now
-        if self._tokens < 1:
+        if self.shut_until:
+            told = self._chance.random() < self.told_share
+            status, wait, ran = 503, max(self.shut_until - now, 0) / SECOND * told, False
+        elif self._tokens < 1:
             status, wait, ran = 429, round(self._chance.uniform(0.2, 0.8), 2), False
         else:
             self._tokens -= 1
--- a/tests/lab/test_slow_start.py
+++ b/tests/lab/test_slow_start.py
@@ -1,8 +1,9 @@
 """A fleet of real relays and destinations that go away and come back cold: nobody may push them over.
 
-The incident in staging (issue 47): 46 relays, each with a message or two for a destination whose hosts refuse
-connections.  What counts is the sum over the fleet, so each relay has to keep to its part of the budget from
-its first failed call on, before it can know that this is an outage.
+Issue 47: 46 relays, each with a message or two for a destination whose hosts refuse connections.  Issue 53: a
+destination that refuses calls and tells all the same moment of its return, relays killed and started again
+before it.  What counts is the sum over the fleet, so each relay has to keep to its part of the budget
+from its first failed or refused call on, before it can know that this is an outage.
 """
 
 import asyncio
@@ -33,14 +34,49 @@
     ),
 )
 
+SHUT = Scenario(
+    relays=30,
+    hosts=DESTINATIONS,
+    groups=DESTINATIONS,
+    host_rate=4.0,
+    rate=0.8 * 4.0 * DESTINATIONS,
+    members=False,
+    span=Span(20 * S),
+    fault=(
+        Fault(
+            at=Span(2 * S),
+            span=Span(10 * S),
+            kind="shut",
+            share=1.0,
+            who=tuple(f"h{number}" for number in range(DESTINATIONS)),
+        ),
+        Fault(
+            at=Span(int(9.5 * S)),
+            span=Span(int(0.4 * S)),
+            kind="kill",
+            who=tuple(f"r{number}" for number in range(1, 31)),
+        ),
+    ),
+)
 
-@pytest.mark.parametrize("seed", [1, 2])
-def test_a_fleet_of_processes_does_not_push_over_what_comes_back_cold(seed, tmp_path):
-    async def play():
+
+def play(scenario, seed, folder):
+    async def run():
         async with asyncio.timeout(150):
-            async with Rig(OUTAGE, seed, tmp_path / "rig") as rig:
+            async with Rig(scenario, seed, folder) as rig:
                 return await rig.play()
 
-    played = asyncio.run(play())
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_fleet_of_processes_does_not_push_over_what_comes_back_cold(seed, tmp_path):
+    played = play(OUTAGE, seed, tmp_path / "rig")
     assert played.verdict.counts["taken"] > 400 and not played.failures, played
     assert not played.verdict.broken, played.verdict
+
+
+def test_a_fleet_restarted_before_a_told_return_does_not_push_over_what_comes_back(tmp_path):
+    played = play(SHUT, 1, tmp_path / "rig")
+    assert played.verdict.counts["taken"] > 300 and not played.failures, played
+    assert not played.verdict.broken, played.verdict
