Cold hosts outlast the process, and every shared moment brings a part of the budget

Cause: a limit on when stood without one on how much. Read back after a restart were waits alone (retry_after.py, Relay.wait_told), so a fleet went at the told end; refusals without a long wait bound nothing; a host listed again, undrained or uncordoned got each relay's due trial at once; a host forgotten after a minute came back as new. Change: net/cold_hosts.py keeps hosts in slow start or whose last call went wrong in the folder (50 ms after a change); they are restored with pace or learned limit. Calls spread behind a told wait, trials anew when a host is back in use; a third refusal in a row with none well in the fall time counts as a failed call; a leaving process sends nothing cold; the ramp runs a quarter of the fall time ahead; own use counts up to the learned limit. Generator: told per limit.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -9,7 +9,7 @@
 from heapq import heappop, heappush
 from itertools import count, filterfalse, islice, takewhile
 
-from millweir.events import EndReason, HostTransition, RefusalReason
+from millweir.events import ColdHost, EndReason, HostTransition, RefusalReason
 from millweir.interface import SECOND, Bounds, Change, Effect, Entry, Limits, Outcome, Phase, Port, Settings
 from millweir.order import Curve, Order
 from millweir.records import NEVER, Books, Call, Destination, Due, Host, Key, Load, Packet, Route, Trip
@@ -120,7 +120,7 @@
             return
         self._failed_asks *= change is Change.CACHED
         for host in self._departed.take_idle(now - FORGOTTEN_AFTER):
-            del self._hosts[host.id]
+            self._slow_start.forget(self._hosts.pop(host.id))
         gone = (
             [entry.host for entry in entries if entry.phase is Phase.GONE]
             if change is Change.DELTA
@@ -137,7 +137,10 @@
                 told = max(1, now - self._grace) if change is Change.CACHED else came_at  # in an earlier life
                 host.kind, host.ready = entry.kind, entry.phase is Phase.READY
                 out = self._cordoned.get(entry.host, 0)
-                host.left_at = 0 if host.ready and not out else host.left_at or out or told
+                if host.ready and not out:
+                    self._back_in_use(host)
+                else:
+                    host.left_at = host.left_at or out or told
                 self._stirred[host.destination] = host.destination.hosts[host] = None
                 self._departed.discard(host)
                 if self._known_rates and entry.rate > 0 and entry.rate != host.route.listed:
@@ -155,8 +158,16 @@
         host = self._hosts[entry.host] = Host(entry, home, route, fee)
         if route.last_ejected and route.last_ejected.pace and all(other.pace for other in home.hosts):
             host.eject_like(route.last_ejected)  # guards rule 4: all that is held would go there at once
+            self._slow_start.usable_again(host, self._now)
+        self._slow_start.recall(host, self._now)
         return host
 
+    def _back_in_use(self, host: Host) -> None:
+        """It leaves no more: a drain undone, in the list again, a cordon lifted."""
+        if host.left_at:
+            host.left_at = 0
+            self._slow_start.usable_again(host, self._now)
+
     def host_cordoned(self, now: int, ident: bytes, out: bool, since: int) -> bool:
         """By hand: out since then, nothing new after the grace, whatever the list says (rule 3); or back."""
         host, self._now = self._hosts.get(ident), now
@@ -165,8 +176,8 @@
         if out:
             self._cordoned.setdefault(ident, since)
         elif self._cordoned.pop(ident, 0) and host and host.ready:
-            host.left_at = 0
             self._slow_start.failed(host, EJECT_AT, "uncordoned", self._now, alone=True)  # cold (rule 4)
+            self._back_in_use(host)
         if host:
             host.left_at, self._stirred[host.destination] = host.left_at or self._cordoned.get(ident, 0), None
         return True
@@ -178,8 +189,27 @@
 
     def wait_told(self, now: int, ident: bytes, until: int) -> None:
         """A wait told to a process beside this one binds here too: both are one relay (rule 6)."""
-        if host := self._hosts.get(ident):
-            host.route.wait_until, self._stirred[host.destination] = max(host.route.wait_until, until), None
+        if (host := self._hosts.get(ident)) and until > host.route.wait_until:
+            host.route.wait_until, self._stirred[host.destination] = until, None
+            self._slow_start.usable_again(host, now)
+
+    def cold_hosts(self) -> list[ColdHost]:
+        """The hosts that slow start holds back, for the process after this one and the one beside it."""
+        return self._slow_start.cold_hosts(self._hosts.values())
+
+    @property
+    def cold_changes(self) -> int:
+        """Grows with each change of what `cold_hosts` tells."""
+        return self._slow_start.changes
+
+    def cold_told(self, now: int, cold: ColdHost) -> bool:
+        """What an earlier life, or a process beside this one, knows of a host (rule 4); False: not listed."""
+        if (host := self._hosts.get(cold.host)) is None:
+            return False
+        self._now = now
+        self._slow_start.restore(host, cold, now)
+        self._stirred[host.destination] = None
+        return True
 
     def rest(self, failures: int) -> int:
         """Until discovery is asked: at random, as all fail as one; its news counts as told 6 s after that."""
@@ -204,7 +234,7 @@
 
     def leave(self, leave_at: int) -> None:
         """Told to stop then: nothing more is taken, and no call goes out that may outlast the process."""
-        self._leave_at = leave_at
+        self._leave_at, self._slow_start.leaving = leave_at, True
 
     def may_write(self, now: int, host: Host, packet: Packet) -> bool:
         """A link came up late: told waits, drains, the end of a known repeat since (rules 6, 3 and 2)."""
@@ -455,6 +485,7 @@
                 weight = EJECT_AT if wait > 2 * ROUND else EJECT_AT / 2
                 cause = "long wait or limit left"
                 self._slow_start.siblings_failed(host, weight, cause, self._now, call, alone=True)
+            self._slow_start.refused(host, self._now, call)
         elif outcome in (Outcome.UNCONNECTED, Outcome.CROWDED):
             host.links = host.out - (call.left > 0)  # without this call, lest a bundle hide a dead host
             slow = outcome is Outcome.UNCONNECTED and latency >= self._slow
@@ -636,6 +667,7 @@
         route, now = host.route, self._now
         opens = max(
             route.wait_until,
+            route.resume_at,
             self._slow_start.opens_at(host, now),
             host.clear_at if host.tight(now) else 0,
         )
--- a/millweir/events.py
+++ b/millweir/events.py
@@ -25,6 +25,17 @@
     pace: float
 
 
+@dataclass(frozen=True, slots=True)
+class ColdHost:
+    """A host in slow start, or whose last call went wrong, in the form that outlasts the process."""
+
+    host: bytes
+    seen_at: int  # when its last call failed or was refused
+    pace: float  # calls a second at the begin of its slow start; 0: not in it
+    recovered_at: int  # when the first call went well; 0 while none has
+    limit: float  # calls a second, as learned from refusals; 0: its last call was not refused
+
+
 class EndReason(Enum):
     """Why a message that was taken on ended undelivered."""
 
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -11,7 +11,7 @@
 from typing import Generic, TypeVar
 
 from millweir.control import Relay, bounds
-from millweir.events import HostTransition, RefusalReason
+from millweir.events import ColdHost, HostTransition, RefusalReason
 from millweir.interface import Change, Entry, Limits, Outcome, Settings
 from millweir.records import Call, Host, Packet
 
@@ -160,6 +160,20 @@
         self._now = now
         self._relay.wait_told(now, host, until)
 
+    @property
+    def cold_changes(self) -> int:
+        """Grows with each change of what `cold_hosts` tells."""
+        return self._relay.cold_changes
+
+    def cold_hosts(self) -> list[ColdHost]:
+        """Hosts that are cold or whose last call went wrong, for the next process and the one beside."""
+        return self._relay.cold_hosts()
+
+    def cold_told(self, now: int, cold: ColdHost) -> bool:
+        """What such a process knew of a host; False where no list has named it yet."""
+        self._now = now
+        return self._relay.cold_told(now, cold)
+
     def targets(self) -> tuple[int, int]:
         """Hosts in the list, and of those the ones avoided now: out by hand, draining, or set aside."""
         listed = [host for host in self._relay._hosts.values() if host in host.destination.hosts]
--- a/millweir/lab/outages/fleet.py
+++ b/millweir/lab/outages/fleet.py
@@ -12,11 +12,13 @@
 from itertools import count
 
 from millweir.control import Relay
+from millweir.events import ColdHost
 from millweir.interface import MILLISECOND, SECOND, Change, Entry, Outcome, Phase
 from millweir.lab.outages.budget import Arrival, worst_window
 from millweir.lab.outages.scenario import Crossing, OutageKind, OutageScenario
 from millweir.records import Host, Packet
 
+WRITE_DELAY = 50 * MILLISECOND  # from a change of a host's state to its record in the folder
 TRANSIT = 20 * MILLISECOND  # one way
 SERVICE = 100 * MILLISECOND
 CONNECT_TIMEOUT = SECOND
@@ -42,6 +44,7 @@
 
     owed: dict[int, OwedMessage] = field(default_factory=dict)
     waits: dict[bytes, int] = field(default_factory=dict)  # host: until when it is to be left alone
+    cold: list[ColdHost] = field(default_factory=list)
 
 
 class Process:
@@ -49,8 +52,8 @@
 
     def __init__(self, fleet: Fleet, number: int, listed: bool = True) -> None:
         self._fleet, self.number, self.folder = fleet, number, fleet.folders[number]
-        self.dead = False
-        self._alarm_at = 0
+        self.dead = self._writing = False
+        self._alarm_at = self._written = 0
         self._out: set[tuple[int, int]] = set()  # attempts that it waits for
         self.relay = Relay(self, fleet.settings, fleet.chance.getrandbits(32), fleet.now)
         self._owns = set(self.folder.owed)
@@ -61,6 +64,8 @@
             self._hand_in(ident, restored=True)
 
     def _read_folder(self) -> None:
+        for cold in self.folder.cold:
+            self.relay.cold_told(self._fleet.now, cold)
         for host, until in self.folder.waits.items():
             if until > self._fleet.now:
                 self.relay.wait_told(self._fleet.now, host, until)
@@ -118,8 +123,18 @@
 
     def turn(self) -> None:
         """The end of a round."""
+        if self.dead:
+            return
+        self.relay.round_over(self._fleet.now)
+        if self.relay.cold_changes != self._written and not self._writing:
+            self._writing = True
+            self._fleet.at(WRITE_DELAY, self._write)
+
+    def _write(self) -> None:
+        self._writing = False
+        self._written = self.relay.cold_changes
         if not self.dead:
-            self.relay.round_over(self._fleet.now)
+            self.folder.cold = self.relay.cold_hosts()
 
     # The port of the decisions.
 
@@ -168,7 +183,7 @@
         if scenario.crossing is Crossing.SECOND_OUTAGE:
             out_again = self.back_at + SECOND_RETURN
             self._outages.append((out_again, out_again + SECOND_SPAN))
-        self._told: list[set[int]] = [set() for _ in self._outages]  # relays, by outage
+        self._told: set[tuple[int, int, bytes]] = set()  # relay, outage and limit
         self._arrivals: dict[tuple[int, bytes], list[Arrival]] = {}  # by outage and limit
         self._tokens: dict[bytes, tuple[float, int]] = {}
         self._agenda: list[tuple[int, int, Callable[[], object]]] = []
@@ -223,12 +238,12 @@
         arrives = self.now + TRANSIT
         for at, (out_at, back_at) in enumerate(self._outages):
             if out_at <= arrives < back_at:
-                self._fail(at, process, arrives, later)
+                self._fail(at, process, host, arrives, later)
                 return
         back = [at for at, (_, back_at) in enumerate(self._outages) if arrives >= back_at]
         if back:
-            limit = host.id if self.scenario.hosts_apart else b""
-            arrival = Arrival(arrives, process.number in self._told[back[-1]])
+            limit = self._limit(host)
+            arrival = Arrival(arrives, (process.number, back[-1], limit) in self._told)
             self._arrivals.setdefault((back[-1], limit), []).append(arrival)
         elif not self._within_limit(host):
             wait = self.chance.uniform(0.2, 0.9) * (self.chance.random() < self.scenario.limit_wait_share)
@@ -236,14 +251,20 @@
             return
         later(2 * TRANSIT + SERVICE, Outcome.FULFILLED)
 
+    def _limit(self, host: Host) -> bytes:
+        """Of what one limit and one budget hold: the host, or the destination."""
+        return host.id if self.scenario.hosts_apart else b""
+
     def _within_limit(self, host: Host) -> bool:
-        limit, rate = host.id if self.scenario.hosts_apart else b"", self.scenario.rate
+        limit, rate = self._limit(host), self.scenario.rate
         tokens, at = self._tokens.get(limit, (rate, self.now))
         tokens = min(rate, tokens + (self.now - at) * rate / SECOND)
         self._tokens[limit] = tokens - (tokens >= 1), self.now
         return tokens >= 1
 
-    def _fail(self, outage: int, process: Process, arrives: int, later: Callable[..., None]) -> None:
+    def _fail(
+        self, outage: int, process: Process, host: Host, arrives: int, later: Callable[..., None]
+    ) -> None:
         """A call that arrives during the outage."""
         back_at = self._outages[outage][1]
         kind, scenario = self.scenario.kind, self.scenario
@@ -267,7 +288,8 @@
             later(2 * TRANSIT, Outcome.RESET)
         if kind in (OutageKind.HUNG, OutageKind.SILENT):
             told_at = self.now + SECOND  # it has waited for longer than a call takes
-        self.at(told_at - self.now, lambda: process.dead or self._told[outage].add(process.number))
+        told = process.number, outage, self._limit(host)
+        self.at(told_at - self.now, lambda: process.dead or self._told.add(told))
 
     # What crosses the outage.
 
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -13,6 +13,7 @@
 from millweir.interface import MILLISECOND, Change, Outcome, Phase
 from millweir.net import clock
 from millweir.net.clients import ClientLink, ClientListener
+from millweir.net.cold_hosts import KnownColdHosts
 from millweir.net.config import Config
 from millweir.net.cordons import Cordons
 from millweir.net.counters import Counters
@@ -54,6 +55,7 @@
         self._scheduled = self._listed = self._leaving = self._lingered = self._quiet = False
         self._replies = Replies()
         self._cordons = Cordons(config.state, facade, self.wake, log)
+        self._cold_hosts = KnownColdHosts(loop, journal.folder, journal.slot, facade, self.wake, log)
         self._waits = SharedWaits(loop, journal.folder, journal.slot, facade, self.wake, log)
         self.reloads = [0, 0]  # taken, turned down
         self._alarm: asyncio.TimerHandle | None = None
@@ -72,6 +74,7 @@
             self._list(Change.CACHED, replace(self._known_list, entries=tuple(leaving)))
             loop.call_later(bounds.opening / 1e9, clock.once_read, loop, self._open)
         self._cordons.read()
+        self._cold_hosts.read()  # before the waits: what is restored says how calls spread behind these
         for message in list(journal.owed.values()):
             self._restore(message)
         self._adopt_later()
@@ -116,6 +119,7 @@
             self._log.must(f"adopted owed={len(orphans)}")
             clock.once_read(self._loop, self.wake)
         self._cordons.read(again=True)
+        self._cold_hosts.read()
         self._adopt_later()
 
     def healthy(self) -> bool:
@@ -180,6 +184,7 @@
         now = clock.steady()
         self._facade.told(now, change, news.entries, self._pulse.came_at(now))
         self._cordons.bind(news.addresses)
+        self._cold_hosts.bind(news.addresses)
         self._waits.bind(news.addresses)
         self.wake()
 
@@ -286,6 +291,7 @@
         if self.clients.arrived:
             self.wake()
         self._hosts.sweep()
+        self._cold_hosts.note_changes()
         if due != self._alarm_at:
             if self._alarm:
                 self._alarm.cancel()
@@ -448,6 +454,7 @@
 
     def close(self) -> None:
         """The end of this process; calls still out are in the journal."""
+        self._cold_hosts.close()
         self._watch.close()
         self._notices.close()
         self._hosts.close()
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -31,6 +31,7 @@
         "out",
         "pressed",
         "raised_at",
+        "resume_at",
         "share",
         "top",
         "turned",
@@ -53,6 +54,7 @@
         self.turned_at = -NEVER
         self.last_ejected: Host | None = None  # the host there that was set aside last
         self.last_trial_at = -NEVER  # of any ejected host there
+        self.resume_at = 0  # nothing is sent before that, at random behind the end of a wait
 
 
 class Host:
@@ -63,6 +65,7 @@
         "confirm_by",
         "destination",
         "ejected_at",
+        "failed_at",
         "failure_score",
         "fee",
         "freed_at",
@@ -78,14 +81,16 @@
         "out",
         "overdue",
         "pace",
-        "proven",
         "ready",
         "recovered_at",
+        "refused_at",
+        "refused_in_row",
         "route",
         "spread",
         "stale_at",
         "suspected_at",
         "used_at",
+        "well_at",
         "zone",
     )
 
@@ -104,9 +109,12 @@
         self.spread = 0
         self.links = 0
         self.clear_at = 0
+        self.failed_at = 0  # when a call to it failed last
+        self.refused_at = 0  # when a call to it was refused last
+        self.refused_in_row = 0  # calls refused with none gone well between
         self.failure_score = 0.0
         self.pace = 0.0
-        self.proven = False  # a call to it went well in this life
+        self.well_at = 0  # when a call to it went well last; 0: none in this life
         self.suspected_at = 0  # when its first call failed, while that is all that is known
         self.confirm_by = 0  # until when one more call may follow that at once
         self.ejected_at = 0
--- a/millweir/slow_start.py
+++ b/millweir/slow_start.py
@@ -19,20 +19,35 @@
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Callable
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
-from millweir.events import HostState, HostTransition
+from millweir.events import ColdHost, HostState, HostTransition
 from millweir.interface import SECOND, Settings
 from millweir.records import NEVER, Call, Host
 
 FULFILLED_WEIGHT = -1.4  # log odds of a sequential test: 4 in 5 calls fail against 1 in 5
 FAILED_WEIGHT = 1.4
 REFUSED_WEIGHT = 0.9
+REFUSED_RUN = 3  # refusals in a row that count as a failed call
 EJECT_AT = 4.6  # log odds of a hundred to one
 YOUNG = 5 * SECOND  # the first seconds of a life tell little of its use
 CONFIRM_PART = 4  # a suspicion is confirmed or dropped within this part of the fall time
 TRANSITIONS_KEPT = 1024  # changes of state that the log has not picked up yet
+FORGOTTEN_KEPT = 4096  # cold hosts that left the list long ago; the one forgotten first makes room
+
+
+def cold_host(host: Host) -> ColdHost:
+    """What is to be known of it once its record is gone."""
+    refused = host.refused_at > max(host.well_at, host.failed_at)
+    return ColdHost(
+        host=host.id,
+        seen_at=max(host.failed_at, host.refused_at),
+        pace=host.pace,
+        recovered_at=host.recovered_at,
+        limit=host.route.limit if refused else 0.0,
+    )
 
 
 class SlowStart:
@@ -47,6 +62,11 @@
         self.cold_share = min(1.0, given.fall_multiple * given.cold_from) or 1.0  # no such rule: all of it
         self._warming = (1 - given.cold_from) / (given.cold_from or 1.0) / max(1, given.cold_time)
         self.transitions: deque[HostTransition] = deque(maxlen=TRANSITIONS_KEPT)  # newest last
+        self.changes = 0  # of what `cold_hosts` tells
+        self.leaving = (
+            False  # a process beside this one, or the next one, has this relay's part of the budget
+        )
+        self._forgotten: OrderedDict[bytes, ColdHost] = OrderedDict()
 
     def sent(self, host: Host, now: int) -> None:
         """A call leaves."""
@@ -56,7 +76,8 @@
 
     def succeeded(self, host: Host, call: Call, now: int) -> None:
         """A call went well."""
-        host.proven = True
+        self.changes += self._last_went_wrong(host)
+        host.well_at, host.refused_in_row = now, 0
         host.failure_score = max(0.0, host.failure_score + FULFILLED_WEIGHT)
         if not host.pace:
             return
@@ -77,6 +98,8 @@
         `call`: none for what is known without one, such as by hand; `alone`: this failure has a cause that is
         no outage, and counts for the sequential test only.
         """
+        host.failed_at = now
+        self.changes += 1
         host.failure_score = min(EJECT_AT, host.failure_score + weight)
         sent_at = call.sent_at if call else now
         if host.failure_score >= EJECT_AT or host.pace and not host.suspected_at:
@@ -91,6 +114,20 @@
         else:
             self._eject(host, cause, now, sent_at)
 
+    def refused(self, host: Host, now: int, call: Call) -> None:
+        """A call was refused; whether by a limit or by an outage, the learned limit keeps it to its part.
+
+        Guards rule 4 where that limit is above the part: what a told wait holds back goes at random behind
+        its end, as all that were refused may have been told the same one.
+        """
+        host.refused_at = now
+        host.refused_in_row += 1
+        self.changes += 1
+        if host.route.wait_until > now:
+            self._spread_behind_wait(host, now)
+        if host.refused_in_row >= REFUSED_RUN and now - host.well_at > self._fall_time:
+            self.failed(host, FAILED_WEIGHT, "refused again and again", now, call)
+
     def siblings_failed(
         self, host: Host, weight: float, cause: str, now: int, call: Call, alone: bool = False
     ) -> None:
@@ -99,6 +136,55 @@
         for other in siblings if siblings else [host]:
             self.failed(other, weight, cause, now, call, alone)
 
+    def restore(self, host: Host, cold: ColdHost, now: int) -> None:
+        """What an earlier life, or a process beside this one, knows of the host.
+
+        Guards rule 4: who was told of an outage is so in its next life too, and all relays may have been
+        restarted at once.
+        """
+        if host.pace or host.well_at > cold.seen_at:
+            return
+        if cold.recovered_at and now - cold.recovered_at >= self._cold_time:
+            return
+        if cold.limit and not cold.pace:
+            host.route.limit, host.route.raised_at = min(host.route.limit, cold.limit), NEVER
+            host.refused_at = cold.seen_at
+            self.changes += 1
+            self._spread_behind_wait(host, now)
+            return
+        host.failed_at = cold.seen_at
+        self._hold(host, now, cold.pace)
+        host.recovered_at = cold.recovered_at
+        self._spread_trials(host, now)
+        self._enter(host, HostState.SLOW_START if cold.recovered_at else HostState.EJECTED, "known before")
+        for sibling in () if cold.recovered_at else self._siblings(host):
+            self.restore(sibling, replace(cold, host=sibling.id), now)  # an outage mostly takes all of them
+
+    def cold_hosts(self, hosts: Iterable[Host]) -> list[ColdHost]:
+        """Of these hosts and those that were forgotten what has to outlast the process."""
+        known = [cold_host(host) for host in hosts if host.pace or self._last_went_wrong(host)]
+        return known + list(self._forgotten.values())
+
+    def forget(self, host: Host) -> None:
+        """It left the list long ago and its record goes; it may be listed again as its outage ends."""
+        if host.pace or self._last_went_wrong(host):
+            self._forgotten[host.id] = cold_host(host)
+            if len(self._forgotten) > FORGOTTEN_KEPT:
+                self._forgotten.popitem(last=False)
+
+    def recall(self, host: Host, now: int) -> None:
+        """A host is listed for the first time, or again after its record went."""
+        if cold := self._forgotten.pop(host.id, None):
+            self.restore(host, cold, now)
+
+    def usable_again(self, host: Host, now: int) -> None:
+        """A host that could get no calls for a while can now, and all relays have waited for this moment."""
+        if not host.pace and any(map(self._last_went_wrong, self._siblings(host) or [host])):
+            self._hold(host, now)
+            self._enter(host, HostState.EJECTED, "failed before it left")
+        if self.on_trial(host):
+            self._spread_trials(host, now)
+
     def opens_at(self, host: Host, now: int) -> int:
         """When the host may be sent its next call; 0 where nothing holds it back."""
         if not host.pace or now <= host.confirm_by:
@@ -106,7 +192,7 @@
         warm = now - host.recovered_at if host.recovered_at else 0
         if warm >= self._cold_time:
             return 0
-        growth = min(2 ** (warm / self._fall_time), 1 + self._warming * (warm + self._fall_time))
+        growth = min(2 ** (warm / self._fall_time), 1 + self._warming * (warm + self._fall_time // 4))
         own = host.last_call_at + int(SECOND / (host.pace * growth))
         return own if host.recovered_at else max(own, self._siblings_open_at(host))
 
@@ -121,7 +207,9 @@
 
     def holds_back(self, host: Host) -> bool:
         """The one call that may be out there is out; one that is overdue counts no more."""
-        return (self.on_trial(host) or not host.proven) and host.out > host.overdue
+        if self.leaving and host.pace:
+            return True
+        return (self.on_trial(host) or not host.well_at) and host.out > host.overdue
 
     def rank(self, host: Host, bears_trials: bool) -> int:
         """Which of several hosts with room goes first: the lowest.
@@ -137,6 +225,11 @@
         """When to look again at a host held back: its pace grows meanwhile."""
         return now + self._fall_time // 32 if host.pace else 1 << 62
 
+    @staticmethod
+    def _last_went_wrong(host: Host) -> bool:
+        """Its last call failed or was refused."""
+        return max(host.failed_at, host.refused_at) > host.well_at
+
     @staticmethod
     def _siblings(host: Host) -> list[Host]:
         """All listed hosts that share its limit, itself among them."""
@@ -148,14 +241,18 @@
         Not at a host where none went well in this life if that life has just begun, as a whole fleet may have
         been restarted, or if nobody answered at all; nor where a sibling is on trial already.
         """
+        if host.route.wait_until > now + self._confirm_time:
+            return False  # all that were told that wait would follow at its end
         young = now - self._born < self._cold_time
         answered = weight <= FAILED_WEIGHT  # more stands for silence, or nobody there
-        return (host.proven or answered and not young) and not any(map(self.on_trial, self._siblings(host)))
+        return (host.well_at or answered and not young) and not any(map(self.on_trial, self._siblings(host)))
 
     def _stood_alone(self, host: Host, call: Call, now: int) -> bool:
         """The host answered as soon after its first failure as an outage would hardly end."""
         soon = host.suspected_at + self._confirm_time
-        return now <= soon or host.suspected_at <= call.sent_at <= soon and not call.late
+        if now <= soon:
+            return now - call.sent_at <= self._fall_time  # else it has hung for so long
+        return host.suspected_at <= call.sent_at <= soon and not call.late
 
     def _recover(self, host: Host, cause: str) -> None:
         host.pace = 0.0
@@ -181,14 +278,26 @@
         if not ejected:
             self._enter(host, HostState.EJECTED, cause)
 
-    def _hold(self, host: Host, now: int) -> None:
-        """From now on spaced trials; the first one at random, as all relays may have seen it fail at once."""
-        host.pace = self._part_of_budget(host, now)
+    def _hold(self, host: Host, now: int, pace: float = 0.0) -> None:
+        """From now on spaced trials; the first one at random, as all relays may have seen it fail at once.
+
+        `pace`: the relay's part of the budget, where it is known already.
+        """
+        host.pace = pace or self._part_of_budget(host, now)
         host.route.last_ejected = host
         host.ejected_at, host.recovered_at = now, 0
         spread = self._chance() / 2
         host.last_call_at = max(now, host.route.wait_until) - int(spread * SECOND / host.pace)
 
+    def _spread_trials(self, host: Host, now: int) -> None:
+        """All relays may begin anew with its spacing in this moment: each at another point of it."""
+        host.last_call_at = max(now, host.route.wait_until) - int(self._chance() * SECOND / host.pace)
+
+    def _spread_behind_wait(self, host: Host, now: int) -> None:
+        """The next call goes at a random point of what the limit leaves between two."""
+        route = host.route
+        route.resume_at = max(now, route.wait_until) + int(self._chance() * SECOND / route.limit)
+
     def _part_of_budget(self, host: Host, now: int) -> float:
         """Calls a second while cold: the cold share of own use.
 
@@ -200,7 +309,9 @@
         weight = max(SECOND / share, YOUNG)
         seen = host.destination.taken * SECOND + share * weight
         used = seen / (now - self._born + weight)
-        return self.cold_share * min(used, host.route.listed) / max(1, len(host.destination.hosts))
+        passes = max(share, host.route.limit)  # of what is asked for, where that is more than the rate
+        return self.cold_share * min(used, passes, host.route.listed) / max(1, len(host.destination.hosts))
 
     def _enter(self, host: Host, state: HostState, cause: str) -> None:
+        self.changes += 1
         self.transitions.append(HostTransition(host.id, state, cause, host.pace))
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -203,7 +203,7 @@
 
 def test_overdue_calls_give_up_links_that_run_short():
     rig = Rig(entries=[entry(0, 0, kind=1, rate=50.0)], relays=1, slots=9)
-    rig.relay._hosts[rig.entries[0].host].proven = True  # else no second call goes beside the first one
+    rig.relay._hosts[rig.entries[0].host].well_at = 1  # else no second call goes beside the first one
     for _ in range(3):
         rig.take(0)
         rig.pass_time(100 * MILLISECOND)
