--- a/millweir/control.py
+++ b/millweir/control.py
@@ -9,7 +9,7 @@
 from heapq import heappop, heappush
 from itertools import count, filterfalse, islice, takewhile
 
-from millweir.events import ColdHost, EndReason, HostTransition, RefusalReason
+from millweir.events import ColdHost, EndReason, HostTransition, HostView, RefusalReason
 from millweir.interface import SECOND, Bounds, Change, Effect, Entry, Limits, Outcome, Phase, Port, Settings
 from millweir.order import Curve, Order
 from millweir.records import NEVER, Books, Call, Destination, Due, Host, Key, Load, Packet, Route, Trip
@@ -108,6 +108,11 @@
         """The next change of a host's state that was not picked up yet."""
         return self._slow_start.transitions.popleft() if self._slow_start.transitions else None
 
+    def host_view(self, ident: bytes) -> HostView | None:
+        """What is believed of a host; None for one that no list names or is remembered from."""
+        host = self._hosts.get(ident)
+        return host and HostView(self._slow_start.state(host), host.well_at, host.route.limit)
+
     def list_told(self, now: int, change: Change, entries: tuple[Entry, ...], came_at: int = 0) -> None:
         """News of the list: changes, or the whole of it, in which case what is not in it is gone.
 
@@ -232,9 +237,12 @@
         self.refused_for = next((reason for reason, holds in reasons.items() if holds), RefusalReason.NONE)
         return 0 if self.refused_for is RefusalReason.NONE else ROUND
 
-    def leave(self, leave_at: int) -> None:
-        """Told to stop then: nothing more is taken, and no call goes out that may outlast the process."""
-        self._leave_at, self._slow_start.leaving = leave_at, True
+    def leave(self, leave_at: int, replaced: bool = False) -> None:
+        """Told to stop then: nothing more is taken, and no call goes out that may outlast the process.
+
+        `replaced`: a process beside this one is at work, and has this relay's part of the budgets (rule 4).
+        """
+        self._leave_at, self._slow_start.replaced = leave_at, replaced
 
     def may_write(self, now: int, host: Host, packet: Packet) -> bool:
         """A link came up late: told waits, drains, the end of a known repeat since (rules 6, 3 and 2)."""
--- a/millweir/events.py
+++ b/millweir/events.py
@@ -25,6 +25,15 @@
     pace: float
 
 
+@dataclass(frozen=True, slots=True)
+class HostView:
+    """What is believed of a host, as the log tells it beside each call that went wrong."""
+
+    state: HostState
+    well_at: int  # when a call to it went well last; 0: none in this life
+    limit: float  # calls a second that may be sent there, as learned
+
+
 @dataclass(frozen=True, slots=True)
 class ColdHost:
     """A host in slow start, or whose last call went wrong, in the form that outlasts the process."""
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -11,7 +11,7 @@
 from typing import Generic, TypeVar
 
 from millweir.control import Relay, bounds
-from millweir.events import ColdHost, HostTransition, RefusalReason
+from millweir.events import ColdHost, HostTransition, HostView, RefusalReason
 from millweir.interface import Change, Entry, Limits, Outcome, Settings
 from millweir.records import Call, Host, Packet
 
@@ -160,6 +160,10 @@
         self._now = now
         self._relay.wait_told(now, host, until)
 
+    def host_view(self, host: bytes) -> HostView | None:
+        """What is believed of a host; None where it is not known."""
+        return self._relay.host_view(host)
+
     @property
     def cold_changes(self) -> int:
         """Grows with each change of what `cold_hosts` tells."""
@@ -179,9 +183,9 @@
         listed = [host for host in self._relay._hosts.values() if host in host.destination.hosts]
         return len(listed), sum(1 for host in listed if host.left_at or (host.pace and not host.recovered_at))
 
-    def leave(self, leave_at: int) -> None:
-        """The process is to stop then."""
-        self._relay.leave(leave_at)
+    def leave(self, leave_at: int, replaced: bool = False) -> None:
+        """The process is to stop then; `replaced`: by one that is at work already."""
+        self._relay.leave(leave_at, replaced)
 
     # What the caller asks for.
 
--- a/millweir/lab/outages/fleet.py
+++ b/millweir/lab/outages/fleet.py
@@ -345,7 +345,7 @@
         new = self.processes[number] = Process(self, number)
         owed.update(new.folder.owed)
         old.folder.owed = owed
-        old.relay.leave(self.now + LEAVE_TIME)
+        old.relay.leave(self.now + LEAVE_TIME, replaced=True)
         new.turn()
 
         def over() -> None:
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -382,19 +382,28 @@
         if wait > 0:
             self._waits.told(part.job.host, wait)
         self._counters.add("trips_" + outcome.name.lower())
-        if outcome is not Outcome.FULFILLED:
-            self._log.say(
-                f"attempt-failed id={part.item.id.decode()} peer={part.job.host} "
-                f"outcome={outcome.name.lower()} finished={finished} wait_ms={wait // MILLISECOND}"
-            )
         if finished and part.item.given_up is None:
             self._counters.add("packets_fulfilled" if outcome is Outcome.FULFILLED else "packets_over")
             reply = Reply.SUCCESS if outcome is Outcome.FULFILLED else Reply.ERROR
             self._replies.add(part.item.profile, reply)
             self._over(part.item)
         self._facade.report(clock.steady(), part, outcome, finished, wait, self._read_load(load))
+        if outcome is not Outcome.FULFILLED:
+            self._log_failure(part, outcome, finished, wait)
         self.wake()
 
+    def _log_failure(self, part: Part[OwedMessage], outcome: Outcome, finished: bool, wait: int) -> None:
+        """One attempt that went wrong, and what is believed of its host with that."""
+        view = self._facade.host_view(part.job.host.encode())
+        believed = ""
+        if view:
+            well = (clock.steady() - view.well_at) // MILLISECOND if view.well_at else -1
+            believed = f" state={view.state.value} well_ms_ago={well} limit={view.limit:.3f}"
+        self._log.say(
+            f"attempt-failed id={part.item.id.decode()} peer={part.job.host} "
+            f"outcome={outcome.name.lower()} finished={finished} wait_ms={wait // MILLISECOND}{believed}"
+        )
+
     def _read_load(self, load: bytes) -> tuple[float, ...]:
         if not load or not self._reports:
             return ()
@@ -437,7 +446,7 @@
             return
         self._leaving = True
         self._log.must(f"leaving owed={len(self._journal.owed)}")
-        self._facade.leave(clock.steady() + self._bounds.leave)
+        self._facade.leave(clock.steady() + self._bounds.leave, self._journal.process_beside())
         self.clients.close_idle("leaving")
         self._loop.call_later(self._bounds.linger / 1e9, self._linger_over)
         self._loop.call_later(self._bounds.leave / 1e9, self.stop)
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -152,6 +152,19 @@
         self._locks[slot] = fd
         return True
 
+    def process_beside(self) -> bool:
+        """Whether another process that is alive holds a slot of this folder."""
+        for slot in range(SLOTS):
+            if slot == self.slot or not (self.folder / named(slot, ".lock")).exists():
+                continue
+            try:
+                if not self._lock(slot):
+                    return True
+            except OSError:  # out of descriptors: unknown
+                return True
+            os.close(self._locks.pop(slot))
+        return False
+
     def orphans(self) -> list[OwedMessage]:
         """What a process that ended beside this one still owed, now owed by this one and written here."""
         found: list[OwedMessage] = []
--- a/millweir/slow_start.py
+++ b/millweir/slow_start.py
@@ -63,9 +63,7 @@
         self._warming = (1 - given.cold_from) / (given.cold_from or 1.0) / max(1, given.cold_time)
         self.transitions: deque[HostTransition] = deque(maxlen=TRANSITIONS_KEPT)  # newest last
         self.changes = 0  # of what `cold_hosts` tells
-        self.leaving = (
-            False  # a process beside this one, or the next one, has this relay's part of the budget
-        )
+        self.replaced = False  # a process beside this one has the part of the budget
         self._forgotten: OrderedDict[bytes, ColdHost] = OrderedDict()
 
     def sent(self, host: Host, now: int) -> None:
@@ -205,9 +203,17 @@
         """Suspected or ejected, with no call gone well since."""
         return bool(host.pace) and not host.recovered_at
 
+    def state(self, host: Host) -> HostState:
+        """How it is treated."""
+        if not host.pace:
+            return HostState.HEALTHY
+        if host.recovered_at:
+            return HostState.SLOW_START
+        return HostState.SUSPECTED if host.suspected_at else HostState.EJECTED
+
     def holds_back(self, host: Host) -> bool:
         """The one call that may be out there is out; one that is overdue counts no more."""
-        if self.leaving and host.pace:
+        if self.replaced and host.pace:
             return True
         return (self.on_trial(host) or not host.well_at) and host.out > host.overdue
 
