A call overdue on an idle link to a silent host suspects it

Change: Evidence in place of a flag: outage, unclear, own cause; unclear suspects this host, not its siblings.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -13,7 +13,7 @@
 from millweir.interface import SECOND, Bounds, Change, Effect, Entry, Limits, Outcome, Phase, Port, Settings
 from millweir.order import Curve, Order
 from millweir.records import NEVER, Books, Call, Destination, Due, Host, Key, Load, Packet, Route, Trip
-from millweir.slow_start import EJECT_AT, FAILED_WEIGHT, REFUSED_WEIGHT, SlowStart
+from millweir.slow_start import EJECT_AT, FAILED_WEIGHT, REFUSED_WEIGHT, Evidence, SlowStart
 
 WINDOW = 3 * SECOND // 10  # of the send log; longer where the limit lets less than one call through in it
 MILLISECOND, ROUND = SECOND // 1000, SECOND  # ROUND: without a refusal, before the limit is raised
@@ -181,7 +181,7 @@
         if out:
             self._cordoned.setdefault(ident, since)
         elif self._cordoned.pop(ident, 0) and host and host.ready:
-            self._slow_start.failed(host, EJECT_AT, "uncordoned", self._now, alone=True)  # cold (rule 4)
+            self._slow_start.failed(host, EJECT_AT, "uncordoned", now, evidence=Evidence.OWN_CAUSE)  # rule 4
             self._back_in_use(host)
         if host:
             host.left_at, self._stirred[host.destination] = host.left_at or self._cordoned.get(ident, 0), None
@@ -492,7 +492,8 @@
             if wait > 2 * ROUND or left > MUCH_LEFT and seldom:
                 weight = EJECT_AT if wait > 2 * ROUND else EJECT_AT / 2
                 cause = "long wait or limit left"
-                self._slow_start.siblings_failed(host, weight, cause, self._now, call, alone=True)
+                evidence = Evidence.OWN_CAUSE
+                self._slow_start.siblings_failed(host, weight, cause, self._now, call, evidence)
             self._slow_start.refused(host, self._now, call)
         elif outcome in (Outcome.UNCONNECTED, Outcome.CROWDED):
             host.links = host.out - (call.left > 0)  # without this call, lest a bundle hide a dead host
@@ -512,7 +513,8 @@
             if outcome is Outcome.UNCONNECTED and not host.links and not tables:
                 self._slow_start.siblings_failed(host, EJECT_AT / 2, outcome.value, self._now, call)
             elif outcome is Outcome.UNCONNECTED and not host.links and route.turned > 1:
-                self._slow_start.failed(host, EJECT_AT / 2, outcome.value, self._now, call, alone=True)
+                evidence = Evidence.OWN_CAUSE
+                self._slow_start.failed(host, EJECT_AT / 2, outcome.value, self._now, call, evidence)
         elif outcome is Outcome.CUT_OFF or outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
         elif outcome in (Outcome.FAULT, Outcome.TIMED_OUT, Outcome.RESET, Outcome.SPOILT) and not call.late:
@@ -525,13 +527,15 @@
             packet.lingers, others = lingers, packet.trips[-1].call.host.lingering
             (others.append if lingers else others.remove)(packet)
 
-    def _link_lost(self, call: Call, weight: float, reset: bool, alone: bool = False) -> None:
+    def _link_lost(
+        self, call: Call, weight: float, reset: bool, evidence: Evidence = Evidence.OUTAGE
+    ) -> None:
         """Guards against idle links cut on the way: links idle as long are closed before use, to a host after
         a reset or two losses, to all once three lost calls on links idle longer than any answered of late."""
         host = call.host
         weight = REFUSED_WEIGHT if reset and call.idle >= STALE_LEAST else weight
         cause = "link reset" if reset else "overdue"
-        self._slow_start.failed(host, weight, cause, self._now, call, alone)
+        self._slow_start.failed(host, weight, cause, self._now, call, evidence)
         if call.idle < STALE_LEAST:
             host.lost, host.stale_at = 0, -NEVER if call.fresh else host.stale_at
             return
@@ -653,8 +657,10 @@
             self._overdue[call] = self._stirred[call.host.destination] = None
             self._enter(call.yields_at, call)
             silent = call.host.used_at < call.sent_at  # it answered nothing in all that time
-            alone = not silent or call.idle >= STALE_LEAST  # it is up, or that link was cut on the way
-            self._link_lost(call, EJECT_AT / 2 if silent else FAILED_WEIGHT, reset=False, alone=alone)
+            evidence = Evidence.OUTAGE if silent else Evidence.OWN_CAUSE  # it is up
+            if silent and call.idle >= STALE_LEAST:
+                evidence = Evidence.UNCLEAR  # that link may have been cut on the way
+            self._link_lost(call, EJECT_AT / 2 if silent else FAILED_WEIGHT, reset=False, evidence=evidence)
 
     def _hosts_with_room(self, home: Destination) -> list[Host]:
         """Hosts of the destination that may be sent a call now; notes when the next one may."""
--- a/millweir/slow_start.py
+++ b/millweir/slow_start.py
@@ -22,6 +22,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from enum import Enum
 
 from millweir.events import ColdHost, HostState, HostTransition
 from millweir.interface import SECOND, Settings
@@ -50,6 +51,14 @@
     )
 
 
+class Evidence(Enum):
+    """What a failure says of the host."""
+
+    OUTAGE = "outage"  # it may be down, and its siblings with it
+    UNCLEAR = "unclear"  # it may be down, or this one connection was lost on the way
+    OWN_CAUSE = "own cause"  # there is a cause that is no outage: it counts for the sequential test only
+
+
 class SlowStart:
     """The state of each host, kept in its record; no clock and no chance of its own."""
 
@@ -89,20 +98,22 @@
                 self._recover(host, "warm")
 
     def failed(
-        self, host: Host, weight: float, cause: str, now: int, call: Call | None = None, alone: bool = False
+        self,
+        host: Host,
+        weight: float,
+        cause: str,
+        now: int,
+        call: Call | None = None,
+        evidence: Evidence = Evidence.OUTAGE,
     ) -> None:
-        """A call failed.
-
-        `call`: none for what is known without one, such as by hand; `alone`: this failure has a cause that is
-        no outage, and counts for the sequential test only.
-        """
+        """A call failed; no `call` for what is known without one, such as by hand."""
         host.failed_at = now
         self.changes += 1
         host.failure_score = min(EJECT_AT, host.failure_score + weight)
         sent_at = call.sent_at if call else now
         if host.failure_score >= EJECT_AT or host.pace and not host.suspected_at:
-            self._eject(host, cause, now, NEVER if alone else sent_at)
-        elif weight < FAILED_WEIGHT or alone:
+            self._eject(host, cause, now, sent_at if evidence is Evidence.OUTAGE else NEVER)
+        elif weight < FAILED_WEIGHT or evidence is Evidence.OWN_CAUSE:
             return
         elif host.suspected_at:
             if sent_at >= host.suspected_at:
@@ -127,12 +138,18 @@
             self.failed(host, FAILED_WEIGHT, "refused again and again", now, call)
 
     def siblings_failed(
-        self, host: Host, weight: float, cause: str, now: int, call: Call, alone: bool = False
+        self,
+        host: Host,
+        weight: float,
+        cause: str,
+        now: int,
+        call: Call,
+        evidence: Evidence = Evidence.OUTAGE,
     ) -> None:
         """An outage mostly takes all hosts of a destination."""
         siblings = self._siblings(host)
         for other in siblings if siblings else [host]:
-            self.failed(other, weight, cause, now, call, alone)
+            self.failed(other, weight, cause, now, call, evidence)
 
     def restore(self, host: Host, cold: ColdHost, now: int) -> None:
         """What an earlier life, or a process beside this one, knows of the host.
