--- a/millweir/slow_start.py
+++ b/millweir/slow_start.py
@@ -55,7 +55,7 @@
     """What a failure says of the host."""
 
     OUTAGE = "outage"  # it may be down, and its siblings with it
-    UNCLEAR = "unclear"  # it may be down, or this one connection was lost on the way
+    UNCLEAR = "unclear"  # it may be down, or one connection was lost; an outage if a sibling fails too
     OWN_CAUSE = "own cause"  # there is a cause that is no outage: it counts for the sequential test only
 
 
@@ -109,11 +109,13 @@
         """A call failed; no `call` for what is known without one, such as by hand."""
         host.failed_at = now
         self.changes += 1
+        if evidence is Evidence.UNCLEAR and self._sibling_fails(host):
+            evidence = Evidence.OUTAGE
         host.failure_score = min(EJECT_AT, host.failure_score + weight)
         sent_at = call.sent_at if call else now
         if host.failure_score >= EJECT_AT or host.pace and not host.suspected_at:
             self._eject(host, cause, now, sent_at if evidence is Evidence.OUTAGE else NEVER)
-        elif weight < FAILED_WEIGHT or evidence is Evidence.OWN_CAUSE:
+        elif weight < FAILED_WEIGHT or evidence is not Evidence.OUTAGE:
             return
         elif host.suspected_at:
             if sent_at >= host.suspected_at:
@@ -258,6 +260,10 @@
         """All listed hosts that share its limit, itself among them."""
         return [other for other in host.destination.hosts if other.route is host.route]
 
+    def _sibling_fails(self, host: Host) -> bool:
+        """The last call to another host that shares its limit failed: two lost links are an outage."""
+        return any(other.failed_at > other.well_at for other in self._siblings(host) if other is not host)
+
     def _may_stand_alone(self, host: Host, weight: float, now: int) -> bool:
         """A first failure of which one more call may tell at once whether it stood alone.
 
