--- a/millweir/control.py
+++ b/millweir/control.py
@@ -216,6 +216,11 @@
         self._stirred[host.destination] = None
         return True
 
+    def earlier_failure(self, now: int, destination: int, failed_at: int) -> None:
+        """An attempt of an earlier life never ran there, and no more is known: unknown is cold (rule 4)."""
+        for host in self._destinations[destination].hosts:
+            self.cold_told(now, ColdHost(host.id, failed_at, pace=0.0, recovered_at=0, limit=0.0))
+
     def rest(self, failures: int) -> int:
         """Until discovery is asked: at random, as all fail as one; its news counts as told 6 s after that."""
         spread = self._random() if failures < 2 else 1 - self._random() / 2  # more evenly after the first
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -178,6 +178,11 @@
         self._now = now
         return self._relay.cold_told(now, cold)
 
+    def earlier_failure(self, now: int, destination: int, failed_at: int) -> None:
+        """An attempt of an earlier life never ran there, and nothing more is known of that."""
+        self._now = now
+        self._relay.earlier_failure(now, destination, failed_at)
+
     def targets(self) -> tuple[int, int]:
         """Hosts in the list, and of those the ones avoided now: out by hand, draining, or set aside."""
         listed = [host for host in self._relay._hosts.values() if host in host.destination.hosts]
--- a/millweir/net/cold_hosts.py
+++ b/millweir/net/cold_hosts.py
@@ -11,7 +11,7 @@
 import json
 import os
 from collections.abc import Callable, Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -30,8 +30,16 @@
     """The file is not one of cold hosts; the text says why."""
 
 
-def decode_cold_hosts(raw: bytes, boot: str, now: int) -> list[ColdHost]:
-    """The hosts in such a file; Unreadable where it is none.
+@dataclass(frozen=True, slots=True)
+class ColdHostsFile:
+    """What such a file holds."""
+
+    written_at: int  # steady time; 0 where it is of another boot
+    hosts: list[ColdHost]
+
+
+def decode_cold_hosts(raw: bytes, boot: str, now: int) -> ColdHostsFile:
+    """Such a file; Unreadable where it is none.
 
     Its times are those of the steady clock, which mean nothing in another boot: what is known of a host then
     counts as seen now, and its slow start begins anew.
@@ -39,12 +47,13 @@
     try:
         given = json.loads(raw)
         same_boot = bool(boot) and given["boot"] == boot
+        written_at = int(given["written_at"])
         hosts = [_decode_host(name, *row) for name, row in given["hosts"].items()]
     except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as fault:
         raise Unreadable(repr(fault)) from fault
     if same_boot:
-        return hosts
-    return [replace(host, seen_at=now, recovered_at=0) for host in hosts]
+        return ColdHostsFile(written_at, hosts)
+    return ColdHostsFile(0, [replace(host, seen_at=now, recovered_at=0) for host in hosts])
 
 
 def _decode_host(name: str, seen_at: int, pace: float, recovered_at: int, limit: float) -> ColdHost:
@@ -53,10 +62,11 @@
     return ColdHost(name.encode(), int(seen_at), float(pace), int(recovered_at), float(limit))
 
 
-def encode_cold_hosts(hosts: Iterable[ColdHost], boot: str) -> bytes:
+def encode_cold_hosts(hosts: Iterable[ColdHost], boot: str, now: int) -> bytes:
     """The content of such a file."""
     rows = {host.host.decode(): (host.seen_at, host.pace, host.recovered_at, host.limit) for host in hosts}
-    return json.dumps({"boot": boot, "hosts": rows}, separators=(",", ":")).encode()
+    content = {"boot": boot, "written_at": now, "hosts": rows}
+    return json.dumps(content, separators=(",", ":")).encode()
 
 
 class KnownColdHosts:
@@ -74,6 +84,7 @@
         "_unlisted",
         "_wake",
         "_written",
+        "_written_at",
     )
 
     def __init__(
@@ -91,6 +102,7 @@
         self._wake, self._log = wake, log
         self._boot = clock.boot_id().hex()
         self._unlisted: dict[str, ColdHost] = {}  # read, of hosts that no list has named yet
+        self._written_at = 0  # of the file, when it was read last
         self._read_at = 0  # the file's time of change when it was read or written last
         self._written = facade.cold_changes
         self._timer: asyncio.TimerHandle | None = None
@@ -102,12 +114,13 @@
             if changed_at == self._read_at:
                 return
             self._read_at = changed_at
-            hosts = decode_cold_hosts(self._path.read_bytes(), self._boot, clock.steady())
+            content = decode_cold_hosts(self._path.read_bytes(), self._boot, clock.steady())
         except FileNotFoundError:
             return
         except (OSError, Unreadable) as fault:
             self._log.must(f"cold-hosts-unreadable {str(fault)[:200]}")
             return
+        hosts, self._written_at = content.hosts, content.written_at
         self._log.say(f"cold-hosts-read hosts={len(hosts)}")
         self._unlisted |= {host.host.decode(): host for host in hosts[-HOSTS_MOST:]}
         self.bind(list(self._unlisted))
@@ -126,6 +139,13 @@
             if cold and self._facade.cold_told(now, cold):
                 del self._unlisted[name]
 
+    def missed(self, failed_at: int) -> bool:
+        """Whether a call that failed then may have failed after the last record here.
+
+        Guards a kill in the moment of a failure, and a folder that took the journal's record alone.
+        """
+        return failed_at > self._written_at
+
     def note_changes(self) -> None:
         """After each turn: what has changed is written soon."""
         if self._facade.cold_changes != self._written:
@@ -146,7 +166,7 @@
         changes = self._facade.cold_changes
         hosts = [*self._unlisted.values(), *self._facade.cold_hosts()]
         try:
-            self._fresh.write_bytes(encode_cold_hosts(hosts, self._boot))
+            self._fresh.write_bytes(encode_cold_hosts(hosts, self._boot, clock.steady()))
             os.replace(self._fresh, self._path)
             self._read_at = self._path.stat().st_mtime_ns
         except OSError as fault:
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -234,6 +234,9 @@
             trips,
             message.restored,
         )
+        failed_at = max((at for at, void in trips if void), default=0) if message.restored else 0
+        if failed_at and self._cold_hosts.missed(failed_at):
+            self._facade.earlier_failure(clock.steady(), message.destination, failed_at)
 
     def wake(self) -> None:
         """Have a turn once all that has come in by now is read."""
