--- a/millweir/control.py
+++ b/millweir/control.py
@@ -523,8 +523,10 @@
         elif outcome is Outcome.CUT_OFF or outcome is Outcome.RESET and latency < host.latency:
             self._link_lost(call, FAILED_WEIGHT, reset=True)
         elif outcome in (Outcome.FAULT, Outcome.TIMED_OUT, Outcome.RESET, Outcome.SPOILT) and not call.late:
-            weight = REFUSED_WEIGHT if outcome is Outcome.SPOILT else FAILED_WEIGHT
-            self._slow_start.failed(host, weight, outcome.value, self._now, call)
+            spoilt = outcome is Outcome.SPOILT  # it answered
+            weight = REFUSED_WEIGHT if spoilt else FAILED_WEIGHT
+            evidence = Evidence.OWN_CAUSE if spoilt else Evidence.OUTAGE
+            self._slow_start.failed(host, weight, outcome.value, self._now, call, evidence)
 
     def _linger(self, packet: Packet, lingers: bool) -> None:
         """Guards against two trips at once: one given up here runs on there till a later one is done."""
--- a/millweir/slow_start.py
+++ b/millweir/slow_start.py
@@ -107,8 +107,9 @@
         evidence: Evidence = Evidence.OUTAGE,
     ) -> None:
         """A call failed; no `call` for what is known without one, such as by hand."""
-        host.failed_at = now
-        self.changes += 1
+        if evidence is not Evidence.OWN_CAUSE:
+            host.failed_at = now
+            self.changes += 1
         if evidence is Evidence.UNCLEAR and self._sibling_fails(host):
             evidence = Evidence.OUTAGE
         host.failure_score = min(EJECT_AT, host.failure_score + weight)
