--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import os
 import signal
@@ -22,8 +23,12 @@
 from millweir.net.log import Log
 
 if TYPE_CHECKING:
+    from millweir.interface import Bounds
     from millweir.operator.start import Operator
 
+FOR_A_WHILE = frozenset((errno.ENOSPC, errno.EIO, errno.EDQUOT, errno.EFBIG, errno.EMFILE, errno.ENFILE))
+OPEN_AGAIN_AFTER = 0.1  # seconds
+
 
 def reload(config: Config, desk: Desk, log: Log) -> None:
     """Read the configuration once more; one that can't be used changes nothing."""
@@ -43,6 +48,21 @@
     desk.reload(fresh)
 
 
+async def open_journal(config: Config, bounds: Bounds, log: Log) -> Journal:
+    """The journal of the state folder; where that takes no writes for a while, it is tried again.
+
+    Guards rule 1: a start that ends leaves what is owed without its ends, and nobody may start it again.
+    """
+    while True:
+        try:
+            return Journal(config.state, bounds.journal_file, bounds.journal_live, log.say)
+        except OSError as fault:
+            if fault.errno not in FOR_A_WHILE:
+                raise
+            log.say(f"journal-failed start {fault}")
+            await asyncio.sleep(OPEN_AGAIN_AFTER)
+
+
 async def serve(config: Config, operator: Operator | None = None) -> None:
     """Run until told to stop."""
     loop, counters = asyncio.get_running_loop(), Counters()
@@ -52,7 +72,7 @@
     loop.set_exception_handler(
         lambda _, what: log.say(f"fault {what.get('message')} {what.get('exception')!r}")
     )
-    journal = Journal(config.state, bounds.journal_file, bounds.journal_live, log.say)
+    journal = await open_journal(config, bounds, log)
     if journal.torn:
         log.must(f"journal-torn dropped_bytes={journal.torn}")
     desk = Desk(loop, config, facade, journal, log, counters)
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -130,11 +130,19 @@
         self._reserve = -1  # a descriptor that is lent to the next file
         self._set_back: int | None = None  # of the file being read: nanoseconds, None where that is unknown
         self._locks: dict[int, int] = {}
+        self._file = -1
+        try:
+            self._open()
+        except OSError:
+            self.close()
+            raise
+
+    def _open(self) -> None:
         # Guards rule 2 in an upgrade: a process beside this one owns its own file, locked while it lives.
         self.slot = next((slot for slot in range(SLOTS) if self._lock(slot)), SLOTS - 1)
-        if (folder / named(self.slot)).exists():
-            self._read((folder / named(self.slot)).read_bytes())
-        self._file = -1
+        path = self.folder / named(self.slot)
+        if path.exists():
+            self._read(path.read_bytes())
         if not self._resume():
             self._compact()
         self.orphans()
--- a/tests/net/test_restored.py
+++ b/tests/net/test_restored.py
@@ -1,6 +1,7 @@
 """What a start finds in its folder, against the first list, foreign files and a kill in the midst of it."""
 
 import json
+import resource
 import threading
 import time
 from dataclasses import replace
@@ -313,3 +314,19 @@
     assert program.hand_in("late", left="600m") == 202
     until(lambda: platform.noticed("late"))
     assert not [call for call in platform.calls[before:] if call.head["host"] == "h5"]
+
+
+def test_a_start_waits_until_a_folder_that_is_full_takes_writes_again(tmp_path):
+    # Soak seed 214 of issue 53: a relay started again while its disk took nothing ended without a line.
+    program = Program(Platform(), tmp_path)
+    try:
+        program.end()
+        lifted = threading.Timer(
+            1.0, lambda: resource.prlimit(program.process.pid, resource.RLIMIT_FSIZE, (-1, -1))
+        )
+        lifted.start()
+        program.start(file_most=1)
+        lifted.join()
+        assert program.hand_in("later") == 202
+    finally:
+        program.end()
