A deadline in the folder is a span: a wall clock set between two lives moves it along

Change: records read in the same boot move by as much as the wall clock did against the steady one, by each clock record.

--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -129,6 +129,7 @@
         self._live = self._size = self._last = 0
         self._reserve = -1  # a descriptor that is lent to the next file
         self._set_back: int | None = None  # of the file being read: nanoseconds, None where that is unknown
+        self._moved = 0  # of the wall clock since the records being read were written, either way
         self._locks: dict[int, int] = {}
         self._file = -1
         try:
@@ -329,7 +330,7 @@
         self._file, self._size = fresh, len(raw)
 
     def _read(self, raw: bytes) -> None:
-        at, self._set_back = 0, None
+        at, self._set_back, self._moved = 0, None, 0
         while at + FRAME.size <= len(raw):
             size, check = FRAME.unpack_from(raw, at)
             body = raw[at + FRAME.size : at + FRAME.size + size]
@@ -348,13 +349,16 @@
                 for length in lengths:
                     texts.append(body[at : at + length])
                     at += length
-                message = OwedMessage(*texts, destination, hard_stop, body[at:])
+                # Guards rule 1 where the wall clock was set between two lives: a deadline is a span of time.
+                message = OwedMessage(*texts, destination, hard_stop + self._moved, body[at:])
                 message.number = self._last = number
                 self.owed[number] = message
                 return True
             if body[0] == CLOCK_KIND:
                 _, _, ahead, boot = CLOCK.unpack(body)
-                self._set_back = _set_back_since(ahead) if boot == clock.boot_id() else None
+                same_boot = boot == clock.boot_id()
+                self._set_back = _set_back_since(ahead) if same_boot else None
+                self._moved = clock.wall_ahead() - ahead if same_boot else 0
                 if self._set_back is None or self._set_back >= MILLISECOND:
                     self._say(f"clock-set-back ns={'unknown' if self._set_back is None else self._set_back}")
                 return True
--- a/tests/net/test_restored.py
+++ b/tests/net/test_restored.py
@@ -12,6 +12,7 @@
 
 from millweir.control import bounds
 from millweir.interface import Limits
+from millweir.net import clock
 from millweir.net.journal import FILE, Journal, OwedMessage, named
 from millweir.settings import read_settings
 from net.inside import play
@@ -330,3 +331,17 @@
         assert program.hand_in("later") == 202
     finally:
         program.end()
+
+
+@pytest.mark.parametrize("hours", [1, -1])
+def test_a_deadline_in_the_folder_is_a_span_whatever_the_wall_clock_was_set_to(hours, tmp_path, monkeypatch):
+    # Soak seed 313 (crowd) of issue 53: a relay restarted with its clock an hour off ended nothing in time.
+    owed(tmp_path, (b"p", b"again", 0))
+    began = time.time_ns()
+    moved = hours * 3600 * 10**9
+    monkeypatch.setattr(clock, "_WALL_AHEAD", clock.wall_ahead() + moved)
+    for _ in range(2):  # of two restarts the second finds both clocks in one file
+        journal = Journal(tmp_path, 500_000, 400_000, print)
+        (message,) = journal.owed.values()
+        journal.close()
+        assert 14 * 10**9 < message.hard_stop - moved - began <= 15 * 10**9
