--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -290,13 +290,13 @@
                 relay.killed = True  # whoever waits for it to be ready waits no longer
                 relay.signal(signal.SIGTERM)
                 await asyncio.sleep(KILL_AFTER)
-                relay.kill()
+                self._kill(relay)
             elif fault.kind == "kill-twice":
                 relay.kill()
                 await asyncio.sleep(RESTART_AFTER)
                 relay.spawn()
                 await asyncio.sleep(self.chance.uniform(0.0, RESTART_AFTER))
-                relay.kill()
+                self._kill(relay)
             else:
                 relay.kill(fault.kind == "lose")
             self.truth.died(time.monotonic(), relay.name, fault.kind)
@@ -304,6 +304,11 @@
             if fault.span and not relay.alive:
                 await self.back(relay, fault.wait / 1e9 if fault.kind == "slow" else 0.0)
 
+    def _kill(self, relay: Relay) -> None:
+        """Kill what runs by now, and say so: another fault may have started it since this one began."""
+        self.history.add(Struck(steady(), "kill", relay.name))
+        relay.kill()
+
     async def back(self, relay: Relay, held: float = 0.0) -> None:
         """Start it again, with the folder that it has."""
         self.truth.returned(time.monotonic(), relay.name)
