--- a/millweir/lab/checker.py
+++ b/millweir/lab/checker.py
@@ -16,6 +16,7 @@
 from millweir.lab.history import (
     Answered,
     Called,
+    Ended,
     Fallen,
     History,
     Listed,
@@ -23,6 +24,7 @@
     Offered,
     Ready,
     Returned,
+    Started,
     Struck,
 )
 
@@ -236,19 +238,31 @@
 def _check_retry_after(history: History, terms: Terms, verdict: Verdict) -> None:
     """Rule 6: a relay sends no call to a host within its retry-after wait, except calls already in flight.
 
-    A restart ends the waits of that relay.  The caller is taken to be the relay that accepted the message; if
-    relays take over messages of others, the history has to record the caller itself.
+    A wait binds the process that made the call which it answers: a restart ends the waits of that relay, and
+    a response to a process that has ended is read by nobody.  The caller is taken to be the relay that
+    accepted the message; if relays take over messages of others, the history has to record the caller itself.
     """
-    hosts = {call.call: call.host for call in history.select(Called)}
+    made: dict[int, Called] = {}
     relays = {row.id: row.relay for row in history.select(Offered)}
+    started: dict[str, int] = {}
+    down: set[str] = set()
     until: dict[tuple[str, str], tuple[int, int]] = {}
     for row in history.rows:
-        if isinstance(row, Returned) and row.wait:
-            key = hosts[row.call], relays.get(row.id, "")
-            until[key] = max(until.get(key, (0, 0)), (row.at + row.wait, row.at + terms.wait_grace))
+        if isinstance(row, Started):
+            started[row.relay] = row.at
+            down.discard(row.relay)
         elif isinstance(row, Struck) and row.kind in PROCESS_ENDING_FAULTS:
             until = {key: wait for key, wait in until.items() if key[1] != row.who}
+        elif isinstance(row, Ended):
+            down.add(row.relay)
+            until = {key: wait for key, wait in until.items() if key[1] != row.relay}
+        elif isinstance(row, Returned) and row.wait:
+            call, relay = made[row.call], relays.get(row.id, "")
+            if relay not in down and call.at >= started.get(relay, 0):
+                key = call.host, relay
+                until[key] = max(until.get(key, (0, 0)), (row.at + row.wait, row.at + terms.wait_grace))
         elif isinstance(row, Called):
+            made[row.call] = row
             wait_ends, binding_from = until.get((row.host, relays.get(row.id, "")), (0, 0))
             if binding_from < row.at < wait_ends - MILLISECOND:
                 verdict.broken[6].append(f"{row.id} went to {row.host} within its wait")
--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from millweir.lab.checker import Terms, Verdict, check_rules
-from millweir.lab.history import History, Ready, Struck, monotonic_ns
+from millweir.lab.history import Ended, History, Ready, Started, Struck, monotonic_ns
 from millweir.lab.processes import Address, Relay, WaitTimeout
 from millweir.lab.scenario import HOST, Fault, Scenario, list_faults
 from millweir.lab.standins import SETTINGS, Clients, Host, Platform
@@ -171,7 +171,7 @@
                 lambda name=name: self.build_config(name),
                 self.build_operator_file(name) if self.scenario.members else "",
             )
-            relay.spawn()
+            self._spawn(relay)
         await asyncio.gather(*(relay.ready() for relay in self.relays.values()))
         for name in self.relays:
             self.history.add(Ready(monotonic_ns(), name))
@@ -297,19 +297,20 @@
         elif relay.alive:
             if fault.kind == "term":
                 await relay.terminate()
+                self.history.add(Ended(monotonic_ns(), relay.name))
             elif fault.kind == "roll":
                 relay.killed = True  # ends a wait for it to be ready
                 relay.signal(signal.SIGTERM)
                 await asyncio.sleep(KILL_AFTER_S)
                 self._record_and_kill(relay)
             elif fault.kind == "kill-twice":
-                relay.kill()
+                self._kill(relay)
                 await asyncio.sleep(RESTART_AFTER_S)
-                relay.spawn()
+                self._spawn(relay)
                 await asyncio.sleep(self.rng.uniform(0.0, RESTART_AFTER_S))
                 self._record_and_kill(relay)
             else:
-                relay.kill(fault.kind == "lose")
+                self._kill(relay, fault.kind == "lose")
             self.injected_faults.record_death(time.monotonic(), relay.name, fault.kind)
             await asyncio.sleep(seconds)
             if fault.span and not relay.alive:
@@ -318,12 +319,21 @@
     def _record_and_kill(self, relay: Relay) -> None:
         """Kill the current process and record it: another fault may have restarted it meanwhile."""
         self.history.add(Struck(monotonic_ns(), "kill", relay.name))
-        relay.kill()
+        self._kill(relay)
+
+    def _kill(self, relay: Relay, lose_folder: bool = False) -> None:
+        """Kill a process, and record that it has ended only once it has."""
+        relay.kill(lose_folder)
+        self.history.add(Ended(monotonic_ns(), relay.name))
+
+    def _spawn(self, relay: Relay, held: bool = False) -> None:
+        self.history.add(Started(monotonic_ns(), relay.name))
+        relay.spawn(held)
 
     async def restart(self, relay: Relay, held: float = 0.0) -> None:
         """Start it again with its existing folder."""
         self.injected_faults.record_restart(time.monotonic(), relay.name)
-        relay.spawn(held > 0)
+        self._spawn(relay, held > 0)
         if held:
             await asyncio.sleep(held)
             relay.resume()
--- a/millweir/lab/history.py
+++ b/millweir/lab/history.py
@@ -88,7 +88,19 @@
     relay: str
 
 
-KINDS = Offered | Answered | Called | Returned | Noticed | Listed | Fallen | Struck | Ready
+class Ended(Event, frozen=True, tag="ended"):
+    """A relay's process has ended: it reads nothing any more."""
+
+    relay: str
+
+
+class Started(Event, frozen=True, tag="started"):
+    """A new process of a relay was started; its predecessor had ended."""
+
+    relay: str
+
+
+KINDS = Offered | Answered | Called | Returned | Noticed | Listed | Fallen | Struck | Ready | Ended | Started
 
 
 class History:
--- a/tests/lab/test_checker.py
+++ b/tests/lab/test_checker.py
@@ -10,6 +10,7 @@
 from millweir.lab.history import (
     Answered,
     Called,
+    Ended,
     Fallen,
     History,
     Listed,
@@ -17,6 +18,7 @@
     Offered,
     Ready,
     Returned,
+    Started,
     Struck,
 )
 from millweir.lab.standins import Host
@@ -76,6 +78,23 @@
         call("a", 3 * S, 3),
     ),
     "after a retry-after": (accepted_message(), call(status=429, wait=S), call(at=3 * S, number=2)),
+    "a response to a killed process": (
+        accepted_message(),
+        Struck(S, "kill", "r1"),
+        Ended(S + S // 10, "r1"),
+        call(at=S + S // 5, status=503, wait=3 * S),
+        Started(S + S // 2, "r1"),
+        call(at=2 * S, number=2),
+    ),
+    "a late response to a call of a killed process": (
+        accepted_message(),
+        Called(S, "p", "h", 1),
+        Struck(S + 1, "kill", "r1"),
+        Ended(S + 2, "r1"),
+        Started(S + S // 2, "r1"),
+        Returned(S + S // 2 + 1, "p", 1, 503, False, 3 * S),
+        call(at=2 * S, number=2),
+    ),
     "a restart delays the outcome": (
         accepted_message(),
         Struck(S, "kill", "r1"),
@@ -122,6 +141,28 @@
             call("b", S + S // 2, 2),
         ),
     ),
+    "within a retry-after received after the fault was recorded and before the kill": (
+        6,
+        (
+            accepted_message(),
+            Struck(S // 2, "kill", "r1"),
+            call(status=503, wait=3 * S),
+            call(at=2 * S, number=2),
+            Ended(3 * S, "r1"),
+        ),
+    ),
+    "within a retry-after received before the new process is ready": (
+        6,
+        (
+            accepted_message(),
+            Struck(S, "kill", "r1"),
+            Ended(S + 1, "r1"),
+            Started(S + S // 2, "r1"),
+            call(at=2 * S, status=503, wait=3 * S),
+            Ready(2 * S + S // 2, "r1"),
+            call(at=3 * S, number=2),
+        ),
+    ),
     "within a retry-after": (
         6,
         (accepted_message(), call(status=429, wait=S), call(at=S + S // 2, number=2)),
