--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from millweir.lab.checker import Terms, Verdict, check_rules
+from millweir.lab.destination import Destination, RecoveryTerms
 from millweir.lab.history import Ended, History, Ready, Started, Struck, monotonic_ns
 from millweir.lab.processes import Address, Relay, WaitTimeout
 from millweir.lab.scenario import HOST, Fault, Scenario, list_faults
@@ -64,11 +65,12 @@
         self.history, self.injected_faults = History(), FaultRecord(scenario.names)
         self.platform = Platform((self.host, 7900), self.history)
         calls = [0]
+        limits = self._build_destinations()
         self.hosts = [
             Host(
                 f"h{n}",
                 n % scenario.groups,
-                scenario.host_rate,
+                limits[n % len(limits)],
                 (self.host, 8000 + n),
                 self.history,
                 random.Random(self.rng.getrandbits(60)),
@@ -93,6 +95,12 @@
     async def __aexit__(self, *_: object) -> None:
         await self._close()
 
+    def _build_destinations(self) -> list[Destination]:
+        """One rate limit for each destination, or for each host."""
+        terms = RecoveryTerms.from_settings(SETTINGS["obligations"])
+        count = self.scenario.groups if self.scenario.shared_limit else self.scenario.hosts
+        return [Destination(self.scenario.host_rate, terms, monotonic_ns()) for _ in range(count)]
+
     # Addresses.
 
     def members_address(self, name: str) -> Address:
--- a/millweir/lab/scenario.py
+++ b/millweir/lab/scenario.py
@@ -65,6 +65,7 @@
     members: bool = True  # relays run the members component; without it they run as the platform starts them
     groups: int = 2  # destinations, over which the hosts are distributed
     host_rate: float = 40.0  # calls per second that a host accepts when not recovering
+    shared_limit: bool = False  # the hosts of a destination share that rate, and recover as one
     protocols: dict[str, int] = {}  # by relay: highest version of the members' protocol
     fault: tuple[Fault, ...] = ()
     compose: tuple[str, ...] = ()  # fault kinds drawn from the seed, in addition to `fault`
--- a/millweir/lab/standins.py
+++ b/millweir/lab/standins.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from millweir.lab.destination import Destination
 from millweir.lab.history import (
     Answered,
     Called,
@@ -137,30 +138,27 @@
 
 
 class Host:
-    """One host of a destination, with a service time, a rate limit and injected faults.
+    """One host of a destination, with a service time and injected faults.
 
-    After an outage it is recovering: it can serve a growing share of its rate, and fails again (rule 4) when
-    it gets more than N + 3 sqrt(N) + 3 calls in the settings' `fall-us`, N being what they allow it then.
+    Its rate limit and its recovery after an outage are those of its `destination`, which it may share.
     """
 
     def __init__(
         self,
         name: str,
         group: int,
-        rate: float,
+        destination: Destination,
         address: Address,
         history: History,
         rng: random.Random,
         calls: list[int],
     ) -> None:
-        self.name, self.group, self.rate, self.address = name, group, rate, address
+        self.name, self.group, self.destination, self.address = name, group, destination, address
         self._history, self._rng, self._calls = history, rng, calls
-        self._tokens, self._tokens_at = rate, monotonic_ns()
+        destination.add_host(name)
         self.hung = self.mute = self.short = False
         self.shut_until = 0  # refuses every call until then; 0 when not shut
         self.retry_after_share = 1.0  # share of these refusals that carry a retry-after
-        self._recovering_since = 0  # start of the recovery; 0 when not recovering
-        self._recent: deque[int] = deque()  # times of the calls within the settings' `fall-us`
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._outages = 0
@@ -174,6 +172,7 @@
     def go_down(self) -> None:
         """Simulate the end of the host's process: reset connections and refuse new ones."""
         self._outages += 1
+        self.destination.begin_outage(self.name)
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
@@ -183,50 +182,26 @@
         self._outages -= 1
         if self._outages:
             return
-        self._recovering_since = monotonic_ns()
-        self._recent.clear()
+        self.destination.end_outage(self.name, monotonic_ns())
         await self.open()
 
     def set_hung(self, on: bool) -> None:
         """Accept calls and answer none, or become a recovering host."""
         self.hung = on
-        self._recovering_since = 0 if on else monotonic_ns()
-        self._recent.clear()
+        if on:
+            self.destination.begin_outage(self.name)
+        else:
+            self.destination.end_outage(self.name, monotonic_ns())
 
     def refuse_calls_for(self, span: int, retry_after_share: float) -> None:
         """Refuse calls for `span`; a share of the refusals carries the remaining time as a retry-after."""
-        self.shut_until, self.retry_after_share, self._recovering_since = (
-            monotonic_ns() + span,
-            retry_after_share,
-            0,
-        )
+        self.shut_until, self.retry_after_share = monotonic_ns() + span, retry_after_share
+        self.destination.begin_outage(self.name)
 
     def accept_calls_again(self) -> None:
         """Accept calls again, as a recovering host."""
-        self.shut_until, self._recovering_since = 0, monotonic_ns()
-        self._recent.clear()
-
-    def _compute_capacity_share(self, now: int) -> float:
-        """Return the share of its rate that it can serve now."""
-        if not self._recovering_since:
-            return 1.0
-        rules = SETTINGS["obligations"]
-        since = (now - self._recovering_since) / (rules["cold-us"] * 1000)
-        share = rules["cold-from"] + (1 - rules["cold-from"]) * since
-        if share >= 1:
-            self._recovering_since = 0
-        return min(share, 1.0)
-
-    def _check_overload(self, now: int, capacity_share: float) -> None:
-        rules = SETTINGS["obligations"]
-        span = rules["fall-us"] * 1000
-        self._recent.append(now)
-        while self._recent[0] < now - span:
-            self._recent.popleft()
-        allowed = self.rate * capacity_share * rules["fall-multiple"] * span / 1e9
-        if len(self._recent) > allowed + 3 * allowed**0.5 + 3:
-            self._history.add(Fallen(now, self.name, len(self._recent)))
-            self._recent.clear()
+        self.shut_until = 0
+        self.destination.end_outage(self.name, monotonic_ns())
 
     async def _handle_call(self, line: str, fields: dict[str, str], body: bytes) -> bytes | None:
         in_batch = " /hook/batch " in line
@@ -237,19 +212,14 @@
         for ident, call in zip(idents, calls, strict=True):
             self._history.add(Called(now, ident, self.name, call, calls[0] if in_batch else 0))
         status, wait, ran = 200, 0.0, True
-        capacity_share = self._compute_capacity_share(now)
-        if self._recovering_since:
-            self._check_overload(now, capacity_share)
-        rate = self.rate * capacity_share
-        self._tokens = min(rate, self._tokens + (now - self._tokens_at) / 1e9 * rate)
-        self._tokens_at = now
+        if overload := self.destination.record_call(now):
+            self._history.add(Fallen(now, self.name, overload))
         if self.shut_until:
             has_retry_after = self._rng.random() < self.retry_after_share
             status, wait, ran = 503, max(self.shut_until - now, 0) / SECOND * has_retry_after, False
-        elif self._tokens < 1:
+        elif not self.destination.take_token(now):
             status, wait, ran = 429, round(self._rng.uniform(0.2, 0.8), 2), False
         else:
-            self._tokens -= 1
             try:
                 await asyncio.sleep(min(self._rng.lognormvariate(-3.5, 0.6), 2.0))
                 while self.hung:
@@ -313,7 +283,7 @@
             "type": "plain",
             "group": host.group,
             "status": status,
-            "weight": host.rate,
+            "weight": host.destination.rate,
             "since_ms": 0,
             "index": self._index,
         }
--- a/tests/lab/test_checker.py
+++ b/tests/lab/test_checker.py
@@ -7,6 +7,7 @@
 
 from millweir.lab.checker import check_rules
 from millweir.lab.cluster import Rig
+from millweir.lab.destination import Destination, RecoveryTerms
 from millweir.lab.history import (
     Answered,
     Called,
@@ -21,7 +22,7 @@
     Started,
     Struck,
 )
-from millweir.lab.standins import Host
+from millweir.lab.standins import SETTINGS, Host
 
 S = 1_000_000_000
 TERMS = Rig.build_terms()
@@ -192,7 +193,8 @@
 
     async def run(calls):
         history = History()
-        host = Host("h0", 0, 20.0, ("127.0.0.1", 1), history, random.Random(1), [0])
+        destination = Destination(20.0, RecoveryTerms.from_settings(SETTINGS["obligations"]), 0)
+        host = Host("h0", 0, destination, ("127.0.0.1", 1), history, random.Random(1), [0])
         host.set_hung(True)
         host.set_hung(False)
         for number in range(calls):
@@ -202,3 +204,17 @@
         return list(history.select(Fallen))
 
     assert not asyncio.run(run(15)) and asyncio.run(run(60))
+
+
+def test_hosts_that_share_a_limit_recover_as_one():
+    destination = Destination(20.0, RecoveryTerms.from_settings(SETTINGS["obligations"]), 0)
+    for host in ("h0", "h1"):
+        destination.add_host(host)
+    destination.begin_outage("h0")
+    destination.end_outage("h0", S)
+    assert not any(destination.record_call(S + at) for at in range(60))
+    for host in ("h0", "h1"):
+        destination.begin_outage(host)
+    for host in ("h0", "h1"):
+        destination.end_outage(host, 2 * S)
+    assert any(destination.record_call(2 * S + at) for at in range(60))
--- a/tests/lab/test_slow_start.py
+++ b/tests/lab/test_slow_start.py
@@ -59,6 +59,32 @@
     ),
 )
 
+SHARED_WAIT = Scenario(
+    relays=48,
+    hosts=96,
+    groups=16,
+    host_rate=4.0,
+    shared_limit=True,
+    rate=2.0 * 4.0 * 16,
+    members=False,
+    span=Duration(int(21.5 * S)),
+    fault=(
+        Fault(
+            at=Duration(int(3.5 * S)),
+            span=Duration(9 * S),
+            kind="shut",
+            share=1.0,
+            who=tuple(f"h{number}" for number in range(96)),
+        ),
+        Fault(
+            at=Duration(7 * S),
+            span=Duration(int(0.65 * S)),
+            kind="kill",
+            who=tuple(f"r{number}" for number in range(1, 49)),
+        ),
+    ),
+)
+
 
 def run_scenario(scenario, seed, folder):
     async def run():
@@ -80,3 +106,10 @@
     played = run_scenario(SHUT, 1, tmp_path / "rig")
     assert played.verdict.counts["taken"] > 300 and not played.failures, played
     assert not played.verdict.broken, played.verdict
+
+
+def test_hosts_that_share_a_retry_after_get_no_burst_at_its_end_after_a_restart(tmp_path):
+    """Issue 61: the trial calls of all hosts but the one named in the retry-after were overdue by its end."""
+    played = run_scenario(SHARED_WAIT, 7, tmp_path / "rig")
+    assert played.verdict.counts["taken"] > 1500 and not played.failures, played
+    assert not played.verdict.broken, played.verdict
