--- a/millweir/control.py
+++ b/millweir/control.py
@@ -36,7 +36,15 @@
     TimerSubject,
     Trip,
 )
-from millweir.slow_start import EJECTION_LOG_ODDS, FAILURE_LOG_ODDS, REFUSAL_LOG_ODDS, Evidence, SlowStart
+from millweir.recovery_schedule import is_on_trial
+from millweir.slow_start import (
+    EJECTION_LOG_ODDS,
+    FAILURE_LOG_ODDS,
+    LONG_RETRY_AFTER_NS,
+    REFUSAL_LOG_ODDS,
+    Evidence,
+    SlowStart,
+)
 
 # Sent calls are counted against the limit over this window; over a longer one where the limit allows less
 # than one call in it.
@@ -269,6 +277,7 @@
             scope = destination.limit_scope = RateLimitScope(
                 max_limit if max_limit < NEVER else 1.0, max_limit / self._relay_count, max_limit, self._now
             )
+            scope.release_fraction = self._random()
             scope.limit = min(
                 max_limit, max((scope.fair_share * max_limit) ** 0.5, SECOND / AIMD_INTERVAL_NS)
             )
@@ -328,7 +337,7 @@
         if (host := self._hosts.get(ident)) and until > host.limit_scope.retry_after_until:
             host.limit_scope.retry_after_until = until
             self._dirty[host.destination] = None
-            self._slow_start.resume_host(host, now)
+            self._slow_start.record_known_wait(host, now)
 
     def list_recovering_hosts(self) -> list[RecoveringHost]:
         """List the hosts in slow start, for the next process of this relay and for the one beside it."""
@@ -741,8 +750,8 @@
             # A long retry-after means that the destination is down; much of the limit unused, twice in a row,
             # that it hangs.
             sparse = host.destination.accepted_count * self._recovery_window < self._now - self._started_at
-            if wait > 2 * AIMD_INTERVAL_NS or remaining > UNUSED_LIMIT_FRACTION and sparse:
-                weight = EJECTION_LOG_ODDS if wait > 2 * AIMD_INTERVAL_NS else EJECTION_LOG_ODDS / 2
+            if wait > LONG_RETRY_AFTER_NS or remaining > UNUSED_LIMIT_FRACTION and sparse:
+                weight = EJECTION_LOG_ODDS if wait > LONG_RETRY_AFTER_NS else EJECTION_LOG_ODDS / 2
                 cause = "long retry-after or unused limit"
                 evidence = Evidence.OTHER_CAUSE
                 self._slow_start.record_sibling_failures(host, weight, cause, self._now, call, evidence)
@@ -1013,9 +1022,7 @@
         scope = host.limit_scope
         now = self._now
         ready_at = max(
-            scope.retry_after_until,
-            scope.resume_at,
-            self._slow_start.next_call_at(host, now),
+            self._slow_start.schedule.next_call_at(host, now),
             host.table_full_until if host.has_full_table(now) else 0,
         )
         if ready_at <= now:
@@ -1035,7 +1042,9 @@
                 if scope.limit < scope.max_limit:
                     ready_at = min(ready_at, scope.increased_at + AIMD_INTERVAL_NS)
         if ready_at > now:
-            self._schedule_check(host.destination, min(ready_at, self._slow_start.recheck_at(host, now)))
+            self._schedule_check(
+                host.destination, min(ready_at, self._slow_start.schedule.recheck_at(host, now))
+            )
             return False
         held_back = self._slow_start.withholds_calls(host)
         return (
@@ -1052,7 +1061,7 @@
         kind = hosts[0].kind
         scope = hosts[0].limit_scope
         hosts = [host for host in hosts if host.kind == kind]  # the list may be out of date for some
-        trial = all(self._slow_start.is_on_trial(host) for host in hosts)
+        trial = all(is_on_trial(host) for host in hosts)
         max_packets = 1 if trial or kind >= len(self._max_batch) else self._max_batch[kind]
         ranked = destination.order.select_most_urgent(
             self._now + call_time, max_packets, trial, {host.zone for host in hosts}, kind
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -35,7 +35,9 @@
         "in_flight",
         "limit_reached",
         "increased_at",
-        "resume_at",
+        "last_call_at",
+        "release_fraction",
+        "released_at",
         "fair_share",
         "max_limit",
         "rejected_connects",
@@ -50,7 +52,7 @@
         self.max_limit = max_limit
         self.sent_times: deque[int] = deque()  # of the last calls, oldest first
         self.in_flight = 0  # calls
-        self.retry_after_until = 0
+        self.retry_after_until = -NEVER
         self.limit_reached = False  # since the last increase
         self.increased_at = now  # NEVER: from a refusal until a call succeeds
         self.backed_off_at = now - 1  # the limit is not known yet, as after a back-off
@@ -58,7 +60,9 @@
         self.connect_rejected_at = -NEVER
         self.last_ejected: Host | None = None  # the host that was ejected last
         self.last_trial_at = -NEVER  # trial call to any ejected host
-        self.resume_at = 0  # nothing is sent before: a random time after the end of a retry-after
+        self.last_call_at = -NEVER
+        self.released_at = -NEVER  # other relays may have waited for this moment too
+        self.release_fraction = 0.0  # of the interval between two calls: when the first one after it goes
 
 
 class Host:
@@ -86,6 +90,8 @@
         "overdue",
         "slow_start_rate",
         "ready",
+        "release_fraction",
+        "released_at",
         "recovered_at",
         "last_refusal_at",
         "consecutive_refusals",
@@ -126,6 +132,8 @@
         self.ejected_at = 0
         self.recovered_at = 0  # time of the first successful call since the ejection; 0: none yet
         self.last_call_at = 0
+        self.released_at = -NEVER  # as the limit scope's, where it concerns this host alone
+        self.release_fraction = 0.0
         self.last_answer_at = 0
         self.idle_losses = 0  # calls lost on idle connections in a row; a reset counts twice
         self.idle_closed_at = 0  # when this relay last closed its idle connections to it
--- a/millweir/slow_start.py
+++ b/millweir/slow_start.py
@@ -5,6 +5,8 @@
 plus what chance explains.  Relays share no state, so each keeps to its part of N, and the parts of all add up
 to N.
 
+This module says in which state a host is; recovery_schedule.py says when its next call may go.
+
 Ejecting a host needs evidence from several calls, but from the first failed call on no relay may send it more
 than its part.  So a host has four states:
 
@@ -28,6 +30,7 @@
 from millweir.events import HostState, HostTransition, RecoveringHost
 from millweir.interface import SECOND, Settings
 from millweir.records import NEVER, Call, Host
+from millweir.recovery_schedule import RecoverySchedule, find_siblings, is_on_trial
 
 # Log odds of a sequential probability ratio test: 4 in 5 calls fail during an outage, 1 in 5 without one.
 SUCCESS_LOG_ODDS = -1.4
@@ -35,8 +38,8 @@
 REFUSAL_LOG_ODDS = 0.9
 REFUSALS_PER_FAILURE = 3  # refusals in a row that count as a failed call
 EJECTION_LOG_ODDS = 4.6  # a hundred to one
-MIN_USE_WINDOW_NS = 5 * SECOND  # a shorter time since the start says little about the use of a destination
 CONFIRM_DIVISOR = 4  # a suspicion is confirmed or dropped within this fraction of the recovery window
+LONG_RETRY_AFTER_NS = 2 * SECOND  # a longer one means that the destination is down, not at its limit
 MAX_PENDING_TRANSITIONS = 1024  # state changes that the log has not picked up yet
 MAX_FORGOTTEN_HOSTS = 4096  # recovering hosts that left the list long ago; the oldest is dropped first
 
@@ -66,18 +69,11 @@
 
     def __init__(self, settings: Settings, random_fraction: Callable[[], float], started_at: int) -> None:
         """`random_fraction` draws evenly from 0 to 1; `started_at`: when the process started."""
-        self._random_fraction = random_fraction
+        self.schedule = RecoverySchedule(settings, random_fraction, started_at)
         self._started_at = started_at
         self._recovery_window = settings.recovery_window or SECOND
         self._confirm_time = self._recovery_window // CONFIRM_DIVISOR
         self._recovery_time = settings.recovery_time
-        # The part of a relay's own use that it may send at first; all of it where no such rule is set.
-        self.slow_start_share = min(1.0, settings.recovery_multiple * settings.initial_capacity) or 1.0
-        self._linear_growth = (
-            (1 - settings.initial_capacity)
-            / (settings.initial_capacity or 1.0)
-            / max(1, settings.recovery_time)
-        )  # per nanosecond
         self.transitions: deque[HostTransition] = deque(maxlen=MAX_PENDING_TRANSITIONS)  # newest last
         self.changes = 0  # number of changes to the result of `list_recovering_hosts`
         self.replaced = False  # another process uses this relay's part of the budget
@@ -85,9 +81,8 @@
 
     def record_call(self, host: Host, now: int) -> None:
         """A call to the host is sent."""
-        host.last_call_at, host.confirm_by = now, 0
-        if self.is_on_trial(host):
-            host.limit_scope.last_trial_at = now
+        host.confirm_by = 0
+        self.schedule.record_call(host, now)
 
     def record_success(self, host: Host, call: Call, now: int) -> None:
         """A call succeeded: ends a suspicion, begins the slow start or, once that has lasted, ends it."""
@@ -137,14 +132,12 @@
     def record_refusal(self, host: Host, now: int, call: Call) -> None:
         """A call was refused, by a rate limit or in an outage: the learned limit bounds the relay either way.
 
-        Guards rule 4 where the learned limit is above this relay's part: calls that a retry-after held back
-        go at a random time after its end, as all refused relays may have received the same retry-after.
+        The schedule spaces what goes after a retry-after, as all refused relays may have received the same.
         """
         host.last_refusal_at = now
         host.consecutive_refusals += 1
         self.changes += 1
-        if host.limit_scope.retry_after_until > now:
-            self._spread_after_wait(host, now)
+        self.schedule.record_refusal(host)
         if (
             host.consecutive_refusals >= REFUSALS_PER_FAILURE
             and now - host.last_success_at > self._recovery_window
@@ -161,7 +154,7 @@
         evidence: Evidence = Evidence.OUTAGE,
     ) -> None:
         """Records the failure for all siblings too: an outage usually takes all hosts of a destination."""
-        siblings = self._siblings(host)
+        siblings = find_siblings(host)
         for other in siblings if siblings else [host]:
             self.record_failure(other, weight, cause, now, call, evidence)
 
@@ -182,16 +175,16 @@
             )
             host.last_refusal_at = snapshot.last_failure_at
             self.changes += 1
-            self._spread_after_wait(host, now)
+            self.schedule.release_scope(host, now)
             return
         host.last_failure_at = snapshot.last_failure_at
         self._start_trials(host, now, snapshot.slow_start_rate)
         host.recovered_at = snapshot.recovered_at
-        self._spread_trials(host, now)
+        self.schedule.release_host(host, now)
         self._record_transition(
             host, HostState.SLOW_START if snapshot.recovered_at else HostState.EJECTED, "known before"
         )
-        for sibling in () if snapshot.recovered_at else self._siblings(host):
+        for sibling in () if snapshot.recovered_at else find_siblings(host):
             self.restore_host(sibling, replace(snapshot, host=sibling.id), now)  # an outage usually takes all
 
     def list_recovering_hosts(self, hosts: Iterable[Host]) -> list[RecoveringHost]:
@@ -213,36 +206,26 @@
         if snapshot := self._forgotten.pop(host.id, None):
             self.restore_host(host, snapshot, now)
 
+    def record_known_wait(self, host: Host, now: int) -> None:
+        """Another process of this relay, or an earlier one, was told to wait until `retry_after_until`.
+
+        It holds for all hosts that share the limit, whichever of them the retry-after named.
+        """
+        siblings = find_siblings(host) or [host]
+        outage = host.limit_scope.retry_after_until - now > LONG_RETRY_AFTER_NS
+        if outage or any(map(self._last_call_failed, siblings)):
+            for sibling in siblings:
+                if not sibling.slow_start_rate:
+                    self._start_trials(sibling, now)
+                    self._record_transition(sibling, HostState.EJECTED, "known retry-after")
+
     def resume_host(self, host: Host, now: int) -> None:
         """A host that could get no calls for a while can now; all relays may have waited for this moment."""
-        if not host.slow_start_rate and any(map(self._last_call_failed, self._siblings(host) or [host])):
+        if not host.slow_start_rate and any(map(self._last_call_failed, find_siblings(host) or [host])):
             self._start_trials(host, now)
             self._record_transition(host, HostState.EJECTED, "failed before it left")
-        if self.is_on_trial(host):
-            self._spread_trials(host, now)
-
-    def next_call_at(self, host: Host, now: int) -> int:
-        """When the host may be sent its next call; 0 where nothing limits it here."""
-        if not host.slow_start_rate or now <= host.confirm_by:
-            return 0
-        elapsed = now - host.recovered_at if host.recovered_at else 0
-        if elapsed >= self._recovery_time:
-            return 0
-        growth = min(
-            2 ** (elapsed / self._recovery_window),
-            1 + self._linear_growth * (elapsed + self._recovery_window // 4),
-        )
-        next_at = host.last_call_at + int(SECOND / (host.slow_start_rate * growth))
-        return next_at if host.recovered_at else max(next_at, self._next_sibling_trial_at(host))
-
-    def _next_sibling_trial_at(self, host: Host) -> int:
-        """Trial calls of one destination are spaced evenly over its hosts, so that they do not coincide."""
-        siblings = max(1, len(self._siblings(host)))
-        return host.limit_scope.last_trial_at + int(SECOND / (host.slow_start_rate * siblings))
-
-    def is_on_trial(self, host: Host) -> bool:
-        """Suspected or ejected, and no call has succeeded since."""
-        return bool(host.slow_start_rate) and not host.recovered_at
+        if is_on_trial(host):
+            self.schedule.release_host(host, now)
 
     def state_of(self, host: Host) -> HostState:
         if not host.slow_start_rate:
@@ -255,7 +238,7 @@
         """Whether the one call allowed at a time is in flight; an overdue call does not count."""
         if self.replaced and host.slow_start_rate:
             return True
-        return (self.is_on_trial(host) or not host.last_success_at) and host.in_flight > host.overdue
+        return (is_on_trial(host) or not host.last_success_at) and host.in_flight > host.overdue
 
     def selection_rank(self, host: Host, allows_trials: bool) -> int:
         """Which of several hosts with room is used first: the one with the lowest rank.
@@ -263,29 +246,20 @@
         A host whose trial call is due gets it, if the message may be sent again; otherwise its siblings would
         take all calls and its recovery would never be noticed.
         """
-        if self.is_on_trial(host):
+        if is_on_trial(host):
             return 0 if allows_trials else 2
         return 2 if host.slow_start_rate else 1
 
-    def recheck_at(self, host: Host, now: int) -> int:
-        """When to check a limited host again: its rate grows meanwhile."""
-        return now + self._recovery_window // 32 if host.slow_start_rate else 1 << 62
-
     @staticmethod
     def _last_call_failed(host: Host) -> bool:
         """Whether its last call failed or was refused."""
         return max(host.last_failure_at, host.last_refusal_at) > host.last_success_at
 
-    @staticmethod
-    def _siblings(host: Host) -> list[Host]:
-        """All listed hosts that share its rate limit, itself among them."""
-        return [other for other in host.destination.hosts if other.limit_scope is host.limit_scope]
-
     def _has_failing_sibling(self, host: Host) -> bool:
         """The last call to another host that shares its limit failed: two lost connections are an outage."""
         return any(
             other.last_failure_at > other.last_success_at
-            for other in self._siblings(host)
+            for other in find_siblings(host)
             if other is not host
         )
 
@@ -300,7 +274,7 @@
         recently_started = now - self._started_at < self._recovery_time
         answered = weight <= FAILURE_LOG_ODDS  # a greater weight stands for no answer or no connection
         return (host.last_success_at or answered and not recently_started) and not any(
-            map(self.is_on_trial, self._siblings(host))
+            map(is_on_trial, find_siblings(host))
         )
 
     def _confirms_single_failure(self, host: Host, call: Call, now: int) -> bool:
@@ -328,8 +302,8 @@
 
         NEVER for `failing_since` leaves all siblings alone.
         """
-        ejected = self.is_on_trial(host) and not host.suspected_at
-        for sibling in self._siblings(host) if failing_since < NEVER else ():  # an outage usually takes all
+        ejected = is_on_trial(host) and not host.suspected_at
+        for sibling in find_siblings(host) if failing_since < NEVER else ():  # an outage usually takes all
             if sibling is not host and not sibling.slow_start_rate and sibling.last_answer_at < failing_since:
                 self._suspect(sibling, "sibling ejected", now)
         self._start_trials(host, now)
@@ -338,48 +312,9 @@
             self._record_transition(host, HostState.EJECTED, cause)
 
     def _start_trials(self, host: Host, now: int, rate: float = 0.0) -> None:
-        """Limits the host to spaced trial calls, the first at random: all relays may see it fail at once.
-
-        `rate`: the relay's part of the budget, where it is known already.
-        """
-        host.slow_start_rate = rate or self._budget_part(host, now)
         host.limit_scope.last_ejected = host
-        host.ejected_at, host.recovered_at = now, 0
-        spread = self._random_fraction() / 2
-        host.last_call_at = max(now, host.limit_scope.retry_after_until) - int(
-            spread * SECOND / host.slow_start_rate
-        )
-
-    def _spread_trials(self, host: Host, now: int) -> None:
-        """All relays may start their spacing anew at this moment: each starts at a random point of it."""
-        host.last_call_at = max(now, host.limit_scope.retry_after_until) - int(
-            self._random_fraction() * SECOND / host.slow_start_rate
-        )
-
-    def _spread_after_wait(self, host: Host, now: int) -> None:
-        """Puts the next call at a random point of the interval that the limit leaves between two calls."""
-        limit_scope = host.limit_scope
-        limit_scope.resume_at = max(now, limit_scope.retry_after_until) + int(
-            self._random_fraction() * SECOND / limit_scope.limit
-        )
-
-    def _budget_part(self, host: Host, now: int) -> float:
-        """Calls per second at the start of a slow start: the slow-start share of this relay's own use.
-
-        Use is averaged with the fair share of the listed rate, as if that had been seen for as long as one
-        call takes at it.  So the parts of all relays add up to no more than the listed rate or the whole
-        demand, also where few messages have come yet or more relays run than the settings name.
-        """
-        fair_share = host.limit_scope.fair_share
-        weight = max(SECOND / fair_share, MIN_USE_WINDOW_NS)
-        seen = host.destination.accepted_count * SECOND + fair_share * weight
-        used = seen / (now - self._started_at + weight)
-        passes = max(fair_share, host.limit_scope.limit)  # what gets through where demand exceeds the rate
-        return (
-            self.slow_start_share
-            * min(used, passes, host.limit_scope.listed_rate)
-            / max(1, len(host.destination.hosts))
-        )
+        host.ejected_at = now
+        self.schedule.start_trials(host, now, rate)
 
     def _record_transition(self, host: Host, state: HostState, cause: str) -> None:
         self.changes += 1
--- a/tests/test_cold_again.py
+++ b/tests/test_cold_again.py
@@ -130,3 +130,35 @@
         rig = relay_with_ejected_host()
         rig.relay.begin_shutdown(rig.now + 60 * SECOND, replaced)
         assert bool(first_calls([rig], 10 * SECOND)) is not replaced
+
+
+def calls_allowed_after_an_outage(rate=4.0):
+    """What a destination may get from all relays in its first recovery window, by the rig's settings."""
+    allowed = 2 * 2.0 * 0.2 * rate
+    return allowed + 3 * allowed**0.5 + 3
+
+
+def test_hosts_that_share_a_retry_after_keep_no_trial_time_of_before_its_end():
+    """Issue 61: only the host that the retry-after named got a new trial time; its siblings' were overdue."""
+    siblings = [entry(0, number) for number in range(4)]
+    calls = []
+    for seed in range(20):
+        old = Rig(seed, entries=siblings, relays=20)
+        old.add_packet(0)
+        old.pass_time(SECOND, fail_to_connect(old))
+        known = old.relay.list_recovering_hosts()
+        rig = Rig(seed, entries=siblings, relays=20, start=old.now)
+        for host in known:
+            rig.relay.restore_host(rig.now, host)
+        wait = 60 * SECOND
+        rig.relay.apply_retry_after(rig.now, known[0].host, rig.now + wait)
+        rig.pass_time(wait)
+        calls += first_calls([rig], rig.settings.recovery_window)
+    assert len(calls) <= calls_allowed_after_an_outage()
+
+
+def test_a_retry_after_of_an_earlier_process_ejects_all_hosts_that_share_it():
+    siblings = [entry(0, number) for number in range(3)]
+    rig = Rig(entries=siblings, relays=4)
+    rig.relay.apply_retry_after(rig.now, siblings[0].host, rig.now + 5 * SECOND)
+    assert all(rig.relay._hosts[sibling.host].slow_start_rate for sibling in siblings)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -345,7 +345,7 @@
     busy(20 * SECOND, lambda s: Outcome.UNCONNECTED if rig.now - s.at > 50 * MILLISECOND else None)
     # Three calls until it is ejected, then the part of its own use (one call a second) that slow start leaves
     # to each relay, spread over a span that is a quarter shorter.
-    assert len(rig.sent) <= 3 + 20 * rig.relay._slow_start.slow_start_share / 0.75
+    assert len(rig.sent) <= 3 + 20 * rig.relay._slow_start.schedule.slow_start_share / 0.75
     busy(60 * SECOND, succeed_after()(rig))
     assert sum(s.at > rig.now - 5 * SECOND for s in rig.sent) >= 4
 
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -293,5 +293,5 @@
     host = rig.relay._hosts[rig.entries[0].host]
     rig.relay._slow_start.record_failure(host, EJECTION_LOG_ODDS, "test", rig.now)
     assert host.slow_start_rate == pytest.approx(
-        rig.relay._slow_start.slow_start_share * host.limit_scope.fair_share
+        rig.relay._slow_start.schedule.slow_start_share * host.limit_scope.fair_share
     )
