--- a/millweir/recovery_schedule.py
+++ b/millweir/recovery_schedule.py
@@ -89,7 +89,7 @@
         if not host.slow_start_rate:
             if scope.last_call_at >= released_at:
                 return released_at
-            return released_at + int(scope.release_fraction * SECOND / scope.limit)
+            return released_at + int(scope.release_fraction * SECOND / self._compute_resume_rate(host, now))
         if now <= host.confirm_by:
             return scope.retry_after_until
         elapsed = now - host.recovered_at if host.recovered_at else 0
@@ -108,6 +108,20 @@
         """When to check a limited host again: its rate grows meanwhile."""
         return now + self._recovery_window // 32 if host.slow_start_rate else FAR_FUTURE
 
+    def _compute_resume_rate(self, host: Host, now: int) -> float:
+        """Calls per second of which the first after a release takes one, where no host is in slow start.
+
+        A short retry-after may be that of a rate limit, or the last moment of an outage.  The rate is half
+        way between what fits the one and the other; the latter alone, where a young process has seen no call
+        succeed there.
+        """
+        limit = host.limit_scope.limit
+        part = self._compute_budget_part(host, now) * max(1, len(host.destination.hosts))
+        is_young = now - self._started_at < self._recovery_time
+        if is_young and not any(sibling.last_success_at for sibling in find_siblings(host)):
+            return min(limit, part)
+        return min(limit, (limit * part) ** 0.5)
+
     def _compute_growth(self, elapsed: int) -> float:
         """The rate doubles with each recovery window, a quarter of one ahead of the capacity at most."""
         return min(
--- a/tests/test_cold_again.py
+++ b/tests/test_cold_again.py
@@ -162,3 +162,20 @@
     rig = Rig(entries=siblings, relays=4)
     rig.relay.apply_retry_after(rig.now, siblings[0].host, rig.now + 5 * SECOND)
     assert all(rig.relay._hosts[sibling.host].slow_start_rate for sibling in siblings)
+
+
+def test_relays_first_refused_before_the_return_do_not_call_at_their_learned_limit():
+    """Issue 61: a short retry-after was taken for that of a rate limit, ten times this relay's part."""
+    calls = []
+    for seed in range(40):
+        rig = Rig(seed, entries=[HOST], relays=40)
+        rig.add_packet(0)
+        rig.pass_time(
+            SECOND // 10, lambda sent, rig=rig: (Outcome.FULL, SECOND) if rig.now > sent.at else None
+        )
+        rig.pass_time(SECOND)
+        calls += first_calls([rig], rig.settings.recovery_window)
+    allowed = (
+        rig.settings.recovery_multiple * rig.settings.initial_capacity * 4.0 * 2
+    )  # in the recovery window
+    assert len(calls) <= allowed + 3 * allowed**0.5 + 3
