--- a/millweir/control.py
+++ b/millweir/control.py
@@ -214,7 +214,10 @@
         """Return what is known of a host; None where it is neither listed nor remembered."""
         host = self._hosts.get(ident)
         return host and HostView(
-            self._slow_start.state_of(host), host.last_success_at, host.limit_scope.limit
+            self._slow_start.state_of(host),
+            host.last_success_at,
+            host.limit_scope.limit,
+            self._slow_start.schedule.next_call_at(host, self._now),
         )
 
     def update_hosts(
--- a/millweir/events.py
+++ b/millweir/events.py
@@ -32,6 +32,7 @@
     state: HostState
     last_success_at: int  # when a call to it last succeeded; 0: never since this process started
     limit: float  # calls per second that the host accepts, as learned
+    next_call_at: int  # when its state next allows a call; a time that has passed: nothing limits it here
 
 
 @dataclass(frozen=True, slots=True)
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -463,10 +463,13 @@
         view = self._engine.view_host(part.job.host.encode())
         host_fields = ""
         if view:
-            succeeded_ms_ago = (
-                (clock.monotonic_ns() - view.last_success_at) // MILLISECOND if view.last_success_at else -1
+            now = clock.monotonic_ns()
+            succeeded_ms_ago = (now - view.last_success_at) // MILLISECOND if view.last_success_at else -1
+            next_call_ms = max(0, view.next_call_at - now) // MILLISECOND
+            host_fields = (
+                f" state={view.state.value} well_ms_ago={succeeded_ms_ago} limit={view.limit:.3f}"
+                f" next_ms={next_call_ms} destination={part.item.destination}"
             )
-            host_fields = f" state={view.state.value} well_ms_ago={succeeded_ms_ago} limit={view.limit:.3f}"
         self._log.info(
             f"attempt-failed id={part.item.id.decode()} peer={part.job.host} "
             f"outcome={outcome.name.lower()} finished={finished} wait_ms={wait // MILLISECOND}{host_fields}"
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -486,6 +487,7 @@
     log = relay.log()
     assert "message-refused id=unlisted destination=99 reason=destination-not-listed" in log
     assert "attempt-failed id=late peer=shut outcome=unconnected finished=False" in log
+    assert re.search(r"attempt-failed id=late .* next_ms=[1-9]\d* destination=\d+\n", log)
     assert "host-state peer=shut state=ejected cause='unconnected' pace=" in log
     assert "message-ended id=late end=bounced reason=deadline attempts=" in log
     relay.hand_in("owed", "again")
