--- a/millweir/recovery_schedule.py
+++ b/millweir/recovery_schedule.py
@@ -15,12 +15,10 @@
 from collections.abc import Callable
 
 from millweir.interface import SECOND, Settings
-from millweir.records import Host
+from millweir.records import NEVER, Host
 
 MIN_USE_WINDOW_NS = 5 * SECOND  # a shorter time since the start says little about the use of a destination
 
-FAR_FUTURE = 1 << 62
-
 
 def find_siblings(host: Host) -> list[Host]:
     """All listed hosts that share its rate limit, itself among them."""
@@ -105,15 +103,17 @@
         return next_at if host.recovered_at else max(next_at, self._next_sibling_trial_at(host))
 
     def recheck_at(self, host: Host, now: int) -> int:
-        """When to check a limited host again: its rate grows meanwhile."""
-        return now + self._recovery_window // 32 if host.slow_start_rate else FAR_FUTURE
+        """When to check a limited host again: in slow start its rate grows, else only events change it."""
+        if not host.recovered_at:
+            return NEVER
+        return max(now + self._recovery_window // 32, host.limit_scope.retry_after_until)
 
     def _compute_resume_rate(self, host: Host, now: int) -> float:
         """Calls per second of which the first after a release takes one, where no host is in slow start.
 
-        A short retry-after may be that of a rate limit, or the last moment of an outage.  The rate is half
-        way between what fits the one and the other; the latter alone, where a young process has seen no call
-        succeed there.
+        A short retry-after may be that of a rate limit, or fall into the last moment of an outage.  The rate
+        is the geometric mean of the learned limit, which fits the one, and of the budget part, which fits the
+        other; the part alone, where a young process has seen no call succeed there.
         """
         limit = host.limit_scope.limit
         part = self._compute_budget_part(host, now) * max(1, len(host.destination.hosts))
