Rig: answers that are written again, at hosts, discovery and the platform

A host takes the next call on a connection while it is still at one, as those of the records do, and answers in order; before, it took a pipelined byte for the end of the connection.

--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -17,10 +17,11 @@
 import msgspec
 
 from millweir.lab.checker import Terms, Verdict, check_rules
+from millweir.lab.copied_answers import CopiedAnswers, CopyTerms
 from millweir.lab.destination import Destination, RecoveryTerms
 from millweir.lab.history import Ended, History, Ready, Started, Struck, monotonic_ns
 from millweir.lab.processes import Address, Relay, WaitTimeout
-from millweir.lab.scenario import HOST, Fault, Scenario, list_faults
+from millweir.lab.scenario import HOST, HOST_COPIES, PLATFORM_COPIES, Fault, Scenario, list_faults
 from millweir.lab.standins import SETTINGS, Clients, Host, Platform
 from millweir.lab.views import FaultRecord, MembershipFinding, PolledViews, evaluate_views
 from millweir.lab.wire import Faults, Wire
@@ -28,6 +29,7 @@
 KILL_AFTER_S = 3.7  # minimum time from SIGTERM to SIGKILL
 RESTART_AFTER_S = 0.6  # from SIGKILL to the next start
 RELOAD_SIGNALS = 3
+MAX_COPIES = 4  # of one answer
 VIEW_POLL_S = 0.25
 OUTCOME_WAIT_S = 8.6  # from the last message until every outcome is due
 
@@ -63,7 +65,7 @@
         self.rng = random.Random(seed ^ 0x5EED)
         self.host = rig_address(number)
         self.history, self.injected_faults = History(), FaultRecord(scenario.names)
-        self.platform = Platform((self.host, 7900), self.history)
+        self.platform = Platform((self.host, 7900), self.history, random.Random(seed ^ 0xC0B1E5))
         calls = [0]
         limits = self._build_destinations()
         self.hosts = [
@@ -78,6 +80,8 @@
             )
             for n in range(scenario.hosts)
         ]
+        for host in self.hosts:
+            host.refused_share = scenario.refused_share
         self.wires: dict[tuple[str, str], Wire] = {}
         self.relays: dict[str, Relay] = {}
         self._clients: Clients | None = None
@@ -265,7 +269,9 @@
         """Inject a fault and end it after its span; record waits of the rig that time out."""
         self._record_fault(fault, over=False)
         try:
-            if fault.kind in HOST:
+            if fault.kind in HOST_COPIES + PLATFORM_COPIES:
+                await self._inject_copies(fault)
+            elif fault.kind in HOST:
                 await asyncio.gather(*(self._inject_host_fault(fault, int(name[1:])) for name in fault.who))
             elif fault.who:
                 await asyncio.gather(
@@ -372,6 +378,28 @@
             await asyncio.sleep(fault.span / 1e9)
             host.set_hung(False)
 
+    async def _inject_copies(self, fault: Fault) -> None:
+        terms = CopyTerms(
+            fault.share,
+            fault.after / 1e9,
+            fault.wait / 1e9,
+            most=MAX_COPIES if fault.kind == "copy-several" else 1,
+            older=fault.kind == "copy-older",
+            partial=fault.kind == "copy-part",
+        )
+        copiers = [self._find_copier(fault.kind, who) for who in fault.who]
+        for copier in copiers:
+            copier.terms = terms
+        await asyncio.sleep(fault.span / 1e9)
+        for copier in copiers:
+            if copier.terms is terms:  # else a later fault has replaced it
+                copier.terms = None
+
+    def _find_copier(self, kind: str, who: str) -> CopiedAnswers:
+        if kind == "copy-list":
+            return self.platform.copies.lists
+        return self.platform.copies.notices if kind == "copy-notice" else self.hosts[int(who[1:])].copies
+
     async def _inject_connection_fault(self, fault: Fault) -> None:
         seconds, both_directions = fault.span / 1e9, fault.kind in ("cut", "split", "flap")
         active_faults = {
--- a/millweir/lab/history.py
+++ b/millweir/lab/history.py
@@ -53,6 +53,13 @@
     wait: int = 0  # retry-after in nanoseconds
 
 
+class Copied(Event, frozen=True, tag="copied"):
+    """A stand-in (a host, `lists` or `notices`) is to write a copy of an answer after a delay in seconds."""
+
+    source: str
+    delay: float
+
+
 class Noticed(Event, frozen=True, tag="noticed"):
     """The platform received a notification."""
 
@@ -100,7 +107,20 @@
     relay: str
 
 
-KINDS = Offered | Answered | Called | Returned | Noticed | Listed | Fallen | Struck | Ready | Ended | Started
+KINDS = (
+    Offered
+    | Answered
+    | Called
+    | Returned
+    | Copied
+    | Noticed
+    | Listed
+    | Fallen
+    | Struck
+    | Ready
+    | Ended
+    | Started
+)
 
 
 class History:
--- a/millweir/lab/scenario.py
+++ b/millweir/lab/scenario.py
@@ -20,6 +20,11 @@
 # responses; "shut": refuses every call, a share of them with a retry-after until the end of the outage.
 # After "hang", "refuse" and "shut" the host is recovering.
 HOST = ("drain", "hang", "refuse", "mute", "short", "shut")
+# Answers that are written again, unasked, some time later: as they were; an older one of the connection; a
+# first part; several times; the same for the host lists and the acknowledged notifications of the platform.
+HOST_COPIES = ("copy", "copy-older", "copy-part", "copy-several")
+PLATFORM_COPIES = ("copy-list", "copy-notice")
+COPY_DELAYS_S = (0.001, 0.004, 0.012, 0.02, 0.12, 0.4, 1.0)  # bounds of a drawn delay
 LINK = ("cut", "cut-one-way", "loss", "delay", "reorder", "duplicate", "bandwidth", "flap", "split")
 
 
@@ -33,14 +38,16 @@
     start: tuple[str, ...] = ()
     end: tuple[str, ...] = ()
     # Of lost or duplicated datagrams; of the processor left to a starved relay; of a shut host's refusals
-    # that carry a retry-after.
+    # that carry a retry-after; of the answers that are copied.
     share: float = 0.3
-    wait: Duration = Duration(0)  # delay, reordering jitter, half a flapping period, or start delay
+    # Delay, reordering jitter, half a flapping period, start delay, or the longest delay of a copy.
+    wait: Duration = Duration(0)
+    after: Duration = Duration(0)  # shortest delay of a copy
     bytes_second: float = 20_000.0
     hours: float = 1.0  # clock skew
 
     def __post_init__(self) -> None:
-        if self.kind not in PROCESS + HOST + LINK:
+        if self.kind not in PROCESS + HOST + HOST_COPIES + PLATFORM_COPIES + LINK:
             raise ValueError(f"unknown fault kind: {self.kind!r}")
 
     def describe(self) -> str:
@@ -65,6 +72,7 @@
     members: bool = True  # relays run the members component; without it they run as the platform starts them
     groups: int = 2  # destinations, over which the hosts are distributed
     host_rate: float = 40.0  # calls per second that a host accepts when not recovering
+    refused_share: float = 0.0  # of the calls that are refused with a plain 503 after the service time
     shared_limit: bool = False  # the hosts of a destination share that rate, and recover as one
     protocols: dict[str, int] = {}  # by relay: highest version of the members' protocol
     fault: tuple[Fault, ...] = ()
@@ -114,6 +122,8 @@
             wait=Duration(2 * SECOND),
             hours=rng.choice((-1.0, 1.0)),
         )
+    if kind in HOST_COPIES + PLATFORM_COPIES:
+        return _draw_copy_fault(scenario, rng, at, kind, span)
     if kind in HOST:
         hosts = rng.sample(range(scenario.hosts), rng.randint(1, max(1, scenario.hosts // 2)))
         return Fault(at=Duration(at), span=span, kind=kind, who=tuple(f"h{host}" for host in hosts))
@@ -133,3 +143,20 @@
         share=0.3,
         wait=Duration(wait.get(kind, 0)),
     )
+
+
+def _draw_copy_fault(scenario: Scenario, rng: random.Random, at: int, kind: str, span: Duration) -> Fault:
+    who = ("platform",)
+    if kind in HOST_COPIES:
+        hosts = rng.sample(range(scenario.hosts), rng.randint(1, scenario.hosts))
+        who = tuple(f"h{host}" for host in hosts)
+    earliest, latest = sorted(rng.sample(COPY_DELAYS_S, 2))
+    return Fault(
+        at=Duration(at),
+        span=span,
+        kind=kind,
+        who=who,
+        share=rng.choice((0.01, 0.1, 0.3)),
+        after=Duration(round(earliest * SECOND)),
+        wait=Duration(round(latest * SECOND)),
+    )
--- a/millweir/lab/standins.py
+++ b/millweir/lab/standins.py
@@ -10,13 +10,14 @@
 import json
 import random
 from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Coroutine
 
+from millweir.lab.copied_answers import CopiedAnswers, PlatformCopies
 from millweir.lab.destination import Destination
 from millweir.lab.history import (
     Answered,
     Called,
+    Copied,
     Fallen,
     History,
     Listed,
@@ -25,8 +26,8 @@
     Returned,
     monotonic_ns,
 )
+from millweir.lab.http_server import Address, TruncatedResponse, build_response, read_http, serve
 
-Address = tuple[str, int]
 SECOND = 1_000_000_000
 CLIENT_TIMEOUT_S = 0.4
 
@@ -73,70 +74,6 @@
 }
 
 
-async def read_http(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes] | None:
-    """Read the first line, headers and body of one HTTP message; None at the end of the connection."""
-    try:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-        rows = [line.partition(": ") for line in head[1:] if line]
-        fields = {name.lower(): value for name, _, value in rows}
-        return head[0], fields, await reader.readexactly(int(fields.get("content-length", 0)))
-    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError, ValueError):
-        return None
-
-
-def build_response(status: int, body: bytes = b"", **fields: object) -> bytes:
-    extra = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in fields.items())
-    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{extra}\r\n".encode() + body
-
-
-@dataclass(frozen=True, slots=True)
-class TruncatedResponse:
-    """A truncated response: the part that is written before the connection falls silent."""
-
-    raw: bytes
-    on_closed: Callable[[], None]  # called when the peer has closed the connection
-
-
-async def serve(
-    address: Address, handle: Callable, open_writers: set[asyncio.StreamWriter] | None = None
-) -> asyncio.Server:
-    """Serve requests with `handle`; `open_writers` holds the writers of the open connections."""
-    writers = open_writers if open_writers is not None else set()
-
-    async def serve_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        writers.add(writer)
-        try:
-            while (message := await read_http(reader)) is not None:
-                work = asyncio.ensure_future(handle(*message))
-                # Clients do not pipeline, so this read returns only when the connection ends.
-                closed = asyncio.ensure_future(reader.read(1))
-                await asyncio.wait({work, closed}, return_when=asyncio.FIRST_COMPLETED)
-                if not work.done():
-                    work.cancel()
-                    return
-                closed.cancel()
-                with contextlib.suppress(asyncio.CancelledError, OSError):
-                    await closed
-                raw = work.result()
-                if raw is None:
-                    return
-                if isinstance(raw, TruncatedResponse):
-                    writer.write(raw.raw)
-                    with contextlib.suppress(OSError):
-                        await reader.read()  # until the peer closes the connection
-                    raw.on_closed()
-                    return
-                writer.write(raw)
-                await writer.drain()
-        except (OSError, asyncio.CancelledError):
-            pass
-        finally:
-            writers.discard(writer)
-            writer.close()
-
-    return await asyncio.start_server(serve_connection, *address, backlog=256)
-
-
 class Host:
     """One host of a destination, with a service time and injected faults.
 
@@ -159,12 +96,16 @@
         self.hung = self.mute = self.short = False
         self.shut_until = 0  # refuses every call until then; 0 when not shut
         self.retry_after_share = 1.0  # share of these refusals that carry a retry-after
+        self.refused_share = 0.0  # share of the other calls that is refused after the service time
+        self.copies = CopiedAnswers(
+            random.Random(rng.getrandbits(60)), lambda delay: history.add(Copied(monotonic_ns(), name, delay))
+        )
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._outages = 0
 
     async def open(self) -> None:
-        self._server = await serve(self.address, self._handle_call, self._writers)
+        self._server = await serve(self.address, self._receive_call, self._writers, self.copies)
 
     def close(self) -> None:
         self._server.close()
@@ -203,7 +144,10 @@
         self.shut_until = 0
         self.destination.end_outage(self.name, monotonic_ns())
 
-    async def _handle_call(self, line: str, fields: dict[str, str], body: bytes) -> bytes | None:
+    def _receive_call(
+        self, line: str, fields: dict[str, str], body: bytes
+    ) -> Coroutine[None, None, bytes | TruncatedResponse]:
+        """Record a call as it arrives; the result handles it."""
         in_batch = " /hook/batch " in line
         idents = [row["id"] for row in json.loads(body)] if in_batch else [fields.get("x-correlation-id", "")]
         calls = range(self._calls[0] + 1, self._calls[0] + 1 + len(idents))
@@ -211,15 +155,23 @@
         now = monotonic_ns()
         for ident, call in zip(idents, calls, strict=True):
             self._history.add(Called(now, ident, self.name, call, calls[0] if in_batch else 0))
-        status, wait, ran = 200, 0.0, True
         if overload := self.destination.record_call(now):
             self._history.add(Fallen(now, self.name, overload))
+        return self._handle_call(idents, calls, in_batch)
+
+    async def _handle_call(
+        self, idents: list[str], calls: range, in_batch: bool
+    ) -> bytes | TruncatedResponse:
+        now = monotonic_ns()
+        status, wait, ran = 200, 0.0, True
         if self.shut_until:
             has_retry_after = self._rng.random() < self.retry_after_share
             status, wait, ran = 503, max(self.shut_until - now, 0) / SECOND * has_retry_after, False
         elif not self.destination.take_token(now):
             status, wait, ran = 429, round(self._rng.uniform(0.2, 0.8), 2), False
         else:
+            refused = self.refused_share and self._rng.random() < self.refused_share
+            status, ran = (503, False) if refused else (200, True)
             try:
                 await asyncio.sleep(min(self._rng.lognormvariate(-3.5, 0.6), 2.0))
                 while self.hung:
@@ -259,8 +211,17 @@
 class Platform:
     """Discovery with its watch requests, and the receiver of notifications."""
 
-    def __init__(self, address: Address, history: History) -> None:
+    def __init__(self, address: Address, history: History, rng: random.Random) -> None:
         self.address, self._history = address, history
+        self.copies = PlatformCopies(
+            *(
+                CopiedAnswers(
+                    random.Random(rng.getrandbits(60)),
+                    lambda delay, name=name: history.add(Copied(monotonic_ns(), name, delay)),
+                )
+                for name in ("lists", "notices")
+            )
+        )
         self._index = 1
         self._rows: dict[str, dict] = {}
         self._list_changed = asyncio.Condition()
@@ -269,7 +230,7 @@
         self.watches = 0
 
     async def open(self) -> None:
-        self._server = await serve(self.address, self._handle_request)
+        self._server = await serve(self.address, self._handle_request, copier=self.copies)
 
     def close(self) -> None:
         self._server.close()
