A file of recovering hosts or waits is replaced without a write to the disk

Cause: the relay renames a new file over the old one at each failure and retry-after; on ext4 that writes the new file to the disk first (here 39 ms in the median, one after the other for all processes), and the event loop waits for it. Evidence: relays that share the folder's disk go on at the same millisecond; rename over a file 27 to 39 ms, unlink and rename 0.03 ms; the same scenario on a folder in memory breaks no rule. A kill between the two steps leaves the content in the temporary file, which the next process takes (test). The test of failing writes injects its errors at os.rename now, as os.replace is no longer called; its checks are the same.

--- a/millweir/net/cold_hosts.py
+++ b/millweir/net/cold_hosts.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 from collections.abc import Callable, Iterable
@@ -20,6 +21,7 @@
 from millweir.facade import DecisionEngine
 from millweir.net import clock
 from millweir.net.log import Log
+from millweir.net.times import replace_unflushed
 
 FILE_NAME = "cold_hosts.json"
 WRITE_DELAY_SECONDS = 0.05  # from a change to its record
@@ -106,6 +108,9 @@
         """`slot` is this process's own among those that share the folder."""
         self._loop, self._path, self._engine = loop, folder / FILE_NAME, engine
         self._temporary_path = self._path.with_suffix(f".{slot}.new")
+        if self._temporary_path.exists() and not self._path.exists():  # killed while it was replaced
+            with contextlib.suppress(OSError):
+                os.rename(self._temporary_path, self._path)
         self._request_turn, self._log = request_turn, log
         self._boot = clock.read_boot_id().hex()
         self._unlisted: dict[str, RecoveringHost] = {}  # hosts of the file that no list has named yet
@@ -174,7 +179,7 @@
         hosts = [*self._unlisted.values(), *self._engine.list_recovering_hosts()]
         try:
             self._temporary_path.write_bytes(encode_recovering_hosts(hosts, self._boot, clock.monotonic_ns()))
-            os.replace(self._temporary_path, self._path)
+            replace_unflushed(self._temporary_path, self._path)
             self._last_mtime_ns = self._path.stat().st_mtime_ns
         except OSError as error:
             self._log.info(f"cold-hosts-unwritten {error}")
--- a/millweir/net/cordons.py
+++ b/millweir/net/cordons.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
@@ -82,6 +83,6 @@
 
     def _write(self) -> None:
         try:
-            write_host_times(self._path, self._cordoned_at)
+            write_host_times(self._path, self._cordoned_at, os.replace)
         except OSError as error:
             self._log.always(f"cordons-unwritten {error}")
--- a/millweir/net/retry_after.py
+++ b/millweir/net/retry_after.py
@@ -17,7 +17,7 @@
 from millweir.net.heads import MAX_RETRY_AFTER_NS
 from millweir.net.journal import SLOT_COUNT, build_slot_file_name
 from millweir.net.log import Log
-from millweir.net.times import Unreadable, read_host_times, write_host_times
+from millweir.net.times import Unreadable, read_host_times, replace_unflushed, write_host_times
 
 READ_INTERVAL_SECONDS = 0.05
 MIN_EXTENSION_NS = 10_000_000  # a wait that ends later than the known one by no more than this is not written
@@ -117,7 +117,7 @@
     def _write(self, now: int) -> None:
         self._wait_ends = {host: wait_end for host, wait_end in self._wait_ends.items() if wait_end > now}
         try:
-            write_host_times(self._build_path(self._slot), self._wait_ends)
+            write_host_times(self._build_path(self._slot), self._wait_ends, replace_unflushed)
         except OSError as error:  # if it happens at all, it happens often: the rate-limited log level is used
             self._log.info(f"waits-unwritten {error}")
 
--- a/millweir/net/times.py
+++ b/millweir/net/times.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+from collections.abc import Callable
 from pathlib import Path
 
 
@@ -27,8 +28,21 @@
     return content
 
 
-def write_host_times(path: Path, times: dict[str, int]) -> None:
-    """Write host names and wall times in nanoseconds to a temporary file and rename it; raise OSError."""
+def write_host_times(path: Path, times: dict[str, int], replace: Callable[[Path, Path], None]) -> None:
+    """Write host names and wall times in nanoseconds to a temporary file and rename it; raise OSError.
+
+    `replace` moves the temporary file over the old one: `os.replace`, or `replace_unflushed`.
+    """
     temporary = path.with_suffix(".new")
     temporary.write_text(json.dumps(times))
-    os.replace(temporary, path)
+    replace(temporary, path)
+
+
+def replace_unflushed(temporary: Path, path: Path) -> None:
+    """Replace a file in two steps; a kill between them leaves its new content in the temporary file.
+
+    Renamed over the old file, the new one is written to the disk first on some file systems (ext4), which
+    blocks the event loop for as long.
+    """
+    path.unlink(missing_ok=True)
+    os.rename(temporary, path)
--- a/tests/net/test_cold_hosts.py
+++ b/tests/net/test_cold_hosts.py
@@ -101,14 +101,14 @@
 def test_a_write_that_failed_is_repeated_until_the_folder_takes_it(tmp_path, monkeypatch):
     monkeypatch.setattr(cold_hosts, "WRITE_RETRY_SECONDS", 0.02)
     fails = iter([errno.ENOSPC, errno.EIO])
-    rename = os.replace
+    rename = os.rename
 
     def failing(source, target):
         if number := next(fails, 0):
             raise OSError(number, "injected")
         rename(source, target)
 
-    monkeypatch.setattr(os, "replace", failing)
+    monkeypatch.setattr(os, "rename", failing)
 
     async def scene():
         decisions, lines = Decisions(EJECTED), Lines()
@@ -126,6 +126,21 @@
     ).hosts == [EJECTED]
 
 
+def test_a_kill_while_the_file_is_replaced_loses_no_host(tmp_path):
+    async def scene():
+        written = Decisions(EJECTED)
+        store = make_store(tmp_path, written)
+        written.recovering_changes = 1
+        store.schedule_write_if_changed()
+        store.close()
+        (tmp_path / FILE_NAME).rename(store._temporary_path)  # killed between the two steps
+        read = Decisions(listed=[EJECTED.host])
+        make_store(tmp_path, read).read_file()
+        return read.restored
+
+    assert asyncio.run(scene()) == [EJECTED]
+
+
 def test_a_concurrent_process_reads_the_file_and_keeps_hosts_that_it_did_not_know(tmp_path):
     async def scene():
         old, new = Decisions(EJECTED), Decisions(REFUSED, listed=[b"a"])
