--- a/millweir/cli/lab.py
+++ b/millweir/cli/lab.py
@@ -45,6 +45,7 @@
         "wrong": finding.wrong,
         "missed": finding.missed,
         "failures": played.failures,
+        "connections": played.connections,
         "detected": sorted(round(seconds, 2) for seconds in finding.detected),
         "accused": dict(finding.accused),
         "buried": dict(finding.buried),
--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -48,6 +48,7 @@
     finding: MembershipFinding
     faults: list[str] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)  # timeouts of the rig's own waits
+    connections: int = 0  # to hosts and the platform, opened by the relays' processes that run at the end
 
     @property
     def passed(self) -> bool:
@@ -472,6 +473,7 @@
             if not relay.alive and relay.name not in self.injected_faults.down
         ]
         events = {relay.name: relay.read_events() for relay in self.relays.values()}
+        counts = [await relay.request_counters() for relay in self.relays.values() if relay.up]
         verdict = check_rules(self.history, self.build_terms(), monotonic_ns())
         finding = (
             evaluate_views(self.injected_faults, polled, events) if scenario.members else MembershipFinding()
@@ -479,7 +481,13 @@
         if self._keep:
             self.history.write(self.folder / "history.jsonl")
             (self.folder / "views.json").write_bytes(msgspec.json.encode(polled.rows))
-        return RunResult(verdict, finding, [fault.describe() for fault in faults], self.failures)
+        return RunResult(
+            verdict,
+            finding,
+            [fault.describe() for fault in faults],
+            self.failures,
+            sum(count.get("links_opened", 0) for count in counts),
+        )
 
     async def _poll_views(self, polled: PolledViews) -> None:
         while True:
--- a/millweir/lab/http_server.py
+++ b/millweir/lab/http_server.py
@@ -45,7 +45,14 @@
         """Return the copies that follow the last of these answers to a request line, with their delays."""
 
 
-Handle = Callable[[str, dict[str, str], bytes], Awaitable[bytes | TruncatedResponse | None]]
+class Work(Awaitable["bytes | TruncatedResponse | None"], Protocol):
+    """What a request asks for; it is awaited, or closed if its connection ends before its turn."""
+
+    def close(self) -> None:
+        """Give it up; a coroutine has this method."""
+
+
+Handle = Callable[[str, dict[str, str], bytes], Work]
 
 
 class ServedConnection:
@@ -60,7 +67,7 @@
     ) -> None:
         self._reader, self._writer = reader, writer
         self._handle, self._copier = handle, copier
-        self._requests: asyncio.Queue[tuple[str, Awaitable]] = asyncio.Queue()
+        self._requests: asyncio.Queue[tuple[str, Work]] = asyncio.Queue()
         self._answers: deque[bytes] = deque(maxlen=MAX_EARLIER_ANSWERS)
 
     async def run(self) -> None:
--- a/millweir/lab/processes.py
+++ b/millweir/lab/processes.py
@@ -115,6 +115,18 @@
         except (OSError, TimeoutError):
             return False
 
+    async def request_counters(self) -> dict[str, int]:
+        """Return its process's counters; empty if it does not answer."""
+        try:
+            async with asyncio.timeout(1):
+                reader, writer = await asyncio.open_connection(*self.listen)
+                writer.write(b"GET /counters/all HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                _, _, body = (await reader.read()).partition(b"\r\n\r\n")
+                writer.close()
+            return {name: int(number) for name, number in map(str.split, body.decode().splitlines())}
+        except (OSError, TimeoutError, ValueError):
+            return {}
+
     def signal(self, number: int) -> None:
         if self.alive:
             self.process.send_signal(number)
--- a/millweir/lab/standins.py
+++ b/millweir/lab/standins.py
@@ -10,7 +10,7 @@
 import json
 import random
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Generator
 
 from millweir.lab.copied_answers import CopiedAnswers, PlatformCopies
 from millweir.lab.destination import Destination
@@ -74,6 +74,23 @@
 }
 
 
+class PendingCall:
+    """A call that has arrived: it is handled in its turn, or its connection ends before."""
+
+    def __init__(
+        self, work: Coroutine[None, None, bytes | TruncatedResponse], on_dropped: Callable[[], None]
+    ) -> None:
+        self._work, self._on_dropped = work, on_dropped
+
+    def __await__(self) -> Generator[None, None, bytes | TruncatedResponse]:
+        return self._work.__await__()
+
+    def close(self) -> None:
+        """Record that the connection has ended."""
+        self._work.close()
+        self._on_dropped()
+
+
 class Host:
     """One host of a destination, with a service time and injected faults.
 
@@ -144,9 +161,7 @@
         self.shut_until = 0
         self.destination.end_outage(self.name, monotonic_ns())
 
-    def _receive_call(
-        self, line: str, fields: dict[str, str], body: bytes
-    ) -> Coroutine[None, None, bytes | TruncatedResponse]:
+    def _receive_call(self, line: str, fields: dict[str, str], body: bytes) -> PendingCall:
         """Record a call as it arrives; the result handles it."""
         in_batch = " /hook/batch " in line
         idents = [row["id"] for row in json.loads(body)] if in_batch else [fields.get("x-correlation-id", "")]
@@ -157,7 +172,10 @@
             self._history.add(Called(now, ident, self.name, call, calls[0] if in_batch else 0))
         if overload := self.destination.record_call(now):
             self._history.add(Fallen(now, self.name, overload))
-        return self._handle_call(idents, calls, in_batch)
+        return PendingCall(
+            self._handle_call(idents, calls, in_batch),
+            lambda: self._record_return(idents, calls, 0, False, 0.0),
+        )
 
     async def _handle_call(
         self, idents: list[str], calls: range, in_batch: bool
--- a/tests/lab/test_checker.py
+++ b/tests/lab/test_checker.py
@@ -198,7 +198,7 @@
         host.set_hung(True)
         host.set_hung(False)
         for number in range(calls):
-            call = asyncio.create_task(host._receive_call("", {"x-correlation-id": str(number)}, b""))
+            call = asyncio.ensure_future(host._receive_call("", {"x-correlation-id": str(number)}, b""))
             await asyncio.sleep(0)
             call.cancel()
         return list(history.select(Fallen))
--- a/tests/lab/test_copied_answers.py
+++ b/tests/lab/test_copied_answers.py
@@ -30,7 +30,10 @@
     """Messages ran twice (a copied refusal), or had no end (a copied delivery)."""
     scenario = read_scenario(SCENARIO)
     fault = msgspec.structs.replace(
-        scenario.fault[0], after=Duration(round(earliest * SECOND)), wait=Duration(round(latest * SECOND))
+        scenario.fault[0],
+        span=SPAN,
+        after=Duration(round(earliest * SECOND)),
+        wait=Duration(round(latest * SECOND)),
     )
     scenario = msgspec.structs.replace(scenario, span=SPAN, bundle=bundle, fault=(fault,))
     played, copied = asyncio.run(play(scenario, 1, tmp_path / "rig"))
