--- /dev/null
+++ b/millweir/answers/__init__.py
@@ -0,0 +1,1 @@
+"""How far an answer on a connection may be believed (response desynchronisation)."""
--- /dev/null
+++ b/millweir/answers/policy.py
@@ -0,0 +1,144 @@
+"""Decides how far an answer may be believed, and what is done about one that may belong to another request.
+
+Theory of operation.  An HTTP/1.1 response names no request: what relates them is their order on a connection.
+A peer, or a device on the path, that writes an answer twice shifts this order: the copy passes for the answer
+to the next request, and each later answer is one request late (response desynchronisation; RFC 9112, 9.2:
+data on a connection without an outstanding request is no response to a later one).  So an answer is
+
+  proven    the first one on its connection; or one that names the messages of its call, of which one at least
+            was never sent before.  Answers come in order, so a proven answer proves all earlier ones;
+  unproven  any other one, until its connection has been silent for as long as the host might still take to
+            write the true answer (`compute_silence_end`), and some time has passed in any case;
+  refuted   it came before the request was written whole, it does not name the messages of its call, or more
+            bytes came after it, unasked.  All unproven answers of the connection are in doubt then.
+
+What is concluded from an answer to a message, by the effect of a repeat:
+
+  delivered or over   unproven: owed until it is confirmed.  In doubt: may have run, so it is sent again where
+                      that is allowed; else it is ended by a notification, which does no harm if it was
+                      delivered.  So is a message whose key keeps an order, as the next one may be out.
+  refused             unproven: a non-idempotent message waits for the confirmation, others are sent again at
+                      once, as after a call that may have run.  In doubt: may have run.
+  retry-after         binds at once, also where it came unasked.
+  anything else       may have run, as always.
+
+The next message of a key in order waits for that silence, or for the settings' quiet period.
+
+The platform.  A connection carries one request with notifications.  Host lists carry versions, which tell
+most copies (`judge_host_list`); then a new connection is opened, whose first answer is proven.
+
+A host that refutes an answer is distrusted: no connection to it carries a second call, so that all answers
+are proven, until none of the connections observed meanwhile has brought a byte that was not asked for.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from millweir.interface import MILLISECOND, SECOND, Effect
+
+MIN_SILENCE_NS = 10 * MILLISECOND  # after an answer
+# An answer may take as long as the mean and so many mean deviations; both are moving averages (RFC 6298, 2).
+ANSWER_TIME_DEVIATIONS = 6
+MEAN_WEIGHT = 1 / 8  # of the last answer in the mean
+DEVIATION_WEIGHT = 1 / 4
+UNKNOWN_ANSWER_TIME_NS = SECOND // 4  # of a host that has not answered yet
+MAX_ANSWER_TIME_NS = SECOND  # as far as a silence waits for an answer
+# An answer is not confirmed before so long after its call: some answers take far longer than the others.
+# A refusal delays a message meanwhile; a delivery costs nothing but a repeat, if the process ends.
+MIN_REFUSAL_AGE_NS = SECOND // 4
+MIN_DELIVERY_AGE_NS = SECOND // 2
+# Connections that are in constant use rest after this time, until they have been silent.
+MAX_UNPROVEN_AGE_NS = SECOND
+# The same where a message waits for its confirmation.  Until then other connections are preferred.
+MAX_WAITED_FOR_AGE_NS = SECOND // 2
+MIN_WAITED_FRACTION = 0.5  # of the wait that discovery was asked for, before it answers without news
+# Past its deadline, a delivered message whose answer is not confirmed yet is ended by a notification.
+MAX_CONFIRMATION_DELAY_NS = 150 * MILLISECOND
+DISTRUST_NS = 60 * SECOND  # since the last byte that was not asked for
+OBSERVATION_NS = (
+    5 * SECOND // 4
+)  # for which a connection of a distrusted host is kept open, to see such bytes
+
+
+class Belief(Enum):
+    """How far an answer may be believed."""
+
+    PROVEN = "proven"
+    UNPROVEN = "unproven"
+    REFUTED = "refuted"
+
+
+class Settlement(Enum):
+    """What has become of an unproven answer."""
+
+    SILENT = "silent"  # the true answer would have come by now; not confirmed yet
+    CONFIRMED = "confirmed"
+    DOUBTED = "doubted"
+
+
+class Naming(Enum):
+    """Whether an answer names the messages of its call."""
+
+    NONE = "none"  # it names nothing, as all answers to calls of one message
+    REPEATED = "repeated"  # these alone, all of which were sent before: it may answer an earlier call
+    EXACT = "exact"  # these alone, one of them sent for the first time
+    OTHER = "other"  # it lacks some of them, or names others
+
+
+def judge_answer(call_number: int, followed: bool, naming: Naming) -> Belief:
+    """Judge a complete answer.
+
+    `call_number`: of the call on its connection, from 1.  `followed`: more bytes came together with it.
+    """
+    if naming is Naming.EXACT or call_number == 1:
+        return Belief.PROVEN
+    return Belief.REFUTED if followed or naming is Naming.OTHER else Belief.UNPROVEN
+
+
+def judge_early_answer(call_number: int, never_ran: bool) -> Belief:
+    """Judge an answer that came before the request was written whole: the call has not run.
+
+    A host may refuse a connection, or a request by its head, without reading the rest.
+    """
+    return Belief.PROVEN if call_number == 1 and never_ran else Belief.REFUTED
+
+
+def judge_host_list(
+    call_number: int, asked_since: int, version: int, waited: int, server_wait: int
+) -> Belief:
+    """Judge discovery's answer to a request for what is newer than a version, after so long a wait.
+
+    An older version, or no news long before the wait is over, is the answer to an earlier request.
+    """
+    if call_number == 1:
+        return Belief.PROVEN
+    is_early = version == asked_since and waited < server_wait * MIN_WAITED_FRACTION
+    return Belief.REFUTED if version < asked_since or is_early else Belief.UNPROVEN
+
+
+def is_delivery_certain(call_number: int, status: int) -> bool:
+    """Whether a status line proves the delivery of a single message, even if no more of the answer comes."""
+    return call_number == 1 and status == 200
+
+
+def compute_silence_end(now: int, written_at: int, mean: float, deviation: float) -> int:
+    """Return until when a connection must be silent after an answer to a call written at that time.
+
+    `mean`, `deviation`: of the time that the host takes to answer; 0 if it has not answered yet.
+    """
+    answer_time = int(mean + ANSWER_TIME_DEVIATIONS * deviation) or UNKNOWN_ANSWER_TIME_NS
+    return max(now + MIN_SILENCE_NS, written_at + min(answer_time, MAX_ANSWER_TIME_NS))
+
+
+def compute_confirmation_time(written_at: int, silence_end: int, delivered: bool) -> int:
+    """Return when an answer is confirmed at the earliest, after a silence and with no byte out of step."""
+    return max(silence_end, written_at + (MIN_DELIVERY_AGE_NS if delivered else MIN_REFUSAL_AGE_NS))
+
+
+def waits_for_proof(effect: Effect, allows_second_copies: bool) -> bool:
+    """Whether a message whose refusal is unproven waits before it is sent again.
+
+    Its call may still run: a non-idempotent message could take effect twice, and others be out twice at once.
+    """
+    return effect is Effect.NON_IDEMPOTENT or not allows_second_copies
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -20,6 +20,7 @@
 from heapq import heappop, heappush
 from itertools import count, filterfalse, islice, takewhile
 
+from millweir.answers.policy import waits_for_proof
 from millweir.events import EndReason, HostTransition, HostView, RecoveringHost, RefusalReason
 from millweir.interface import SECOND, Bounds, Change, Effect, Entry, Limits, Outcome, Phase, Port, Settings
 from millweir.order import PacketQueues, ValueCurve
@@ -620,10 +621,12 @@
         latency: int,
         wait: int,
         report: tuple[float, ...],
+        proven: bool = True,
     ) -> None:
         """Record the outcome of a trip; unless that finished the packet, it is sent again or answered.
 
         The wait is the retry-after of the response, 0 for none; the report is the host's load report.
+        `proven`: the response can't belong to another call.
         """
         self._now = now
         packet = self._packets.get(ident)
@@ -631,16 +634,60 @@
             return
         trip = packet.trips[number]
         trip.has_ended = True
-        trip.never_ran = outcome.never_ran
+        trip.never_ran = outcome.never_ran and proven
         packet.in_flight -= 1
         self._record_call_outcome(trip.call, outcome, latency, wait, report)
-        if packet.key and outcome.may_run_on:
+        if packet.key and (outcome.may_run_on or not proven):
             packet.key.quiet_until = now + self._key_quiet_time
         if packet.ended:
             self._remove_packet(packet)
         elif finished:
             self._close_packet(packet)
-        elif self._may_retry(packet) and (outcome is not Outcome.UNREADABLE or trip.call.shared):
+        elif not proven and outcome.never_ran and self._waits_for_proof(packet):
+            packet.unproven_refusal = outcome
+        else:
+            self._retry_or_answer(packet, outcome, trip.call)
+
+    def _waits_for_proof(self, packet: Packet) -> bool:
+        """Whether a packet whose refusal is unproven waits, so that it is not sent or answered wrongly."""
+        if packet.deadline - self._margin <= self._now:
+            return False
+        return waits_for_proof(packet.profile.effect, self._allows_second_copies) or not self._may_retry(
+            packet
+        )
+
+    def settle_refusal(self, now: int, ident: int, number: int, never_ran: bool) -> None:
+        """Record whether an unproven refusal is confirmed; a packet that waited is sent again or answered."""
+        self._now = now
+        packet = self._packets.get(ident)
+        if packet is None or number >= len(packet.trips):
+            return
+        trip = packet.trips[number]
+        if never_ran:
+            held = packet.held
+            if held:
+                self._set_held(packet, False)  # what it may do changes
+            trip.never_ran = True
+            if not self._first_uncertain_trip_at(packet):
+                packet.bound_zone = None
+            if held:
+                self._set_held(packet)
+        self.end_key_quiet(now, packet)
+        if packet.unproven_refusal and not packet.ended:
+            outcome, packet.unproven_refusal = packet.unproven_refusal, None
+            self._retry_or_answer(packet, outcome, trip.call)
+
+    def end_key_quiet(self, now: int, packet: Packet) -> None:
+        """Let the next packet of this one's key go: the trip that might still have run has ended."""
+        self._now = now
+        if key := packet.key:
+            key.quiet_until = min(key.quiet_until, now)
+            if key.queue:
+                self._update_order(key.queue[0])
+
+    def _retry_or_answer(self, packet: Packet, outcome: Outcome, call: Call) -> None:
+        """Hold a packet whose trip has ended, to be sent again, or answer it."""
+        if self._may_retry(packet) and (outcome is not Outcome.UNREADABLE or call.shared):
             # One unreadable packet spoils a batch: each of them is sent alone, which protects the others.
             packet.travels_alone |= outcome is Outcome.UNREADABLE
             self._set_abandoned(packet, outcome.given_up and not self._allows_second_copies)
@@ -964,8 +1011,8 @@
             elif isinstance(subject, OrderingKey):
                 if subject.queue:
                     self._update_order(subject.queue[0])
-                elif subject.quiet_until <= self._now:
-                    self._keys.pop(subject.id, None)
+                elif subject.quiet_until <= self._now and self._keys.get(subject.id) is subject:
+                    del self._keys[subject.id]
             elif isinstance(subject, Host):
                 if (
                     not subject.in_flight
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -10,6 +10,7 @@
 from itertools import count
 from typing import Generic, TypeVar
 
+from millweir.answers.policy import waits_for_proof
 from millweir.control import Relay, bounds
 from millweir.events import HostTransition, HostView, RecoveringHost, RefusalReason
 from millweir.interface import Change, Entry, Limits, Outcome, Settings
@@ -21,12 +22,16 @@
 class Part(Generic[Item]):
     """One packet's part in a job: one attempt to deliver it."""
 
-    __slots__ = ("_number", "_packet", "item", "job", "until")
+    __slots__ = ("_number", "_packet", "in_order", "item", "job", "until", "waits_for_proof")
 
-    def __init__(self, item: Item, job: Job[Item], until: int, packet: Packet, number: int) -> None:
+    def __init__(
+        self, item: Item, job: Job[Item], until: int, packet: Packet, number: int, waits: bool
+    ) -> None:
         self.item = item
         self.job = job
         self.until = until  # how long to wait for its outcome
+        self.waits_for_proof = waits  # its packet is not sent again before a refusal is proven
+        self.in_order = packet.key is not None
         self._packet = packet  # this and the number are for the engine alone
         self._number = number
 
@@ -76,6 +81,7 @@
         self._cancelled: deque[Part[Item]] = deque()
         self._ended: deque[UndeliveredPacket[Item]] = deque()
         self._idle_hosts: deque[str] = deque()
+        self._allows_second_copies = settings.allow_second_copies
         self._relay = Relay(self, settings, seed, now)
 
     # Input of the caller.
@@ -135,16 +141,31 @@
         finished: bool = False,
         wait: int = 0,
         load: tuple[float, ...] = (),
+        proven: bool = True,
     ) -> None:
-        """Report how one part of a job ended; `finished`: its packet has its final outcome."""
+        """Report how one part of a job ended; `finished`: its packet has its final outcome.
+
+        `proven`: the answer can't belong to another call.  Else it is settled later: a refusal by
+        `settle_refusal`; a final outcome that was none by adding the packet again.
+        """
         if self._parts.pop((part._packet, part._number), None) is None:
             return
         self._now = now
         ident, latency = part._packet.id, now - part.job.picked_at
-        self._relay.end_trip(now, ident, part._number, outcome, finished, latency, wait, load)
+        self._relay.end_trip(now, ident, part._number, outcome, finished, latency, wait, load, proven)
         if finished:
             self._items.pop(ident, None)
 
+    def end_key_quiet(self, now: int, part: Part[Item]) -> None:
+        """Report that a final outcome that was unproven is confirmed: the next packet of the key may go."""
+        self._now = now
+        self._relay.end_key_quiet(now, part._packet)
+
+    def settle_refusal(self, now: int, part: Part[Item], never_ran: bool) -> None:
+        """Report whether a refusal that was unproven is confirmed: the trip never ran."""
+        self._now = now
+        self._relay.settle_refusal(now, part._packet.id, part._number, never_ran)
+
     def draw_back_off(self, failures: int) -> int:
         """The time until discovery is asked again, drawn at random, after so many failures in a row."""
         return self._relay.draw_discovery_back_off(failures)
@@ -241,7 +262,8 @@
             job = self._open_jobs[call] = Job(host, call, self._now)
             self._jobs.append(job)
         until = self._now + time_out if time_out else packet.deadline
-        part = Part(self._items[packet.id], job, until, packet, number)
+        waits = waits_for_proof(packet.profile.effect, self._allows_second_copies)
+        part = Part(self._items[packet.id], job, until, packet, number, waits)
         job.parts.append(part)
         self._parts[packet, number] = part
 
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -13,6 +13,8 @@
 from dataclasses import replace
 from typing import Any
 
+from millweir.answers.policy import Settlement
+from millweir.events import EndReason
 from millweir.facade import DecisionEngine, Part, UndeliveredPacket
 from millweir.interface import MILLISECOND, Change, Outcome, Phase
 from millweir.net import clock
@@ -24,6 +26,7 @@
 from millweir.net.discovery import DiscoveryWatch, HostListUpdate, InvalidHostList, decode_host_list
 from millweir.net.ended import EndedIds
 from millweir.net.heads import Request, parse_number
+from millweir.net.host_call import UnprovenAnswer
 from millweir.net.hosts import HostConnections
 from millweir.net.journal import Journal, OwedMessage
 from millweir.net.lag import LoopLag, StallDetector
@@ -83,6 +86,8 @@
             journal,
             engine.may_write,
             self._record_outcome,
+            self._settle_answer,
+            self._retry_after_waits.record_wait,
             log,
             counters,
         )
@@ -441,23 +446,69 @@
             self._submit_message(message)
 
     def _record_outcome(
-        self, part: Part[OwedMessage], outcome: Outcome, finished: bool, wait: int, load: bytes
+        self,
+        part: Part[OwedMessage],
+        outcome: Outcome,
+        finished: bool,
+        wait: int,
+        load: bytes,
+        proven: bool,
     ) -> None:
+        """Record the outcome of an attempt; one that is not proven is settled later."""
         if wait > 0:
             self._retry_after_waits.record_wait(part.job.host, wait)
         self._counters.add("trips_" + outcome.name.lower())
-        if finished and part.item.given_up is None:
-            self._counters.add("packets_fulfilled" if outcome is Outcome.FULFILLED else "packets_over")
-            reply = Reply.SUCCESS if outcome is Outcome.FULFILLED else Reply.ERROR
-            self._replies.add(part.item.profile, reply)
-            self._finish_message(part.item)
+        if finished and proven:
+            self._finish_answered(part.item, outcome)
         self._engine.report_outcome(
-            clock.monotonic_ns(), part, outcome, finished, wait, self._parse_load(load)
+            clock.monotonic_ns(), part, outcome, finished, wait, self._parse_load(load), proven
         )
         if outcome is not Outcome.FULFILLED:
             self._log_failure(part, outcome, finished, wait)
         self.request_turn()
 
+    def _finish_answered(self, message: OwedMessage, outcome: Outcome) -> None:
+        """End a message that its host has taken, or for which it wants no further attempt."""
+        if message.given_up is None and message.id in self._owed:
+            self._counters.add("packets_fulfilled" if outcome is Outcome.FULFILLED else "packets_over")
+            reply = Reply.SUCCESS if outcome is Outcome.FULFILLED else Reply.ERROR
+            self._replies.add(message.profile, reply)
+            self._finish_message(message)
+
+    def _settle_answer(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
+        """Act on an answer that was unproven, now that it is confirmed or in doubt."""
+        part, now = answer.part, clock.monotonic_ns()
+        confirmed = settlement is Settlement.CONFIRMED
+        if settlement is Settlement.SILENT:
+            if answer.outcome.finished:
+                self._engine.end_key_quiet(now, part)
+        elif not answer.outcome.finished:
+            if confirmed and part.item.id in self._owed:
+                self._journal.record_never_ran(part.item, answer.trip)
+            self._engine.settle_refusal(now, part, confirmed)
+        elif confirmed:
+            self._finish_answered(part.item, answer.outcome.outcome)
+            self._engine.end_key_quiet(now, part)
+        else:
+            self._reconsider(part)
+        self.request_turn()
+
+    def _reconsider(self, part: Part[OwedMessage]) -> None:
+        """Take up a message again that may not have been delivered.
+
+        One whose key keeps an order can't go behind the next one, so it ends: its notification does no harm
+        if it was delivered.
+        """
+        message = part.item
+        if message.id not in self._owed or message.given_up is not None:
+            return
+        self._counters.add("packets_reconsidered")
+        if part.in_order:
+            self._engine.end_key_quiet(clock.monotonic_ns(), part)
+            self._give_up(message, EndReason.MAY_HAVE_RUN, len(message.trips))
+        else:
+            self._submit_message(message)
+
     def _log_failure(self, part: Part[OwedMessage], outcome: Outcome, finished: bool, wait: int) -> None:
         """Log a failed attempt with the current state of its host."""
         view = self._engine.view_host(part.job.host.encode())
@@ -485,11 +536,21 @@
             return ()
 
     def _end_undelivered(self, ending: UndeliveredPacket[OwedMessage]) -> None:
-        message, retryable, wait = ending.item, ending.again, ending.retry_after
+        self._give_up(ending.item, ending.reason, ending.attempts, ending.again, ending.retry_after)
+
+    def _give_up(
+        self,
+        message: OwedMessage,
+        reason: EndReason,
+        attempts: int,
+        retryable: bool = False,
+        wait: int = 0,
+    ) -> None:
+        """End a message by a notification; `retryable`: it may be handed in again after the wait."""
         remaining_ms = (message.deadline - clock.to_wall(clock.monotonic_ns())) // MILLISECOND
         self._log.info(
             f"message-ended id={message.id.decode()} end={'bounced' if retryable else 'dead'} "
-            f"reason={ending.reason.value} attempts={ending.attempts} left_ms={remaining_ms}"
+            f"reason={reason.value} attempts={attempts} left_ms={remaining_ms}"
         )
         self._counters.add("packets_dismissed" if retryable else "packets_errored")
         self._replies.add(message.profile, Reply.OVERLOAD if retryable else Reply.ERROR)
--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from millweir.answers.policy import Belief, judge_host_list
 from millweir.interface import MILLISECOND, Bounds, Change, Entry, Phase, Settings
 from millweir.net.config import Misconfigured, read_address
 from millweir.net.counters import Counters
@@ -144,10 +145,12 @@
 
     __slots__ = (
         "_asked_at",
+        "_asked_since",
         "_back_off",
         "_exchange",
         "_failures",
         "_loop",
+        "_server_wait",
         "_watch",
         "closed",
         "proven",
@@ -178,6 +181,7 @@
         )
         self.proven = self.closed = False
         self._failures, self._asked_at = 0, loop.time()
+        self._asked_since, self._server_wait = -1, 0  # of the pending request
         self._back_off: int | None = None  # before the pending request, where the last one was turned away
 
     def poll(self, unread: bool = False) -> None:
@@ -190,8 +194,23 @@
             query = self._watch.build_query(timeouts.server_wait)
             head = b"GET /v1/endpoints%b HTTP/1.1\r\nHost: %b\r\n\r\n" % (query, self._exchange.host)
             self._asked_at = self._loop.time()
+            self._asked_since, self._server_wait = self._watch.version, timeouts.server_wait
             self._exchange.send_request([head], timeouts.response)
 
+    def judge(self, update: HostListUpdate) -> Belief:
+        """Judge whether a list answers the last request, or an earlier one on the connection."""
+        return judge_host_list(
+            self._exchange.call_number,
+            self._asked_since,
+            update.version,
+            int((self._loop.time() - self._asked_at) * 1e9),
+            self._server_wait,
+        )
+
+    def drop_connection(self, reason: str) -> None:
+        """Make the next request on a new connection."""
+        self._exchange.drop_connection(reason)
+
     def _poll_unread(self) -> None:
         self.poll(unread=True)
 
@@ -232,7 +251,7 @@
     ) -> None:
         """`draw_back_off`: how long to wait before asking again after a number of consecutive failures."""
         self._loop, self._settings, self.bounds, self.draw_back_off = loop, settings, bounds, draw_back_off
-        self._version, self._on_update, self._log, self._counters = version, on_update, log, counters
+        self.version, self._on_update, self._log, self._counters = version, on_update, log, counters
         self._pollers: list[DiscoveryPoller] = []  # the one in use first, then the one that is to replace it
         self.change_address(address)
 
@@ -252,13 +271,13 @@
     def build_query(self, server_wait: int) -> bytes:
         """The query string; without a known version it asks for the full list, which never waits."""
         return (
-            b"?since=%d&timeout_ms=%d" % (self._version, server_wait // MILLISECOND)
-            if self._version >= 0
+            b"?since=%d&timeout_ms=%d" % (self.version, server_wait // MILLISECOND)
+            if self.version >= 0
             else b""
         )
 
     def handle_response(self, poller: DiscoveryPoller, reader: ResponseReader | None) -> bool:
-        """Apply a response; False where it holds no valid list."""
+        """Apply a response, unless it is one to an earlier request; False where it holds no valid list."""
         try:
             if reader is None or reader.status != 200:
                 raise InvalidHostList("no answer" if reader is None else f"status {reader.status}")
@@ -266,11 +285,18 @@
         except (InvalidHostList, ValueError, RecursionError) as error:
             self._counters.add("list_failures")
             self._log.info(f"list-failed {str(error)[:200]}")
+            if reader is not None and reader.status == 200:
+                poller.drop_connection("unusable-answer")  # what follows on it may be out of step
             return False
+        if poller.judge(update) is Belief.REFUTED:
+            self._counters.add("answers_refuted")
+            self._log.info(f"answer-refuted peer=discovery reason=version version={update.version}")
+            poller.drop_connection("out-of-step")
+            return True
         poller.proven = True
         while self._pollers[0] is not poller and poller in self._pollers:
             self._pollers.pop(0).close()
-        self._version = update.version
+        self.version = update.version
         self._counters.add("lists_told")
         self._on_update(Change.FULL if update.is_full else Change.DELTA, update)  # also without any change
         return True
--- a/millweir/net/exchange.py
+++ b/millweir/net/exchange.py
@@ -35,6 +35,7 @@
         "_timeout_timer",
         "_on_response",
         "_on_unread",
+        "_single_use",
         "_timer_number",
         "host",
     )
@@ -51,6 +52,7 @@
         log: Log,
         counters: Counters,
         on_unread: Callable[[], None] | None = None,
+        single_use: bool = False,
     ) -> None:
         """Store the parameters; the first request opens the connection.  Times are in nanoseconds.
 
@@ -59,6 +61,7 @@
         repeats a lost SYN after 1, 3, 7 and 15 s, a new connection attempt sends one at once.
         `on_unread`: called instead of `on_response` if the peer closed the idle connection just as a request
         was written to it.  Without it the request is sent once more on a new connection, within its timeout.
+        `single_use`: a connection carries one request, so that no answer can belong to an earlier one.
         """
         self._loop = loop
         self._address = address
@@ -68,6 +71,7 @@
         self._connect_timeout = connect_timeout / 1e9
         self._on_response = on_response
         self._on_unread = on_unread
+        self._single_use = single_use
         self._log = log
         self._counters = counters
         self.host = f"{address[0]}:{address[1]}".encode()  # value of the Host header field
@@ -83,7 +87,7 @@
         self._extended = False
         self._request_chunks = request_chunks
         self._start_timer(timeout_ns)
-        if self._connection and self._connection.open:
+        if self._connection and self._connection.usable:
             self._connection.send_request(self, request_chunks)
         else:
             self._connection = None  # bytes read from the last one are not part of this response
@@ -124,8 +128,20 @@
         self._deliver(None)
 
     def handle_response(self, connection: Connection) -> None:
+        if self._single_use:
+            connection.retire("single-use")
         self._deliver(connection.reader)
 
+    @property
+    def call_number(self) -> int:
+        """The number of the last request on its connection, from 1."""
+        return self._connection.request_count if self._connection else 1
+
+    def drop_connection(self, reason: str) -> None:
+        """Close the connection, on which no request is in flight; the next one opens another."""
+        if self._connection:
+            self._connection.close(reason)
+
     def handle_loss(self, connection: Connection) -> None:
         if connection.request_count > 1 and not connection.reader.started:
             # The peer closed the idle connection as this request was sent: it is repeated, to leave no gap.
--- a/millweir/net/heads.py
+++ b/millweir/net/heads.py
@@ -251,6 +251,7 @@
         "started",
         "body",
         "complete",
+        "followed",
         "keep_alive",
         "backend_load",
         "over_slots",
@@ -286,6 +287,7 @@
         self.started = False
         self.complete = False
         self.over_slots = False
+        self.followed = False  # bytes that belong to no known request came after the complete response
         self.keep_alive = True
 
     def feed(self, data: bytes) -> bool:
@@ -306,6 +308,7 @@
         except httptools.HttpParserError as error:
             if not isinstance(error, httptools.HttpParserInvalidStatusError):
                 self._read_status_line()
+            self.followed = self.complete
             self.keep_alive = False
             return self.complete
         self._read_status_line()
@@ -325,15 +328,22 @@
             self.body = b"".join(self._body_chunks)
             self.complete = True
 
+    def on_status(self, reason: bytes) -> None:
+        if b"HTTP/" in reason:
+            raise ValueError("a status line in a status line: two responses, the first one cut")
+
     def on_message_begin(self) -> None:
         self.started = True
-        if self.complete:  # bytes after a response belong to no known request
+        if self.complete:
+            self.followed = True
             self.keep_alive = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
         if self.complete:
             return
+        if b"HTTP/1." in value:
+            raise ValueError("a status line in a header field: two responses, the first one cut")
         self.status_line_code = self.status_line_code or self._parser.get_status_code()
         if name == b"retry-after":
             self.retry_after = parse_retry_after(value)
--- /dev/null
+++ b/millweir/net/host_call.py
@@ -0,0 +1,333 @@
+"""One call to a host: writing it, reading its answer, and the outcome of each of its packets."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from millweir.answers.policy import (
+    Belief,
+    Naming,
+    is_delivery_certain,
+    judge_answer,
+    judge_early_answer,
+)
+from millweir.facade import Job, Part
+from millweir.interface import MILLISECOND, Outcome
+from millweir.net import clock
+from millweir.net.heads import ResponseReader
+from millweir.net.journal import OwedMessage
+from millweir.net.links import Connection
+
+if TYPE_CHECKING:
+    from millweir.net.hosts import ConnectionPool, HostConnections
+
+# A call that was answered with any other status may have run.
+OUTCOME_BY_STATUS = {
+    200: Outcome.FULFILLED,
+    429: Outcome.FULL,
+    503: Outcome.FULL,
+    504: Outcome.MOOT,
+    410: Outcome.MOOT,
+    404: Outcome.MOOT,
+    400: Outcome.UNREADABLE,
+    413: Outcome.UNREADABLE,
+}
+REFUSED_STATUSES = (429, 503)
+OUTCOME_BY_STATE = {  # of one packet in the response to a batch
+    "accepted": Outcome.FULFILLED,
+    "fault": Outcome.FAULT,
+    "deferred": Outcome.FULL,
+    "expired": Outcome.MOOT,
+    "no_more": Outcome.MOOT,
+}
+FINAL_STATES = ("accepted", "expired")  # the packet needs no further trip
+
+
+@dataclass(frozen=True, slots=True)
+class PartOutcome:
+    """How one packet fared; `finished`: it needs no further trip."""
+
+    outcome: Outcome
+    finished: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class UnprovenAnswer:
+    """What an answer says of one packet, as long as it may belong to another request."""
+
+    part: Part[OwedMessage]
+    trip: int  # index of the trip in the journal
+    outcome: PartOutcome
+    call_number: int  # of the call on its connection
+
+
+class HostCall:
+    """One call in progress: its packets, the connection that it is written to, and its timer."""
+
+    __slots__ = (
+        "_hosts",
+        "_journaled_trips",
+        "_written_parts",
+        "_written_at",
+        "job",
+        "connection",
+        "pool",
+        "timer",
+        "pending_parts",
+    )
+
+    def __init__(self, hosts: HostConnections, job: Job[OwedMessage], pool: ConnectionPool) -> None:
+        self._hosts = hosts
+        self.job = job
+        self.pool = pool
+        self.pending_parts: dict[Part[OwedMessage], None] = dict.fromkeys(job.parts)
+        self.connection: Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self._written_parts: list[Part[OwedMessage]] = []
+        self._written_at = 0
+        self._journaled_trips: dict[Part[OwedMessage], int] = {}  # index of each in the journal; sent since
+
+    def write_request(self, connection: Connection) -> None:
+        """Write the call except for its last byte, which is held back until `may_release`."""
+        hosts, now = self._hosts, clock.monotonic_ns()
+        for part in list(self.pending_parts):
+            # While connecting, the packet may have ended, or its host sent a retry-after or left the list.
+            if not hosts.may_send(now, part):
+                self.finish_part(part, Outcome.MOOT)
+        parts = list(self.pending_parts)
+        if not parts:
+            hosts.return_to_pool(self.pool, connection)
+            return
+        self.connection = connection
+        self._written_parts = parts
+        self._written_at = now
+        give_up_at = min(self.job.answer_deadline, max(part.until for part in parts))
+        remaining_ms = max(1, -(-(give_up_at - now) // MILLISECOND))
+        if len(parts) == 1:
+            message = parts[0].item
+            path, body, id_headers = b"/hook", message.body, b"X-Correlation-Id: %b\r\n" % message.id
+            if message.idempotency_key:
+                id_headers += b"Idempotency-Key: %b\r\n" % message.idempotency_key
+        else:
+            rows = []
+            for part in parts:
+                row = {"id": part.item.id.decode()}
+                if part.item.idempotency_key:
+                    row["key"] = part.item.idempotency_key.decode()
+                row["body"] = base64.b64encode(part.item.body).decode()
+                rows.append(row)
+            path, body, id_headers = b"/hook/batch", json.dumps(rows, separators=(",", ":")).encode(), b""
+        head = b"POST %b HTTP/1.1\r\nHost: %b\r\n%bX-Time-Left: %dm\r\nContent-Length: %d\r\n\r\n" % (
+            path,
+            self.pool.name.encode(),
+            id_headers,
+            remaining_ms,
+            len(body),
+        )
+        connection.send_request(self, [head, body], hosts.bounds.last_byte_hold_ns)
+
+    def may_release(self, connection: Connection) -> bool:
+        """Journal the trips and return True, if every packet that was written may still be sent."""
+        hosts, parts = self._hosts, list(self.pending_parts)
+        try:
+            self._check_may_send(parts)
+            # So that a packet does not take effect twice after a restart (rule 2): hosts recognise a repeat
+            # for a time that begins with the first byte of the call, which is the time to journal.
+            hosts.journal.record_trips([part.item for part in parts], clock.to_wall(self._written_at))
+            self._journaled_trips = {part: len(part.item.trips) - 1 for part in parts}
+            self._check_may_send(parts)  # again: the journal write may have taken long
+        except OSError as error:
+            hosts.log.info(f"call-withheld {error}")
+            connection.close("withheld", abort=True)
+            self.finish_all(Outcome.MOOT)
+            return False
+        hosts.counters.add("calls_sent")
+        hosts.counters.add("trips_sent", len(parts))
+        return True
+
+    def _check_may_send(self, parts: list[Part[OwedMessage]]) -> None:
+        """Raise OSError unless every packet that was written may still be sent."""
+        now = clock.monotonic_ns()
+        may_send = all(self._hosts.may_send(now, part) for part in parts)
+        if not may_send or parts != self._written_parts or self.connection.reader.started:
+            raise OSError(
+                "a packet was given up, the response came early, or the host sent a retry-after or left"
+            )
+
+    def finish_part(
+        self,
+        part: Part[OwedMessage],
+        outcome: Outcome,
+        finished: bool = False,
+        retry_after: int = 0,
+        backend_load: bytes = b"",
+        proven: bool = True,
+    ) -> None:
+        """Report the outcome of one packet; `finished`: the packet needs no further trip.
+
+        `proven`: it can't be the outcome of an earlier call on the same connection.
+        """
+        if part not in self.pending_parts:
+            return
+        del self.pending_parts[part]
+        if not self.pending_parts:
+            self._hosts.finish_call(self)
+        if proven and outcome.never_ran and part in self._journaled_trips:
+            self._hosts.journal.record_never_ran(part.item, self._journaled_trips[part])
+        self._hosts.report(part, outcome, finished, retry_after, backend_load, proven)
+
+    def finish_all(
+        self, outcome: Outcome, finished: bool = False, retry_after: int = 0, backend_load: bytes = b""
+    ) -> None:
+        for part in list(self.pending_parts):
+            self.finish_part(part, outcome, finished, retry_after, backend_load)
+
+    def give_up(self, part: Part[OwedMessage], outcome: Outcome) -> None:
+        """Stop waiting for one packet; with the last one the connection is closed."""
+        if part not in self.pending_parts:
+            return
+        if self.connection is None:
+            outcome = Outcome.UNCONNECTED  # nothing was written yet
+        elif len(self.pending_parts) == 1:
+            self.connection.close("given-up", abort=True)
+        if self.connection and not self._journaled_trips:
+            outcome = Outcome.MOOT
+        if self.is_delivered:
+            outcome = Outcome.FULFILLED
+        self.finish_part(part, outcome, finished=self.is_delivered)
+
+    def give_up_expired(self) -> None:
+        """Give up the packets whose waiting time has passed, and set the timer for the others."""
+        now = clock.monotonic_ns()
+        for part in [part for part in self.pending_parts if part.until <= now]:
+            self.give_up(part, Outcome.TIMED_OUT)
+        self.set_timer()
+
+    def set_timer(self) -> None:
+        """Set the timer to the first time at which a packet is to be given up."""
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        if self.pending_parts:
+            remaining = min([part.until for part in self.pending_parts]) - clock.monotonic_ns()
+            # Half a millisecond later, so that the packet's time has passed when the timer fires
+            self.timer = self._hosts.loop.call_later(
+                max(remaining, 0) / 1e9 + 0.0005,
+                clock.call_after_poll,
+                self._hosts.loop,
+                self.give_up_expired,
+            )
+
+    def handle_response(self, connection: Connection) -> None:
+        """Take a complete answer, as far as it may be believed (see `millweir/answers/policy.py`)."""
+        reader = connection.reader
+        if not self._journaled_trips:
+            self._handle_early_answer(connection)
+            return
+        naming, outcomes = self._read_outcomes(connection)
+        belief = judge_answer(connection.request_count, reader.followed, naming)
+        if belief is Belief.REFUTED:
+            outcomes = dict.fromkeys(self.pending_parts, PartOutcome(Outcome.SPOILT))
+        unproven = [
+            UnprovenAnswer(part, self._journaled_trips[part], how, connection.request_count)
+            for part, how in outcomes.items()
+            if belief is Belief.UNPROVEN and (how.finished or how.outcome.never_ran)
+        ]
+        self._hosts.record_answer(self, belief, unproven)
+        for part, how in outcomes.items():
+            self.finish_part(
+                part,
+                how.outcome,
+                how.finished,
+                reader.retry_after,
+                reader.backend_load,
+                proven=belief is not Belief.UNPROVEN,
+            )
+
+    def _handle_early_answer(self, connection: Connection) -> None:
+        """Take an answer that came before the last byte of the call was sent: the call never ran."""
+        reader = connection.reader
+        how = self._read_common_outcome(reader, connection.request_count)
+        belief = judge_early_answer(connection.request_count, how.outcome.never_ran and not how.finished)
+        self._hosts.record_early_answer(self, belief)
+        outcome = Outcome.CUT_OFF if belief is Belief.REFUTED else how.outcome
+        self.finish_all(outcome, False, reader.retry_after, reader.backend_load)
+
+    def _read_outcomes(self, connection: Connection) -> tuple[Naming, dict[Part[OwedMessage], PartOutcome]]:
+        """Return whether the answer names the packets of this call, and how each of them fared by it."""
+        reader = connection.reader
+        if reader.status == 200 and not self.is_single:
+            return self._read_states(reader)
+        how = self._read_common_outcome(reader, connection.request_count)
+        return Naming.NONE, dict.fromkeys(self.pending_parts, how)
+
+    def _read_common_outcome(self, reader: ResponseReader, call_number: int) -> PartOutcome:
+        if reader.over_slots:
+            return PartOutcome(Outcome.MOOT)
+        if reader.status not in (200, 410, 429, 500, 503, 504):
+            self._hosts.log.info(f"odd-answer host={self.pool.name} status={reader.status}")
+        outcome = OUTCOME_BY_STATUS.get(reader.status, Outcome.FAULT)
+        if reader.status == 503 and not reader.keep_alive and call_number == 1:
+            outcome = Outcome.CROWDED  # refused on a new connection: too many
+        return PartOutcome(outcome, outcome is Outcome.FULFILLED or reader.status == 410)
+
+    def _read_states(self, reader: ResponseReader) -> tuple[Naming, dict[Part[OwedMessage], PartOutcome]]:
+        try:
+            states = {row["id"]: row["state"] for row in json.loads(reader.body)}
+        except (ValueError, KeyError, TypeError, RecursionError):
+            states = {}  # every packet may have run
+            self._hosts.log.info(f"garbled-answer host={self.pool.name}")
+        naming = self._compare_names(states)
+        if clock.monotonic_ns() >= self.job.answer_deadline:
+            # Each packet gets its final outcome in time (rule 1): after the deadline of one packet, the
+            # response to its batch counts for none of them.
+            return naming, dict.fromkeys(self.pending_parts, PartOutcome(Outcome.CANCELLED))
+        outcomes = {}
+        for part in self.pending_parts:
+            state = states.get(part.item.id.decode())
+            outcome = (
+                OUTCOME_BY_STATE.get(state, Outcome.SPOILT) if isinstance(state, str) else Outcome.SPOILT
+            )
+            outcomes[part] = PartOutcome(outcome, state in FINAL_STATES)
+        return naming, outcomes
+
+    def _compare_names(self, states: dict[str, object]) -> Naming:
+        """Compare the names in an answer with the packets that were written."""
+        if {part.item.id.decode() for part in self._written_parts} != states.keys():
+            return Naming.OTHER
+        first_trip = any(not self._journaled_trips.get(part, 1) for part in self._written_parts)
+        return Naming.EXACT if first_trip else Naming.REPEATED
+
+    @property
+    def is_single(self) -> bool:
+        """Whether one packet was written; others of the job may have ended before that."""
+        return len(self._written_parts) == 1
+
+    @property
+    def is_delivered(self) -> bool:
+        """Whether a single packet is delivered: a status line with 200 suffices, whatever follows it."""
+        connection = self.connection
+        return (
+            bool(self._journaled_trips)
+            and self.is_single
+            and is_delivery_certain(connection.request_count, connection.reader.status_line_code)
+        )
+
+    @property
+    def written_at(self) -> int:
+        """When the call was written."""
+        return self._written_at
+
+    def handle_loss(self, connection: Connection) -> None:
+        """Take the loss of the connection, or an answer that can't be parsed."""
+        if self.is_delivered:
+            self.finish_all(
+                Outcome.FULFILLED, True, connection.reader.retry_after, connection.reader.backend_load
+            )
+        else:
+            outcome = Outcome.SPOILT if connection.invalid_response else Outcome.RESET
+            self.finish_all(outcome if self._journaled_trips else Outcome.CUT_OFF)
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -3,262 +3,39 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-import json
 from collections.abc import Callable, Container, Iterable
+from functools import partial
 
+from millweir.answers.connection import NEVER, AnswerTimes
+from millweir.answers.policy import OBSERVATION_NS, Belief, compute_confirmation_time
+from millweir.answers.trust import HostTrust
 from millweir.facade import Job, Part
-from millweir.interface import MILLISECOND, Bounds, Outcome
+from millweir.interface import Bounds, Outcome
 from millweir.net import clock
+from millweir.net.answer_checks import AnswerChecks, Settle
 from millweir.net.counters import Counters
+from millweir.net.host_call import HostCall, UnprovenAnswer
 from millweir.net.journal import Journal, OwedMessage
 from millweir.net.links import Connection
 from millweir.net.log import Log
 
-# A call that was answered with any other status may have run.
-OUTCOME_BY_STATUS = {
-    200: Outcome.FULFILLED,
-    429: Outcome.FULL,
-    503: Outcome.FULL,
-    504: Outcome.MOOT,
-    410: Outcome.MOOT,
-    404: Outcome.MOOT,
-    400: Outcome.UNREADABLE,
-    413: Outcome.UNREADABLE,
-}
 UNREACHABLE_ADDRESS = ("127.0.0.1", 0)  # for a host no longer in the list: connecting fails
-OUTCOME_BY_STATE = {  # of one packet in the response to a batch
-    "accepted": Outcome.FULFILLED,
-    "fault": Outcome.FAULT,
-    "deferred": Outcome.FULL,
-    "expired": Outcome.MOOT,
-    "no_more": Outcome.MOOT,
-}
-
 MaySend = Callable[[int, Part[OwedMessage]], bool]
-ReportOutcome = Callable[[Part[OwedMessage], Outcome, bool, int, bytes], None]
+ReportOutcome = Callable[[Part[OwedMessage], Outcome, bool, int, bytes, bool], None]
+RecordWait = Callable[[str, int], None]
 
 
 class ConnectionPool:
-    """One host's address and this relay's idle connections to it."""
+    """One host's address, this relay's idle connections to it, and how far its answers are trusted."""
 
-    __slots__ = ("address", "idle", "name")
+    __slots__ = ("address", "idle", "name", "observed", "trust")
 
     def __init__(self, name: str, address: tuple[str, int]) -> None:
         self.name = name
         self.address = address
         self.idle: list[Connection] = []
-
-
-class HostCall:
-    """One call in progress: its packets, the connection that it is written to, and its timer."""
-
-    __slots__ = (
-        "_hosts",
-        "_journaled_trips",
-        "_written_parts",
-        "_written_at",
-        "job",
-        "connection",
-        "pool",
-        "timer",
-        "pending_parts",
-    )
-
-    def __init__(self, hosts: HostConnections, job: Job[OwedMessage], pool: ConnectionPool) -> None:
-        self._hosts = hosts
-        self.job = job
-        self.pool = pool
-        self.pending_parts: dict[Part[OwedMessage], None] = dict.fromkeys(job.parts)
-        self.connection: Connection | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self._written_parts: list[Part[OwedMessage]] = []
-        self._written_at = 0
-        self._journaled_trips: dict[Part[OwedMessage], int] = {}  # index of each in the journal; sent since
-
-    def write_request(self, connection: Connection) -> None:
-        """Write the call except for its last byte, which is held back until `may_release`."""
-        hosts, now = self._hosts, clock.monotonic_ns()
-        for part in list(self.pending_parts):
-            # While connecting, the packet may have ended, or its host sent a retry-after or left the list.
-            if not hosts.may_send(now, part):
-                self.finish_part(part, Outcome.MOOT)
-        parts = list(self.pending_parts)
-        if not parts:
-            hosts.return_to_pool(self.pool, connection)
-            return
-        self.connection = connection
-        self._written_parts = parts
-        self._written_at = now
-        give_up_at = min(self.job.answer_deadline, max(part.until for part in parts))
-        remaining_ms = max(1, -(-(give_up_at - now) // MILLISECOND))
-        if len(parts) == 1:
-            message = parts[0].item
-            path, body, id_headers = b"/hook", message.body, b"X-Correlation-Id: %b\r\n" % message.id
-            if message.idempotency_key:
-                id_headers += b"Idempotency-Key: %b\r\n" % message.idempotency_key
-        else:
-            rows = []
-            for part in parts:
-                row = {"id": part.item.id.decode()}
-                if part.item.idempotency_key:
-                    row["key"] = part.item.idempotency_key.decode()
-                row["body"] = base64.b64encode(part.item.body).decode()
-                rows.append(row)
-            path, body, id_headers = b"/hook/batch", json.dumps(rows, separators=(",", ":")).encode(), b""
-        head = b"POST %b HTTP/1.1\r\nHost: %b\r\n%bX-Time-Left: %dm\r\nContent-Length: %d\r\n\r\n" % (
-            path,
-            self.pool.name.encode(),
-            id_headers,
-            remaining_ms,
-            len(body),
-        )
-        connection.send_request(self, [head, body], hosts.bounds.last_byte_hold_ns)
-
-    def may_release(self, connection: Connection) -> bool:
-        """Journal the trips and return True, if every packet that was written may still be sent."""
-        hosts, parts = self._hosts, list(self.pending_parts)
-        try:
-            self._check_may_send(parts)
-            # So that a packet does not take effect twice after a restart (rule 2): hosts recognise a repeat
-            # for a time that begins with the first byte of the call, which is the time to journal.
-            hosts.journal.record_trips([part.item for part in parts], clock.to_wall(self._written_at))
-            self._journaled_trips = {part: len(part.item.trips) - 1 for part in parts}
-            self._check_may_send(parts)  # again: the journal write may have taken long
-        except OSError as error:
-            hosts.log.info(f"call-withheld {error}")
-            connection.close("withheld", abort=True)
-            self.finish_all(Outcome.MOOT)
-            return False
-        hosts.counters.add("calls_sent")
-        hosts.counters.add("trips_sent", len(parts))
-        return True
-
-    def _check_may_send(self, parts: list[Part[OwedMessage]]) -> None:
-        """Raise OSError unless every packet that was written may still be sent."""
-        now = clock.monotonic_ns()
-        may_send = all(self._hosts.may_send(now, part) for part in parts)
-        if not may_send or parts != self._written_parts or self.connection.reader.started:
-            raise OSError(
-                "a packet was given up, the response came early, or the host sent a retry-after or left"
-            )
-
-    def finish_part(
-        self,
-        part: Part[OwedMessage],
-        outcome: Outcome,
-        finished: bool = False,
-        retry_after: int = 0,
-        backend_load: bytes = b"",
-    ) -> None:
-        """Report the outcome of one packet; `finished`: the packet needs no further trip."""
-        if part not in self.pending_parts:
-            return
-        del self.pending_parts[part]
-        if not self.pending_parts:
-            self._hosts.finish_call(self)
-        if outcome.never_ran and part in self._journaled_trips:
-            self._hosts.journal.record_never_ran(part.item, self._journaled_trips[part])
-        self._hosts.report(part, outcome, finished, retry_after, backend_load)
-
-    def finish_all(
-        self, outcome: Outcome, finished: bool = False, retry_after: int = 0, backend_load: bytes = b""
-    ) -> None:
-        for part in list(self.pending_parts):
-            self.finish_part(part, outcome, finished, retry_after, backend_load)
-
-    def give_up(self, part: Part[OwedMessage], outcome: Outcome) -> None:
-        """Stop waiting for one packet; with the last one the connection is closed."""
-        if part not in self.pending_parts:
-            return
-        if self.connection is None:
-            outcome = Outcome.UNCONNECTED  # nothing was written yet
-        elif len(self.pending_parts) == 1:
-            self.connection.close("given-up", abort=True)
-        if self.connection and not self._journaled_trips:
-            outcome = Outcome.MOOT
-        if self.is_delivered:
-            outcome = Outcome.FULFILLED
-        self.finish_part(part, outcome, finished=self.is_delivered)
-
-    def give_up_expired(self) -> None:
-        """Give up the packets whose waiting time has passed, and set the timer for the others."""
-        now = clock.monotonic_ns()
-        for part in [part for part in self.pending_parts if part.until <= now]:
-            self.give_up(part, Outcome.TIMED_OUT)
-        self.set_timer()
-
-    def set_timer(self) -> None:
-        """Set the timer to the first time at which a packet is to be given up."""
-        if self.timer:
-            self.timer.cancel()
-            self.timer = None
-        if self.pending_parts:
-            remaining = min([part.until for part in self.pending_parts]) - clock.monotonic_ns()
-            # Half a millisecond later, so that the packet's time has passed when the timer fires
-            self.timer = self._hosts.loop.call_later(
-                max(remaining, 0) / 1e9 + 0.0005,
-                clock.call_after_poll,
-                self._hosts.loop,
-                self.give_up_expired,
-            )
-
-    def handle_response(self, connection: Connection) -> None:
-        reader = connection.reader
-        self._hosts.return_to_pool(self.pool, connection)
-        if reader.status == 200 and not self._journaled_trips:
-            # Received before the last byte was sent: the response to another call, or to none.
-            self.finish_all(Outcome.CUT_OFF)
-        elif reader.status == 200 and not self.is_single and clock.monotonic_ns() >= self.job.answer_deadline:
-            # Each packet gets its final outcome in time (rule 1): after the deadline of one packet, the
-            # response to its batch counts for none of them.
-            self.finish_all(Outcome.CANCELLED)
-        elif reader.status == 200 and not self.is_single:
-            self._read_states(reader.body, reader.retry_after, reader.backend_load)
-        elif reader.over_slots:
-            self.finish_all(Outcome.MOOT, backend_load=reader.backend_load)
-        else:
-            outcome = OUTCOME_BY_STATUS.get(reader.status, Outcome.FAULT)
-            if reader.status == 503 and not reader.keep_alive and connection.request_count == 1:
-                outcome = Outcome.CROWDED  # refused on a new connection: too many
-            finished = outcome is Outcome.FULFILLED or reader.status == 410
-            if reader.status not in (200, 410, 429, 500, 503, 504):
-                self._hosts.log.info(f"odd-answer host={self.pool.name} status={reader.status}")
-            self.finish_all(outcome, finished, reader.retry_after, reader.backend_load)
-
-    def _read_states(self, body: bytes, retry_after: int, backend_load: bytes) -> None:
-        try:
-            states = {row["id"]: row["state"] for row in json.loads(body)}
-        except (ValueError, KeyError, TypeError, RecursionError):
-            states = {}  # every packet may have run
-            self._hosts.log.info(f"garbled-answer host={self.pool.name}")
-        for part in list(self.pending_parts):
-            state = states.get(part.item.id.decode())
-            outcome = (
-                OUTCOME_BY_STATE.get(state, Outcome.SPOILT) if isinstance(state, str) else Outcome.SPOILT
-            )
-            self.finish_part(part, outcome, state in ("accepted", "expired"), retry_after, backend_load)
-
-    @property
-    def is_single(self) -> bool:
-        """Whether one packet was written; others of the job may have ended before that."""
-        return len(self._written_parts) == 1
-
-    @property
-    def is_delivered(self) -> bool:
-        """Whether a single packet is delivered: a status line with 200 suffices, whatever follows it."""
-        return (
-            bool(self._journaled_trips) and self.connection.reader.status_line_code == 200 and self.is_single
-        )
-
-    def handle_loss(self, connection: Connection) -> None:
-        if self.is_delivered:
-            self.finish_all(
-                Outcome.FULFILLED, True, connection.reader.retry_after, connection.reader.backend_load
-            )
-        else:
-            outcome = Outcome.SPOILT if connection.invalid_response else Outcome.RESET
-            self.finish_all(outcome if self._journaled_trips else Outcome.CUT_OFF)
+        self.trust = HostTrust()
+        self.observed: Connection | None = None  # kept open for bytes that were not asked for
 
 
 class HostConnections:
@@ -272,9 +49,12 @@
         journal: Journal,
         may_send: MaySend,
         report: ReportOutcome,
+        settle: Settle,
+        record_wait: RecordWait,
         log: Log,
         counters: Counters,
     ) -> None:
+        """`settle`: called for each unproven answer; `record_wait`: for a retry-after that came unasked."""
         self.loop = loop
         self.journal = journal
         self.may_send = may_send
@@ -287,6 +67,10 @@
         self._idle: dict[Connection, ConnectionPool] = {}  # longest idle first
         self._calls: dict[Job[OwedMessage], HostCall] = {}
         self._connecting: set[asyncio.Task[None]] = set()
+        self._checks = AnswerChecks(loop, settle, log, counters)
+        self._record_wait = record_wait
+        self._retired: set[Connection] = set()  # open, for their last answers to be settled
+        self._observed_count = 0
 
     def update_addresses(self, addresses: dict[str, tuple[str, int]], removed: Iterable[str]) -> None:
         """Take the hosts' addresses from the list; close idle connections to removed or moved hosts."""
@@ -313,19 +97,30 @@
         pool = self._pools.get(job.host) or ConnectionPool(job.host, UNREACHABLE_ADDRESS)
         call = self._calls[job] = HostCall(self, job, pool)
         call.set_timer()
-        idle_cutoff = clock.monotonic_ns() - self.bounds.connection_idle_timeout_ns
-        while pool.idle:
-            connection = pool.idle.pop()
-            del self._idle[connection]
-            if connection.open and connection.idle_since > idle_cutoff:
-                call.write_request(connection)
-                return
-            connection.close("idle")
+        if connection := self._take_idle(pool):
+            call.write_request(connection)
+            return
         self._trim_idle_for_calls()
         task = self.loop.create_task(self._connect(call))
         self._connecting.add(task)
         task.add_done_callback(self._connecting.discard)
 
+    def _take_idle(self, pool: ConnectionPool) -> Connection | None:
+        """Take the most recently used idle connection that may carry a call, best one not waited for."""
+        now = clock.monotonic_ns()
+        idle_cutoff = now - self.bounds.connection_idle_timeout_ns
+        usable = (
+            connection
+            for connection in reversed(pool.idle)
+            if connection.idle_since > idle_cutoff and connection.unproven.may_carry_call(now)
+        )
+        chosen = next(usable, None)
+        if chosen and chosen.unproven.waited_for:
+            chosen = next((other for other in usable if not other.unproven.waited_for), chosen)
+        if chosen:
+            self._forget_idle(chosen)
+        return chosen
+
     async def _connect(self, call: HostCall) -> None:
         pool = call.pool
         connection = Connection(
@@ -344,7 +139,8 @@
             self.log.info(f"link-end peer={pool.name} reason=unconnected {type(error).__name__}")
             call.finish_all(Outcome.UNCONNECTED)
             return
-        connection.on_idle_close = self._forget_idle
+        connection.on_end = self._handle_end
+        connection.on_unasked = partial(self._handle_unasked, pool)
         if not connection.open:
             call.finish_all(Outcome.UNCONNECTED)
         elif call.pending_parts:
@@ -366,15 +162,100 @@
         if call:
             call.give_up(part, Outcome.CANCELLED)
 
+    def record_answer(self, call: HostCall, belief: Belief, unproven: list[UnprovenAnswer]) -> None:
+        """Record how far an answer is believed and what is unproven of it; free its connection."""
+        pool, connection, now = call.pool, call.connection, clock.monotonic_ns()
+        silence_end = pool.trust.record_answer(now, call.written_at)
+        if belief is Belief.REFUTED:
+            reason = "unasked" if connection.reader.followed else "misnamed"
+            self._record_desynchronisation(pool, connection, reason)
+            return
+        if belief is Belief.PROVEN:
+            self._checks.confirm_all(connection)
+        for answer in unproven:
+            finished = answer.outcome.finished
+            times = AnswerTimes(
+                now,
+                compute_confirmation_time(call.written_at, silence_end, finished),
+                clock.from_wall(answer.part.item.deadline) if finished else NEVER,
+            )
+            waited_for = not finished and answer.part.waits_for_proof
+            connection.unproven.add(answer, times, silence_end, waited_for)
+        self._checks.schedule(connection)
+        if connection.reader.followed:
+            self._record_desynchronisation(pool, connection, "unasked")
+        else:
+            self.return_to_pool(pool, connection)
+
+    def record_early_answer(self, call: HostCall, belief: Belief) -> None:
+        """Record an answer that came before its call was written whole; the connection is closed already."""
+        if belief is Belief.REFUTED:
+            self._record_desynchronisation(call.pool, call.connection, "early")
+
+    def _handle_unasked(self, pool: ConnectionPool, connection: Connection) -> None:
+        """Record bytes that came without a request; a retry-after among them binds."""
+        self._forget_idle(connection)
+        if connection.reader.retry_after:
+            self._record_wait(pool.name, connection.reader.retry_after)
+        if connection.request_count:  # else it may be a refusal of the connection
+            self._record_desynchronisation(pool, connection, "unasked")
+
+    def _record_desynchronisation(self, pool: ConnectionPool, connection: Connection, reason: str) -> None:
+        """Close a connection whose answers are out of step, and distrust its host."""
+        self.counters.add("answers_refuted")
+        newly_distrusted = pool.trust.distrust(clock.monotonic_ns())
+        self.log.info(
+            f"answer-refuted peer={connection.peer} reason={reason} call={connection.request_count} "
+            f"unproven={len(connection.unproven)} status={connection.reader.status} "
+            f"distrusted={'newly' if newly_distrusted else 'still'}"
+        )
+        connection.close(reason)
+        self._checks.doubt_all(connection, reason)
+        for idle in list(pool.idle):
+            self._close_idle_connection(idle, "distrusted")
+
+    def _handle_end(self, connection: Connection) -> None:
+        self._forget_idle(connection)
+        self._retired.discard(connection)
+        self._checks.end(connection)
+
     def return_to_pool(self, pool: ConnectionPool, connection: Connection) -> None:
-        """Keep a connection that is free again, unless its host has left or moved."""
-        if self._pools.get(pool.name) is not pool:
-            connection.close("host-left")
-        if connection.open:
+        """Keep a connection that is free again, unless its host has left or moved, or is distrusted."""
+        if not connection.usable:
+            self._retire(connection, connection.retire_reason)
+        elif self._pools.get(pool.name) is not pool:
+            self._retire(connection, "host-left")
+        elif not pool.trust.is_trusted(clock.monotonic_ns()):
+            self._observe_or_retire(pool, connection)
+        else:
             pool.idle.append(connection)
             self._idle[connection] = pool
             self._trim_idle(self.bounds.max_host_connections)
 
+    def _retire(self, connection: Connection, reason: str) -> None:
+        """Close a connection once its unproven answers are settled."""
+        connection.retire(reason)
+        if connection.open:
+            self._retired.add(connection)
+
+    def _observe_or_retire(self, pool: ConnectionPool, connection: Connection) -> None:
+        """Keep one connection of a distrusted host open for a while, for bytes that were not asked for."""
+        max_observed = self.bounds.max_host_connections // 4
+        if pool.observed or connection.request_count > 1 or self._observed_count >= max_observed:
+            self._retire(connection, "distrusted")
+            return
+        pool.observed = connection
+        self._observed_count += 1
+        self._retired.add(connection)
+        self.loop.call_later(
+            OBSERVATION_NS / 1e9, clock.call_after_poll, self.loop, self._end_observation, pool, connection
+        )
+
+    def _end_observation(self, pool: ConnectionPool, connection: Connection) -> None:
+        pool.observed = None
+        self._observed_count -= 1
+        self._retire(connection, "distrusted")
+
     def _trim_idle_for_calls(self) -> None:
         """Keep descriptors for calls: close idle connections, longest idle first, down to half the limit."""
         max_idle = self.bounds.max_host_connections
@@ -392,7 +273,7 @@
 
     def _close_idle_connection(self, connection: Connection, reason: str) -> None:
         self._forget_idle(connection)
-        connection.close(reason)
+        self._retire(connection, reason)
 
     def _forget_idle(self, connection: Connection) -> None:
         pool = self._idle.pop(connection, None)
@@ -407,6 +288,13 @@
             if call.timer:
                 call.timer.cancel()
             if call.connection:
-                call.connection.close("exit")
-        for connection in list(self._idle):
-            self._close_idle_connection(connection, "exit")
+                self._close_at_exit(call.connection)
+        for connection in (*self._idle, *self._retired):
+            self._close_at_exit(connection)
+
+    def _close_at_exit(self, connection: Connection) -> None:
+        """Close a connection; the journal holds the messages whose answers are unproven."""
+        connection.on_end = None
+        if connection.check_timer:
+            connection.check_timer.cancel()
+        connection.close("exit")
--- a/millweir/net/links.py
+++ b/millweir/net/links.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
 
+from millweir.answers.connection import UnprovenAnswers
 from millweir.net import clock
 from millweir.net.counters import Counters
 from millweir.net.heads import ResponseReader
 from millweir.net.log import Log
 
+if TYPE_CHECKING:
+    from millweir.net.host_call import UnprovenAnswer
+
 
 class ResponseHandler(Protocol):
     """Receives the outcome of a request on a connection."""
@@ -33,7 +38,6 @@
         "_held_byte",
         "_log",
         "_loop",
-        "_peer",
         "_close_reason",
         "_response_time_limit",
         "_timer",
@@ -41,9 +45,14 @@
         "request_count",
         "idle_since",
         "open",
+        "peer",
         "reader",
         "invalid_response",
-        "on_idle_close",
+        "on_end",
+        "on_unasked",
+        "check_timer",
+        "retire_reason",
+        "unproven",
     )
 
     def __init__(
@@ -63,7 +72,7 @@
         self._response_time_limit = response_time_limit
         self._timer: asyncio.TimerHandle | None = None
         self._held_byte = b""
-        self._peer = peer
+        self.peer = peer
         self._log = log
         self._counters = counters
         self._handler: ResponseHandler | None = None
@@ -74,7 +83,28 @@
         self.idle_since = clock.monotonic_ns()
         self.open = False
         self.invalid_response = False  # no HTTP, too long or too slow
-        self.on_idle_close = None  # called when the connection ends while idle
+        self.on_end: Callable[[Connection], None] | None = None  # called when the connection has ended
+        # Called when bytes came without a request, after the connection was closed; they are in the reader.
+        self.on_unasked: Callable[[Connection], None] | None = None
+        self.unproven: UnprovenAnswers[UnprovenAnswer] = UnprovenAnswers()
+        self.check_timer: asyncio.TimerHandle | None = None  # of the unproven answers
+        self.retire_reason = ""  # takes no further request and is closed once its answers are settled
+
+    @property
+    def usable(self) -> bool:
+        """Whether a further request may go out on it."""
+        return self.open and not self.retire_reason
+
+    @property
+    def silent(self) -> bool:
+        """Whether nothing has come since the last complete response."""
+        return self._handler is None or not self.reader.started
+
+    @property
+    def ended_as_announced(self) -> bool:
+        """Whether the last response said that the peer closes the connection behind it."""
+        reader = self.reader
+        return reader.complete and not reader.keep_alive and not reader.followed
 
     def send_request(self, handler: ResponseHandler, chunks: list[bytes], hold_time: int = 0) -> None:
         """Write one request with a gathered write.
@@ -121,12 +151,11 @@
     def data_received(self, data: bytes) -> None:
         if not self.open:
             return
-        is_valid = self.reader.feed(data)
         if self._handler is None:
-            self._close_transport("unasked")  # no request was sent: later responses can't be trusted either
-            if self.on_idle_close:
-                self.on_idle_close(self)
-        elif self.reader.complete:
+            self._handle_unasked(data)
+            return
+        is_valid = self.reader.feed(data)
+        if self.reader.complete:
             self._complete_response()
         elif not is_valid:
             self._report_loss("garbled")
@@ -137,6 +166,14 @@
                 self._response_time_limit / 1e9, clock.call_after_poll, self._loop, self._handle_stall
             )
 
+    def _handle_unasked(self, data: bytes) -> None:
+        """Close the connection: no request was sent, so later responses can't be trusted either."""
+        self.reader.reset()
+        self.reader.feed(data)
+        self._close_transport("unasked")
+        if self.on_unasked:
+            self.on_unasked(self)
+
     def _handle_stall(self) -> None:
         """Free the slot and the memory of a response that has begun and does not end."""
         if self._timer and self._handler:
@@ -152,9 +189,22 @@
         handler = self._handler
         self._handler = None
         self.idle_since = clock.monotonic_ns()
-        if not self.reader.keep_alive or self._held_byte:
-            self._close_transport("told-close")
+        if self.reader.followed or self._held_byte:
+            self._close_transport("unasked" if self.reader.followed else "early")
+        elif not self.reader.keep_alive:
+            self.retire_reason = "told-close"
         handler.handle_response(self)
+        self.close_if_settled()
+
+    def retire(self, reason: str) -> None:
+        """Take no further request, and close once no answer of the connection is unproven."""
+        self.retire_reason = self.retire_reason or reason
+        self.close_if_settled()
+
+    def close_if_settled(self) -> None:
+        """Close a retired connection, unless a request is out or an answer unproven."""
+        if self.retire_reason and self._handler is None and not len(self.unproven):
+            self._close_transport(self.retire_reason)
 
     def _report_loss(self, reason: str) -> None:
         handler = self._handler
@@ -169,15 +219,14 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         reason = self._close_reason or ("reset" if exc else "peer-closed")
-        was_open = self.open
         self.open = False
-        self._log.info(f"link-end peer={self._peer} reason={reason} requests={self.request_count}")
+        self._log.info(f"link-end peer={self.peer} reason={reason} requests={self.request_count}")
         if self._handler is not None:
             self.reader.finish_at_eof()
             if self.reader.complete:
                 self._complete_response()
             else:
                 self._report_loss(reason)
-        elif was_open and self.on_idle_close:
-            self.on_idle_close(self)
+        if self.on_end:
+            self.on_end(self)
         self.reader.close()
--- a/millweir/net/notices.py
+++ b/millweir/net/notices.py
@@ -56,6 +56,7 @@
             self._handle_response,
             self._log,
             self._counters,
+            single_use=True,  # a copied 204 would lose the notifications of the next request
         )
 
     def _switch_exchange(self) -> None:
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from millweir.events import EndReason
-    from millweir.interface import Entry, Profile
+    from millweir.interface import Entry, Outcome, Profile
     from millweir.order import PacketQueues, ValueCurve
 
 
@@ -288,6 +288,7 @@
         "profile",
         "restored",
         "trips",
+        "unproven_refusal",
         "weight",
     )
 
@@ -320,6 +321,7 @@
         self.bound_zone: int | None = None  # the zone that would detect a repeat
         self.on_last_trip = False  # one trip remains at most
         self.last_trip_abandoned = False  # that trip may still run, and no two may run at once
+        self.unproven_refusal: Outcome | None = None  # waits for its proof, neither held nor in flight
         self.ended = False
         self.end_reason: EndReason | None = None  # where it ended undelivered
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -234,6 +234,8 @@
             journal,
             lambda *_: True,
             lambda part, outcome, *_: outcomes.append(outcome),
+            lambda answer, confirmed: None,
+            lambda host, wait: None,
             Log(100),
             Counters(),
         )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -115,6 +115,7 @@
     relay.start()
     until(lambda: platform.sent("a") and platform.sent("b") and platform.notification_results("c"))
     assert platform.notification_results("c") == ["bounced"] and not platform.sent("c")
+    until(lambda: b"packets_fulfilled 2\n" in relay.ask("GET", "/counters/all")[1])
     relay.end()
     relay.start()
     time.sleep(0.5)
