--- /dev/null
+++ b/tests/net/test_answers.py
@@ -0,0 +1,279 @@
+"""Answers that belong to another request, or to none, on real sockets (issue 64)."""
+
+import asyncio
+import json
+from types import SimpleNamespace
+
+import pytest
+import uvloop
+from rig import entry, settings
+
+from millweir.answers.policy import Settlement
+from millweir.control import bounds
+from millweir.facade import DecisionEngine
+from millweir.interface import SECOND, Change, Limits, Outcome
+from millweir.net import clock
+from millweir.net.counters import Counters
+from millweir.net.hosts import HostConnections
+from millweir.net.journal import Journal, OwedMessage
+from millweir.net.notices import NotificationSender
+from net.agent import LIMITS, Agent, Watched, encode_list, make_row
+
+DELIVERED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+REFUSED = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+OVER = b"HTTP/1.1 410 X\r\nContent-Length: 0\r\n\r\n"
+WAIT = b"HTTP/1.1 429 X\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n"
+IDEMPOTENT, NON_IDEMPOTENT = 0, 2  # numbers of the profiles
+
+
+def batch_answer(*names):
+    body = json.dumps([{"id": name, "state": "accepted"} for name in names]).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+class Scene:
+    """Calls to one host that the test plays, with their outcomes and settlements."""
+
+    def __init__(self, folder, hold=0.001, kind=1):
+        self.outcomes, self.settled, self.waits, self.lines = {}, {}, [], []
+        now = clock.monotonic_ns()
+        self.engine = DecisionEngine(settings(), Limits(256, 1 << 20, 1 << 26), 1, now)
+        self.engine.update_hosts(now, Change.CACHED, (entry(0, 0, kind=kind, rate=500.0),))
+        self.journal = Journal(folder, 20_000, 15_000, print)
+        self.hold = int(hold * 1e9)
+
+    async def open(self):
+        self.agent = await Agent().open()
+        loop = asyncio.get_running_loop()
+        given = bounds(settings(), Limits(256, 1 << 20, 1 << 26))
+        object.__setattr__(given, "last_byte_hold_ns", self.hold)
+        log = SimpleNamespace(info=self.lines.append, always=self.lines.append)
+        name = entry(0, 0).host.decode()
+        self.hosts = HostConnections(
+            loop,
+            given,
+            SECOND,
+            self.journal,
+            lambda *_: True,
+            self.record_outcome,
+            self.record_settlement,
+            lambda host, wait: self.waits.append(wait),
+            log,
+            Counters(),
+        )
+        self.hosts.update_addresses({name: self.agent.address}, [])
+        return self
+
+    def record_outcome(self, part, outcome, finished, wait, load, proven):
+        self.outcomes[part.item.id.decode()] = (outcome, finished, proven)
+        self.engine.report_outcome(clock.monotonic_ns(), part, outcome, finished, wait, (), proven)
+
+    def record_settlement(self, answer, settlement):
+        self.settled.setdefault(answer.part.item.id.decode(), []).append(settlement)
+
+    def send(self, *names, profile=IDEMPOTENT):
+        """Start a call with these messages."""
+        now = clock.monotonic_ns()
+        for name in names:
+            deadline = clock.to_wall(now + 9 * SECOND)
+            message = OwedMessage(name.encode(), b"again", b"", b"", b"", 0, deadline, b"body")
+            self.journal.record_accepted(message)
+            self.engine.add_packet(now, message, profile, 0, 0, now + 9 * SECOND, 0)
+        self.engine.tick(now)
+        job = self.engine.pop_job()
+        assert {part.item.id.decode() for part in job.parts} == set(names)
+        self.hosts.start_call(job)
+
+    async def call(self, *names, answer):
+        """Make a call and answer it; returns its request."""
+        self.send(*names)
+        request = await self.agent.next_request()
+        await asyncio.sleep(0.02)  # the last byte is sent
+        request.write(answer)
+        await self.until(lambda: all(name in self.outcomes for name in names))
+        return request
+
+    async def until(self, condition, seconds=3.0):
+        for _ in range(int(seconds / 0.005)):
+            if condition():
+                return
+            await asyncio.sleep(0.005)
+        raise AssertionError(f"not within {seconds} s: {self.outcomes} {self.settled} {self.lines}")
+
+    def close(self):
+        self.hosts.close()
+        self.agent.close()
+        self.journal.close()
+
+
+def run_scene(scene, steps):
+    async def run():
+        await scene.open()
+        try:
+            await asyncio.wait_for(steps(scene), 15)
+        finally:
+            scene.close()
+
+    uvloop.run(run())
+
+
+def test_a_delivery_that_was_believed_at_once_is_in_doubt_after_an_unasked_byte(tmp_path):
+    async def steps(scene):
+        first = await scene.call("a", answer=DELIVERED)
+        assert scene.outcomes["a"] == (Outcome.FULFILLED, True, True)  # the first one is proven
+        second = await scene.call("b", answer=DELIVERED)
+        assert second.connection is first.connection
+        assert scene.outcomes["b"] == (Outcome.FULFILLED, True, False)
+        second.write(REFUSED)  # the true answer, behind a copy
+        await scene.until(lambda: "b" in scene.settled)
+        assert scene.settled == {"b": [Settlement.DOUBTED]}
+        third = await scene.call("c", answer=DELIVERED)
+        fourth = await scene.call("d", answer=DELIVERED)  # the host is distrusted: one call a connection
+        assert len({request.connection for request in (second, third, fourth)}) == 3
+        assert scene.outcomes["d"] == (Outcome.FULFILLED, True, True)
+
+    run_scene(Scene(tmp_path), steps)
+
+
+def test_a_delivery_is_confirmed_after_a_silence(tmp_path):
+    async def steps(scene):
+        await scene.call("a", answer=DELIVERED)
+        await scene.call("b", answer=DELIVERED)
+        await scene.until(lambda: Settlement.CONFIRMED in scene.settled.get("b", ()))
+        assert scene.settled == {"b": [Settlement.SILENT, Settlement.CONFIRMED]}
+
+    run_scene(Scene(tmp_path), steps)
+
+
+@pytest.mark.parametrize("copy", [OVER, REFUSED, DELIVERED, WAIT])
+def test_a_copy_that_came_before_the_last_byte_passed_for_the_answer(copy, tmp_path):
+    """A copied 410 ended the message: it was neither delivered nor ended by a notification."""
+
+    async def steps(scene):
+        first = await scene.call("a", answer=DELIVERED)
+        scene.send("b")
+        first.write(copy)
+        await scene.until(lambda: "b" in scene.outcomes)
+        assert scene.outcomes["b"] == (Outcome.CUT_OFF, False, True)
+
+    run_scene(Scene(tmp_path, hold=0.015), steps)
+
+
+def test_a_batch_answer_that_names_other_messages_is_refuted(tmp_path):
+    async def steps(scene):
+        first = await scene.call("a", "b", answer=batch_answer("a", "b"))
+        second = await scene.call("c", "d", answer=batch_answer("a", "b"))
+        assert second.connection is first.connection
+        assert {scene.outcomes[name][0] for name in "cd"} == {Outcome.SPOILT}
+        await second.wait_closed()
+
+    run_scene(Scene(tmp_path, kind=0), steps)
+
+
+def test_a_batch_answer_that_names_its_messages_proves_the_earlier_ones(tmp_path):
+    async def steps(scene):
+        await scene.call("a", answer=DELIVERED)
+        await scene.call("b", answer=DELIVERED)
+        await scene.call("c", "d", answer=batch_answer("c", "d"))
+        assert scene.settled == {"b": [Settlement.CONFIRMED]}
+        assert scene.outcomes["c"] == (Outcome.FULFILLED, True, True)
+
+    run_scene(Scene(tmp_path, kind=0), steps)
+
+
+@pytest.mark.parametrize(
+    "cut", [b"HTTP/1.1 200 ", b"HTTP/1.1 200 O", b"HTTP/1.1 200 OK\r\nX-Backend-Load: x0"]
+)
+def test_a_cut_copy_run_together_with_the_true_answer_passed_for_a_delivery(cut, tmp_path):
+    async def steps(scene):
+        await scene.call("a", answer=DELIVERED)
+        await scene.call("b", answer=cut + REFUSED)
+        assert scene.outcomes["b"] == (Outcome.SPOILT, False, True)
+
+    run_scene(Scene(tmp_path), steps)
+
+
+def test_a_status_line_on_a_used_connection_proves_no_delivery(tmp_path):
+    async def steps(scene):
+        await scene.call("a", answer=DELIVERED)
+        scene.send("b")
+        request = await scene.agent.next_request()
+        await asyncio.sleep(0.02)
+        request.write(b"HTTP/1.1 200 OK\r\n")
+        await asyncio.sleep(0.05)
+        request.end()
+        await scene.until(lambda: "b" in scene.outcomes)
+        assert scene.outcomes["b"][:2] == (Outcome.RESET, False)
+
+    run_scene(Scene(tmp_path), steps)
+
+
+def test_a_retry_after_that_came_unasked_was_not_heeded(tmp_path):
+    async def steps(scene):
+        request = await scene.call("a", answer=DELIVERED)
+        request.write(WAIT)
+        await scene.until(lambda: scene.waits)
+        assert scene.waits == [7 * SECOND]
+
+    run_scene(Scene(tmp_path), steps)
+
+
+def test_an_answer_that_announces_the_close_is_confirmed_by_it(tmp_path):
+    async def steps(scene):
+        await scene.call("a", answer=DELIVERED)
+        last = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        request = await scene.call("b", answer=last)
+        request.end()
+        await scene.until(lambda: "b" in scene.settled, 0.3)
+        assert scene.settled["b"] == [Settlement.CONFIRMED]
+
+    run_scene(Scene(tmp_path), steps)
+
+
+def test_a_copied_204_passed_for_the_answer_to_the_next_notification():
+    async def run():
+        agent = await Agent().open()
+        acknowledged = []
+        log = SimpleNamespace(info=lambda line: None)
+        sender = NotificationSender(
+            asyncio.get_running_loop(),
+            agent.address,
+            bounds(settings(), LIMITS),
+            lambda message: acknowledged.append(message.id),
+            log,
+            Counters(),
+        )
+        for name in (b"a", b"b"):
+            message = OwedMessage(name, b"again", b"", b"", b"", 0, 0, b"")
+            message.given_up = (False, 0)
+            sender.add(message)
+            sender.send_pending()
+            request = await agent.next_request()
+            if name == b"a":
+                request.write(b"HTTP/1.1 204 X\r\n\r\n")
+                asyncio.get_running_loop().call_later(0.01, request.write, b"HTTP/1.1 204 X\r\n\r\n")
+                await asyncio.sleep(0.005)
+        await asyncio.sleep(0.1)
+        sender.close()
+        agent.close()
+        return acknowledged
+
+    assert uvloop.run(run()) == [b"a"]
+
+
+def test_a_copied_host_list_took_back_a_drain():
+    async def run():
+        agent = await Agent().open()
+        watched = Watched(agent)
+        (await agent.next_request()).answer(encode_list(8, make_row(), full=True))
+        request = await agent.next_request()
+        request.answer(encode_list(9, make_row(status="DRAINING")))
+        after = await agent.next_request()
+        after.answer(encode_list(8, make_row(), full=True))  # the copy
+        again = await agent.next_request()
+        assert again.connection is not after.connection and "since=9" in again.path
+        watched.watch.close()
+        agent.close()
+        return watched.names
+
+    assert uvloop.run(run()) == [(8, ["h0"]), (9, ["h0"])]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -691,3 +691,71 @@
     assert delay(1) == SECOND // 4
     rig.pass_time(10 * SECOND)
     assert delay(1) == 0
+
+
+def end_unproven(rig, sent, outcome):
+    """Report an outcome by an answer that may belong to an earlier call."""
+    sent.outcome = outcome
+    finished = outcome is Outcome.FULFILLED
+    if finished:
+        rig.answers[sent.packet.id] = "fulfilled"
+    rig.has_input = True
+    rig.relay.end_trip(
+        rig.now, sent.packet.id, sent.number, outcome, finished, 50 * MILLISECOND, 0, (), proven=False
+    )
+    rig.end_round()
+
+
+@pytest.mark.parametrize("never_ran", [True, False])
+def test_an_unproven_refusal_of_a_non_idempotent_packet_waits_for_its_proof(never_ran):
+    rig = Rig()
+    ident = rig.add_packet(kind=2)
+    rig.pass_time(SECOND)
+    end_unproven(rig, rig.sent[0], Outcome.FULL)
+    rig.pass_time(SECOND)
+    assert len(rig.sent) == 1 and ident not in rig.answers
+    if not never_ran:
+        rig.sent[0].outcome = Outcome.RESET
+    rig.relay.settle_refusal(rig.now, ident, 0, never_ran)
+    rig.has_input = True
+    rig.pass_time(SECOND)
+    assert len(rig.sent) == (2 if never_ran else 1)
+    assert rig.answers.get(ident) == (None if never_ran else "errored")
+
+
+def test_an_unproven_refusal_is_ended_at_the_deadline_if_it_is_never_settled():
+    rig = Rig()
+    ident = rig.add_packet(kind=2)
+    rig.pass_time(SECOND)
+    end_unproven(rig, rig.sent[0], Outcome.FULL)
+    rig.pass_time(PROFILES[2].lifetime)
+    assert rig.answers[ident] == "errored"
+
+
+def test_an_idempotent_packet_goes_again_at_once_after_an_unproven_refusal():
+    rig = Rig()
+    ident = rig.add_packet()
+    rig.pass_time(SECOND)
+    end_unproven(rig, rig.sent[0], Outcome.FULL)
+    rig.pass_time(SECOND)
+    assert len(rig.sent) == 2
+    rig.relay.settle_refusal(rig.now, ident, 0, True)
+    assert rig.sent[0].packet.trips[0].never_ran
+
+
+def test_a_packet_passed_another_of_its_key_as_a_timer_of_the_earlier_queue_was_left():
+    """The first timer drops the queue, as both quiet periods ended early; the second one is still to come."""
+    rig = Rig(entries=[entry(0, 0, kind=1, rate=500.0)])
+    for wait in (240, 80):
+        rig.add_packet(kind=3, key=5)
+        rig.pass_time(10 * MILLISECOND)
+        sent = rig.sent[-1]
+        end_unproven(rig, sent, Outcome.FULFILLED)
+        rig.quiet_until.clear()
+        rig.relay.end_key_quiet(rig.now, sent.packet)
+        rig.pass_time(wait * MILLISECOND)
+    rig.add_packet(kind=3, key=5)
+    rig.pass_time(300 * MILLISECOND)  # the second timer passes while the third packet is in flight
+    rig.add_packet(kind=3, key=5)
+    rig.pass_time(100 * MILLISECOND)
+    assert len(rig.sent) == 3
