A delivery whose key keeps an order is settled before the next message goes

Now it waits for the confirmation (2 s at most), which comes a quarter of a second after the call at the earliest.

--- a/millweir/answers/connection.py
+++ b/millweir/answers/connection.py
@@ -38,9 +38,9 @@
 class UnprovenAnswers(Generic[Answer]):
     """What was answered on a connection since its last proven answer.
 
-    An answer is confirmed if no byte was out of step until its time, and the connection was silent for a
-    while after it or a later answer: an answer that is still due comes then.
-    Invariant: an answer is taken out once, by `take_confirmed`, `take_expired` or `take_all`.
+    An answer is confirmed if the connection was silent for a while after it or a later answer, as an answer
+    that is still due comes then, and no byte was out of step until its time, or the end of the connection.
+    Invariant: an answer is taken out once, by one of the methods `take_...`.
     """
 
     __slots__ = ("_after_silence", "_before_silence", "_silent_at", "_waited_for")
@@ -80,30 +80,37 @@
         before = (min(self._silent_at, times.settle_by) for _, times in self._before_silence)
         return min((*after, *before), default=NEVER)
 
-    def take_silent(self, now: int) -> list[Answer]:
-        """Note the silence of the connection, if it has lasted; returns the answers to which it is new."""
-        if now < self._silent_at:
-            return []
-        silent = self._before_silence
-        self._before_silence = []
-        self._after_silence += silent
-        return [answer for answer, _ in silent]
+    def record_silence(self, now: int) -> None:
+        """Note that the connection is silent, which counts once it has lasted."""
+        if now >= self._silent_at:
+            self._after_silence += self._before_silence
+            self._before_silence = []
+
+    @property
+    def await_silence(self) -> bool:
+        """Whether some of them have not seen a silence of the connection."""
+        return bool(self._before_silence)
 
     def take_confirmed(self, now: int) -> list[Answer]:
         """Take out the answers whose time has come after a silence."""
-        confirmed = [answer for answer, times in self._after_silence if times.confirm_at <= now]
-        self._after_silence = [row for row in self._after_silence if row[1].confirm_at > now]
+        rows = self._after_silence
+        self._after_silence = [row for row in rows if min(row[1].confirm_at, row[1].settle_by) > now]
         self._update_waited_for()
-        return confirmed
+        return [answer for answer, times in rows if min(times.confirm_at, times.settle_by) <= now]
 
     def take_expired(self, now: int) -> list[Answer]:
-        """Take out the answers that can't wait any longer for their confirmation."""
-        rows = self._after_silence + self._before_silence
-        self._after_silence = [row for row in self._after_silence if row[1].settle_by > now]
-        self._before_silence = [row for row in self._before_silence if row[1].settle_by > now]
+        """Take out the answers that can't wait any longer for a silence."""
+        rows = self._before_silence
+        self._before_silence = [row for row in rows if row[1].settle_by > now]
         self._update_waited_for()
         return [answer for answer, times in rows if times.settle_by <= now]
 
+    def take_after_silence(self) -> list[Answer]:
+        """Take out the answers that a silence has followed: the connection has ended."""
+        answers = [answer for answer, _ in self._after_silence]
+        self._after_silence = []
+        return answers
+
     def take_all(self) -> list[Answer]:
         """Take out all answers: a later one was proven, or they are in doubt."""
         answers = [answer for answer, _ in self._after_silence + self._before_silence]
--- a/millweir/answers/policy.py
+++ b/millweir/answers/policy.py
@@ -22,7 +22,7 @@
   retry-after         binds at once, also where it came unasked.
   anything else       may have run, as always.
 
-The next message of a key in order waits for that silence, or for the settings' quiet period.
+The next message of a key in order waits for the confirmation: after a restart, the earlier one may go again.
 
 The platform.  A connection carries one request with notifications.  Host lists carry versions, which tell
 most copies (`judge_host_list`); then a new connection is opened, whose first answer is proven.
@@ -45,9 +45,9 @@
 UNKNOWN_ANSWER_TIME_NS = SECOND // 4  # of a host that has not answered yet
 MAX_ANSWER_TIME_NS = SECOND  # as far as a silence waits for an answer
 # An answer is not confirmed before so long after its call: some answers take far longer than the others.
-# A refusal delays a message meanwhile; a delivery costs nothing but a repeat, if the process ends.
-MIN_REFUSAL_AGE_NS = SECOND // 4
-MIN_DELIVERY_AGE_NS = SECOND // 2
+MIN_WAITED_FOR_AGE_NS = SECOND // 4
+MIN_UNHURRIED_AGE_NS = SECOND // 2  # nothing waits for it, but the message goes again if the process ends
+MAX_SETTLEMENT_NS = 2 * SECOND  # within which each unproven answer is confirmed or in doubt
 # Connections that are in constant use rest after this time, until they have been silent.
 MAX_UNPROVEN_AGE_NS = SECOND
 # The same where a message waits for its confirmation.  Until then other connections are preferred.
@@ -69,14 +69,6 @@
     REFUTED = "refuted"
 
 
-class Settlement(Enum):
-    """What has become of an unproven answer."""
-
-    SILENT = "silent"  # the true answer would have come by now; not confirmed yet
-    CONFIRMED = "confirmed"
-    DOUBTED = "doubted"
-
-
 class Naming(Enum):
     """Whether an answer names the messages of its call."""
 
@@ -131,9 +123,13 @@
     return max(now + MIN_SILENCE_NS, written_at + min(answer_time, MAX_ANSWER_TIME_NS))
 
 
-def compute_confirmation_time(written_at: int, silence_end: int, delivered: bool) -> int:
-    """Return when an answer is confirmed at the earliest, after a silence and with no byte out of step."""
-    return max(silence_end, written_at + (MIN_DELIVERY_AGE_NS if delivered else MIN_REFUSAL_AGE_NS))
+def compute_confirmation_time(written_at: int, silence_end: int, is_waited_for: bool) -> int:
+    """Return when an answer is confirmed at the earliest, after a silence and with no byte out of step.
+
+    `is_waited_for`: its message, or the next one of its key, waits for that; else it costs nothing.
+    """
+    min_age = MIN_WAITED_FOR_AGE_NS if is_waited_for else MIN_UNHURRIED_AGE_NS
+    return max(silence_end, written_at + min_age)
 
 
 def waits_for_proof(effect: Effect, allows_second_copies: bool) -> bool:
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -20,7 +20,7 @@
 from heapq import heappop, heappush
 from itertools import count, filterfalse, islice, takewhile
 
-from millweir.answers.policy import waits_for_proof
+from millweir.answers.policy import MAX_SETTLEMENT_NS, waits_for_proof
 from millweir.events import EndReason, HostTransition, HostView, RecoveringHost, RefusalReason
 from millweir.interface import SECOND, Bounds, Change, Effect, Entry, Limits, Outcome, Phase, Port, Settings
 from millweir.order import PacketQueues, ValueCurve
@@ -637,7 +637,9 @@
         trip.never_ran = outcome.never_ran and proven
         packet.in_flight -= 1
         self._record_call_outcome(trip.call, outcome, latency, wait, report)
-        if packet.key and (outcome.may_run_on or not proven):
+        if packet.key and not proven and (finished or outcome.never_ran):
+            packet.key.quiet_until = now + MAX_SETTLEMENT_NS  # ended by its settlement
+        elif packet.key and (outcome.may_run_on or not proven):
             packet.key.quiet_until = now + self._key_quiet_time
         if packet.ended:
             self._remove_packet(packet)
--- a/millweir/net/answer_checks.py
+++ b/millweir/net/answer_checks.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from millweir.answers.policy import Settlement
 from millweir.net import clock
 from millweir.net.counters import Counters
 from millweir.net.host_call import UnprovenAnswer
@@ -13,11 +12,11 @@
 from millweir.net.log import Log
 
 MIN_CHECK_INTERVAL_NS = 5_000_000  # while bytes of another answer are coming in
-Settle = Callable[[UnprovenAnswer, Settlement], None]
+Settle = Callable[[UnprovenAnswer, bool], None]
 
 
 class AnswerChecks:
-    """Reports for each unproven answer, once, whether it is confirmed, and before that a silence after it."""
+    """Reports for each unproven answer, once, whether it is confirmed (`settle`)."""
 
     __slots__ = ("_counters", "_log", "_loop", "_settle")
 
@@ -40,15 +39,15 @@
             return
         now = clock.monotonic_ns()
         if connection.silent:
-            self._report(connection.unproven.take_silent(now), Settlement.SILENT)
-        self._report(connection.unproven.take_confirmed(now), Settlement.CONFIRMED)
-        self._doubt(connection.unproven.take_expired(now), connection, "not confirmed in time")
+            connection.unproven.record_silence(now)
+        self._report(connection.unproven.take_confirmed(now), True)
+        self._doubt(connection.unproven.take_expired(now), connection, "no silence in time")
         connection.close_if_settled()
         self.schedule(connection)
 
     def confirm_all(self, connection: Connection) -> None:
         """A later answer is proven, so all earlier ones are."""
-        self._report(connection.unproven.take_all(), Settlement.CONFIRMED)
+        self._report(connection.unproven.take_all(), True)
 
     def doubt_all(self, connection: Connection, reason: str) -> None:
         """An answer is refuted, or no silence can confirm the answers any more."""
@@ -61,8 +60,8 @@
             connection.check_timer = None
         if connection.ended_as_announced:
             self.confirm_all(connection)
-        else:
-            self.doubt_all(connection, "connection lost")
+        self._report(connection.unproven.take_after_silence(), True)
+        self.doubt_all(connection, "connection lost")
 
     def _doubt(self, answers: Iterable[UnprovenAnswer], connection: Connection, reason: str) -> None:
         answers = list(answers)
@@ -73,8 +72,8 @@
                 f"outcome={answer.outcome.outcome.name.lower()} finished={answer.outcome.finished} "
                 f"call={answer.call_number} of={connection.request_count} reason={reason!r}"
             )
-        self._report(answers, Settlement.DOUBTED)
+        self._report(answers, False)
 
-    def _report(self, answers: Iterable[UnprovenAnswer], settlement: Settlement) -> None:
+    def _report(self, answers: Iterable[UnprovenAnswer], confirmed: bool) -> None:
         for answer in answers:
-            self._settle(answer, settlement)
+            self._settle(answer, confirmed)
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -13,7 +13,6 @@
 from dataclasses import replace
 from typing import Any
 
-from millweir.answers.policy import Settlement
 from millweir.events import EndReason
 from millweir.facade import DecisionEngine, Part, UndeliveredPacket
 from millweir.interface import MILLISECOND, Change, Outcome, Phase
@@ -475,14 +474,10 @@
             self._replies.add(message.profile, reply)
             self._finish_message(message)
 
-    def _settle_answer(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
+    def _settle_answer(self, answer: UnprovenAnswer, confirmed: bool) -> None:
         """Act on an answer that was unproven, now that it is confirmed or in doubt."""
         part, now = answer.part, clock.monotonic_ns()
-        confirmed = settlement is Settlement.CONFIRMED
-        if settlement is Settlement.SILENT:
-            if answer.outcome.finished:
-                self._engine.end_key_quiet(now, part)
-        elif not answer.outcome.finished:
+        if not answer.outcome.finished:
             if confirmed and part.item.id in self._owed:
                 self._journal.record_never_ran(part.item, answer.trip)
             self._engine.settle_refusal(now, part, confirmed)
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -7,7 +7,12 @@
 from functools import partial
 
 from millweir.answers.connection import NEVER, AnswerTimes
-from millweir.answers.policy import OBSERVATION_NS, Belief, compute_confirmation_time
+from millweir.answers.policy import (
+    MAX_UNPROVEN_AGE_NS,
+    OBSERVATION_NS,
+    Belief,
+    compute_confirmation_time,
+)
 from millweir.answers.trust import HostTrust
 from millweir.facade import Job, Part
 from millweir.interface import Bounds, Outcome
@@ -173,14 +178,15 @@
         if belief is Belief.PROVEN:
             self._checks.confirm_all(connection)
         for answer in unproven:
-            finished = answer.outcome.finished
+            part, finished = answer.part, answer.outcome.finished
+            is_waited_for = part.in_order if finished else part.waits_for_proof
             times = AnswerTimes(
                 now,
-                compute_confirmation_time(call.written_at, silence_end, finished),
-                clock.from_wall(answer.part.item.deadline) if finished else NEVER,
+                compute_confirmation_time(call.written_at, silence_end, is_waited_for),
+                clock.from_wall(part.item.deadline) if finished else NEVER,
             )
-            waited_for = not finished and answer.part.waits_for_proof
-            connection.unproven.add(answer, times, silence_end, waited_for)
+            is_urgent = not finished and is_waited_for or times.deadline - now < MAX_UNPROVEN_AGE_NS
+            connection.unproven.add(answer, times, silence_end, is_urgent)
         self._checks.schedule(connection)
         if connection.reader.followed:
             self._record_desynchronisation(pool, connection, "unasked")
@@ -233,7 +239,7 @@
             self._trim_idle(self.bounds.max_host_connections)
 
     def _retire(self, connection: Connection, reason: str) -> None:
-        """Close a connection once its unproven answers are settled."""
+        """Close a connection once it was silent after its unproven answers."""
         connection.retire(reason)
         if connection.open:
             self._retired.add(connection)
--- a/millweir/net/links.py
+++ b/millweir/net/links.py
@@ -88,7 +88,7 @@
         self.on_unasked: Callable[[Connection], None] | None = None
         self.unproven: UnprovenAnswers[UnprovenAnswer] = UnprovenAnswers()
         self.check_timer: asyncio.TimerHandle | None = None  # of the unproven answers
-        self.retire_reason = ""  # takes no further request and is closed once its answers are settled
+        self.retire_reason = ""  # takes no further request and is closed after a silence
 
     @property
     def usable(self) -> bool:
@@ -197,13 +197,13 @@
         self.close_if_settled()
 
     def retire(self, reason: str) -> None:
-        """Take no further request, and close once no answer of the connection is unproven."""
+        """Take no further request, and close once the connection was silent after its last answers."""
         self.retire_reason = self.retire_reason or reason
         self.close_if_settled()
 
     def close_if_settled(self) -> None:
-        """Close a retired connection, unless a request is out or an answer unproven."""
-        if self.retire_reason and self._handler is None and not len(self.unproven):
+        """Close a retired connection, unless a request is out or a silence awaited."""
+        if self.retire_reason and self._handler is None and not self.unproven.await_silence:
             self._close_transport(self.retire_reason)
 
     def _report_loss(self, reason: str) -> None:
