A retry-after that came unasked binds in the process that read it

Found on reading the change again. The test fails without (the next message went after 15 ms, and with the engine not told). Empty lines without a request are skipped (RFC 9112, 2.2).

--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -86,7 +86,7 @@
             engine.may_write,
             self._record_outcome,
             self._settle_answer,
-            self._retry_after_waits.record_wait,
+            self._record_unasked_wait,
             log,
             counters,
         )
@@ -488,6 +488,13 @@
             self._reconsider(part)
         self.request_turn()
 
+    def _record_unasked_wait(self, host: str, wait: int) -> None:
+        """Heed a retry-after that came without a request: the answer to a call that had another one."""
+        self._retry_after_waits.record_wait(host, wait)
+        now = clock.monotonic_ns()
+        self._engine.apply_retry_after(now, host.encode(), now + wait)
+        self.request_turn()
+
     def _reconsider(self, part: Part[OwedMessage]) -> None:
         """Take up a message again that may not have been delivered.
 
--- a/millweir/net/heads.py
+++ b/millweir/net/heads.py
@@ -252,6 +252,7 @@
         "body",
         "complete",
         "followed",
+        "trailing_retry_after",
         "keep_alive",
         "backend_load",
         "over_slots",
@@ -287,6 +288,7 @@
         self.started = False
         self.complete = False
         self.over_slots = False
+        self.trailing_retry_after = 0  # of a response behind the complete one
         self.followed = False  # bytes that belong to no known request came after the complete response
         self.keep_alive = True
 
@@ -341,6 +343,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
         if self.complete:
+            if name == b"retry-after":
+                self.trailing_retry_after = parse_retry_after(value)
             return
         if b"HTTP/1." in value:
             raise ValueError("a status line in a header field: two responses, the first one cut")
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -171,6 +171,7 @@
         """Record how far an answer is believed and what is unproven of it; free its connection."""
         pool, connection, now = call.pool, call.connection, clock.monotonic_ns()
         silence_end = pool.trust.record_answer(now, call.written_at)
+        self._record_unasked_wait(pool, connection.reader.trailing_retry_after)
         if belief is Belief.REFUTED:
             reason = "unasked" if connection.reader.followed else "misnamed"
             self._record_desynchronisation(pool, connection, reason)
@@ -201,11 +202,14 @@
     def _handle_unasked(self, pool: ConnectionPool, connection: Connection) -> None:
         """Record bytes that came without a request; a retry-after among them binds."""
         self._forget_idle(connection)
-        if connection.reader.retry_after:
-            self._record_wait(pool.name, connection.reader.retry_after)
+        self._record_unasked_wait(pool, connection.reader.retry_after)
         if connection.request_count:  # else it may be a refusal of the connection
             self._record_desynchronisation(pool, connection, "unasked")
 
+    def _record_unasked_wait(self, pool: ConnectionPool, wait: int) -> None:
+        if wait:
+            self._record_wait(pool.name, wait)
+
     def _record_desynchronisation(self, pool: ConnectionPool, connection: Connection, reason: str) -> None:
         """Close a connection whose answers are out of step, and distrust its host."""
         self.counters.add("answers_refuted")
--- a/millweir/net/links.py
+++ b/millweir/net/links.py
@@ -167,7 +167,12 @@
             )
 
     def _handle_unasked(self, data: bytes) -> None:
-        """Close the connection: no request was sent, so later responses can't be trusted either."""
+        """Close the connection: no request was sent, so later responses can't be trusted either.
+
+        Empty lines are skipped (RFC 9112, 2.2).
+        """
+        if not data.strip(b"\r\n"):
+            return
         self.reader.reset()
         self.reader.feed(data)
         self._close_transport("unasked")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -813,3 +813,18 @@
     until(lambda: "reload-failed" in relay.log())
     assert relay.hand_in("m", "fresh") == 202  # the last valid file stays in effect
     until(lambda: platform.sent("m"), 2)
+
+
+def test_a_retry_after_that_came_unasked_holds_back_the_next_message(start):
+    """It is the true answer to a call for which a copy passed (rule 6)."""
+    platform = Platform()
+    late = [reply(200) + reply(429, Retry_After="1.2"), reply(200)]
+    platform.decide = lambda call: late.pop(0)
+    relay = start(platform)
+    relay.hand_in("a")
+    until(lambda: platform.sent("a"))
+    time.sleep(0.1)
+    handed_in_at = time.monotonic()
+    relay.hand_in("b")
+    until(lambda: platform.sent("b"))
+    assert time.monotonic() - handed_in_at > 1.0
