Checker: requests of a key that were out at once have no order, but their calls may not overlap

Trace: two clients sent messages of key k12 to r6 0.7 ms apart on two connections; the relay answered the second one's 202 first (7.47 ms after it was sent, the other's 8.16 ms) and sent both in that order, one after the other. The terms name the order in which the instance took them, which nobody outside can tell of requests that are out at the same time. The checker took the order of sending. Now: where the earlier one was answered before the later one was sent, the check is as before; else no two of their calls may overlap (a case each; the old checker missed a later message's call that was still out when the earlier one's began).

--- a/tests/lab/test_checker.py
+++ b/tests/lab/test_checker.py
@@ -71,6 +71,14 @@
         call("a"),
         call("b", 2 * S, 2),
     ),
+    "requests that were out at once, in the order in which the relay took them": (
+        Offered(0, "a", "r1", "order", "k", 6 * S),
+        Offered(1, "b", "r1", "order", "k", 6 * S),
+        Answered(2, "b", 202),
+        Answered(3, "a", 202),
+        call("b"),
+        call("a", 2 * S, 2),
+    ),
     "a retry-after sent to another relay": (
         accepted_message("a"),
         accepted_message("b", relay="r2"),
@@ -133,6 +141,17 @@
             call("a", 2 * S, 2),
         ),
     ),
+    "two of one key at once": (
+        5,
+        (
+            Offered(0, "a", "r1", "order", "k", 6 * S),
+            Offered(1, "b", "r1", "order", "k", 6 * S),
+            Answered(2, "b", 202),
+            Answered(3, "a", 202),
+            call("b", took=S),
+            call("a", S + S // 2, 2),
+        ),
+    ),
     "before the earlier one returned": (
         5,
         (
