Review, case 1: after a file without `discovery`, notices go to the address of the start

Cause: on a reload `read_config` takes RELAY_DISCOVERY where the file lacks the key `discovery`, so such a file is not turned down. If discovery had moved before, the notices go to an address where nobody listens, and messages that were taken on and not delivered have no end.

Nothing is fixed.

--- a/review/rig.py
+++ b/review/rig.py
@@ -84,9 +84,20 @@
         self._index = 1
         self._rows: dict[str, tuple[int, dict]] = {}
         self._changed = asyncio.Condition()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> None:
-        await asyncio.start_server(self._serve, *self.address)
+        self._server = await asyncio.start_server(self._serve, *self.address)
+
+    async def move(self) -> None:
+        """Go to another address; the old one takes no connection, and open ones end 1.5 s later (LATER)."""
+        old, writers = self._server, list(self._writers)
+        self.address = ("127.0.0.1", find_free_port())
+        await self.open()
+        old.close()
+        self._record.add(f"discovery moved to {write_address(self.address)}")
+        asyncio.get_running_loop().call_later(1.5, lambda: [writer.close() for writer in writers])
 
     async def list_hosts(self, *rows: dict) -> None:
         """Add or change entries; together they are one change of the list."""
@@ -111,10 +122,12 @@
         return {"index": self._index, "snapshot": whole, "endpoints": rows}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while message := await read_message(reader):
                 writer.write(await self._answer(*message))
                 await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(self, line: str, fields: dict[str, str], body: bytes) -> bytes:
@@ -156,7 +169,7 @@
         """Start a process by the deploy file; `known` is the list as the relay last had it."""
         number = len(self.processes) + 1
         control = ("127.0.0.1", find_free_port())
-        config = {
+        self.config = config = {
             "name": "n1",
             "listen": write_address(self.listen),
             "control": write_address(control),
@@ -167,7 +180,7 @@
             "settings": self._settings,
         }
         path = self.folder / "config.json"
-        path.write_text(json.dumps(config))
+        self.write_config(config)
         env = os.environ | {
             "RELAY_NAME": "n1",
             "RELAY_LISTEN": config["listen"],
@@ -191,6 +204,12 @@
         self._record.add(f"relay process={number} started pid={process.pid}")
         return process
 
+    def write_config(self, config: dict) -> None:
+        """Replace the configuration file."""
+        new_path = self.folder / "config.new"
+        new_path.write_text(json.dumps(config))
+        new_path.rename(self.folder / "config.json")
+
     async def wait_ready(self, seconds: float = 15.0) -> None:
         """Wait until GET /ready is answered 200 at the clients' address; any process may answer."""
         end = now() + seconds
