--- a/review/1/case.py
+++ b/review/1/case.py
@@ -143,4 +143,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, case)
+    run_case(Path(__file__).resolve().parent / "record.txt", case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -176,4 +176,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, case)
+    run_case(Path(__file__).resolve().parent / "record.txt", case)
--- a/review/rig.py
+++ b/review/rig.py
@@ -41,10 +41,10 @@
 
 
 class Record:
-    """The file record.txt: one line for each thing that was sent, answered or run."""
+    """The case's record: one line for each thing that was sent, answered or run."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = open(folder / "record.txt", "w")  # noqa: SIM115
+    def __init__(self, path: Path) -> None:
+        self._file = open(path, "w")  # noqa: SIM115
 
     def add(self, text: str) -> None:
         self._file.write(f"{now():9.3f} {text}\n")
@@ -321,9 +321,9 @@
         return status
 
 
-def run_case(folder: Path, case: Callable[[Record], Awaitable[list[str]]], seconds: float = 110) -> None:
+def run_case(record_path: Path, case: Callable[[Record], Awaitable[list[str]]], seconds: float = 110) -> None:
     """Run a case and exit: 1 with breaches of the rule, 0 without, 2 where it could not run."""
-    record = Record(folder)
+    record = Record(record_path)
     record.add(f"trouble={int(TROUBLE)}")
 
     async def bounded() -> list[str]:
