A reloaded file that lacks a key is rejected whole; notices outlive a dead address

Cause: a reloaded file was filled up from the start's values. `read_config` took the environment's address for the absent key, `validate_reloaded_settings` compared `settings` alone, one level deep, with those of the start, and the handler of SIGHUP was bound to the start's configuration.

Change: one rule in millweir/required_keys.py: each key that a file applied before had must be there, with a value of its type, at any depth; else the file is rejected whole. ConfigReloader holds what is in force. Related: a well-formed file that names a dead address had the same end, and a notice on its way at the move waited for the old address for up to a second. Notices now go to the new address at once; while it has answered no list, what fails there is repeated where discovery answered last.

Why it works: nothing of the start is read at a reload, and an address is left only for one that the file names. The stand-in's files at SIGHUP in tests/rig.py lacked `known`; they are whole now, as the platform's.

Failed before: test_messages_had_no_final_outcome_after_a_file_without_discovery, at the notice of "a".

--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -21,6 +21,7 @@
 from millweir.net.desk import RelayServer
 from millweir.net.journal import Journal, OwedMessage
 from millweir.net.log import Log
+from millweir.net.reload import ConfigReloader
 
 if TYPE_CHECKING:
     from millweir.interface import Bounds
@@ -30,26 +31,6 @@
 OPEN_RETRY_SECONDS = 0.1
 
 
-def reload_config(config: Config, server: RelayServer, log: Log) -> None:
-    """Read the configuration again; one that can't be used changes nothing."""
-    try:
-        new_config = read_config(os.environ, is_reload=True, startup_config=config)
-    except Misconfigured as error:
-        server.reload_counts[1] += 1
-        log.always(f"reload-failed {str(error)[:300]}")
-        return
-    server.reload_counts[0] += 1
-    startup_fields = ("listen", "control", "state", "limits")
-    pending_fields = [
-        field for field in startup_fields if getattr(config, field) != getattr(new_config, field)
-    ]
-    log.always(
-        f"reloaded discovery={':'.join(map(str, new_config.discovery))} "
-        f"at-next-start={','.join(pending_fields) or 'none'}"
-    )
-    server.reload(new_config)
-
-
 async def open_journal(config: Config, bounds: Bounds, log: Log) -> Journal:
     """Open the journal of the state folder; retried while the folder temporarily takes no writes.
 
@@ -91,10 +72,11 @@
 
     loop.add_signal_handler(signal.SIGTERM, begin_shutdown)
     loop.add_signal_handler(signal.SIGINT, begin_shutdown)
-    loop.add_signal_handler(signal.SIGHUP, reload_config, config, server, log)
+    reloader = ConfigReloader(config, os.environ, server, log)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     # The file may have changed, and its SIGHUP arrived, while the signal was ignored.
     if read_file_stamp(config.path) != config.file_stamp:
-        loop.call_soon(reload_config, config, server, log)
+        loop.call_soon(reloader.reload)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.always(counters.format_log_line()))
     if operator:
         await operator.start(config.name, config.state)
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -117,6 +117,8 @@
         max_journal_file_bytes=limits.disk_bytes // 2,
         max_journal_live_bytes=limits.disk_bytes * 3 // 8,
         retry_interval_ns=SECOND,
+        # Two of them and a pause fit into the 0.3 s after a deadline, when a notification is overdue.
+        moved_notification_timeout_ns=SECOND // 10,
         reconnect_delay_ns=SECOND // 20,
         watch_wait_ns=watch,
         watch_timeout_ns=watch + half_second,
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -201,6 +201,7 @@
     max_journal_file_bytes: int
     max_journal_live_bytes: int  # of messages not ended yet
     retry_interval_ns: int  # the longest pause before a failed request is repeated; time-out of notifications
+    moved_notification_timeout_ns: int  # of notifications while the platform's new address has not answered
     reconnect_delay_ns: int  # the shortest such pause
     watch_wait_ns: int  # for which discovery may hold a request for list changes
     watch_timeout_ns: int  # after which such a request counts as unanswered
--- a/millweir/lab/scale/network.py
+++ b/millweir/lab/scale/network.py
@@ -12,7 +12,6 @@
 from millweir.interface import SECOND, Change, Limits, Phase
 from millweir.lab.scale.cores import CALLS_PER_SECOND, build_settings, format_host_name
 from millweir.lab.scale.steps import make_iteration_countable
-from millweir.lab.standins import SETTINGS
 from millweir.net import clock
 from millweir.net.config import Config
 from millweir.net.counters import Counters
@@ -68,7 +67,6 @@
             limits=LIMITS,
             cached_list={"index": 0, "endpoints": []},
             settings=settings,
-            raw_settings=SETTINGS,
         )
         self.engine: DecisionEngine[OwedMessage] = DecisionEngine(
             settings, LIMITS, self._seed, clock.monotonic_ns()
--- a/millweir/net/config.py
+++ b/millweir/net/config.py
@@ -11,9 +11,11 @@
 from typing import Any
 
 from millweir.interface import Limits, Settings
+from millweir.required_keys import Kind, ObjectShape, check_shape, extend_shape, read_shape
 from millweir.settings import parse_settings, validate_reloaded_settings
 
 BYTES_PER_MEGABYTE = 1 << 20
+ADDRESS_KEYS = ("listen", "control", "discovery")
 
 
 class Misconfigured(Exception):
@@ -33,7 +35,7 @@
     limits: Limits
     cached_list: dict[str, Any]
     settings: Settings
-    raw_settings: dict[str, Any]  # as the file had them, to check a reloaded file against
+    required_shape: ObjectShape = ObjectShape({})  # what a reloaded file must have
     path: Path = Path()  # the file that it was read from
     file_stamp: tuple[int, int, int] = (0, 0, 0)  # identifies the file's version, see `read_file_stamp`
 
@@ -61,41 +63,28 @@
     return status.st_ino, status.st_size, status.st_mtime_ns
 
 
-def read_config(
-    environ: Mapping[str, str], is_reload: bool = False, startup_config: Config | None = None
-) -> Config:
+def read_config(environ: Mapping[str, str], in_force: Config | None = None) -> Config:
     """Read RELAY_CONFIG; at startup the other variables take precedence over the file.
 
-    On a reload the variables are as old as the process, so the file takes precedence for the discovery
-    address.
+    `in_force`: the configuration that a reload is to replace.  The variables are as old as the process, so
+    on a reload the file decides on the discovery address.
     """
     path = environ.get("RELAY_CONFIG")
     if not path:
         raise Misconfigured("RELAY_CONFIG is not set")
     file_stamp = read_file_stamp(Path(path))
-    try:
-        document = json.loads(Path(path).read_bytes())
-    except OSError as error:
-        raise Misconfigured(f"RELAY_CONFIG can't be read: {error}") from error
-    except ValueError as error:
-        raise Misconfigured(f"RELAY_CONFIG {path} is not JSON: {error}") from error
-    if not isinstance(document, dict):
-        raise Misconfigured(f"RELAY_CONFIG {path} holds no JSON object")
+    document = _read_document(Path(path))
     state = environ.get("RELAY_STATE")
     if not state:
         raise Misconfigured("RELAY_STATE is not set")
     if not os.path.isdir(state) or not os.access(state, os.W_OK):
         raise Misconfigured(f"RELAY_STATE {state} is no folder that can be written to")
     try:
-        if startup_config is not None:
-            validate_reloaded_settings(document.get("settings"), startup_config.raw_settings)
+        shape = _read_document_shape(document)
+        if in_force:
+            _validate_reload(document, in_force.required_shape)
+            shape = extend_shape(in_force.required_shape, shape)
         limits, cached_list = document.get("limits") or {}, document.get("known") or {}
-        environ_discovery = environ.get("RELAY_DISCOVERY")
-        discovery = (
-            document.get("discovery") or environ_discovery
-            if is_reload
-            else environ_discovery or document.get("discovery")
-        )
         return Config(
             name=str(environ.get("RELAY_NAME") or document.get("name", "")),
             listen=read_address(environ.get("RELAY_LISTEN") or document.get("listen"), "RELAY_LISTEN"),
@@ -104,7 +93,7 @@
                 if (control := environ.get("RELAY_CONTROL") or document.get("control"))
                 else None
             ),
-            discovery=read_address(discovery, "RELAY_DISCOVERY"),
+            discovery=_choose_discovery(document, environ, in_force),
             state=Path(state),
             path=Path(path),
             file_stamp=file_stamp,
@@ -116,7 +105,44 @@
             ),
             cached_list=cached_list,
             settings=parse_settings(document["settings"]),
-            raw_settings=document["settings"],
+            required_shape=shape,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise Misconfigured(f"RELAY_CONFIG {path} can't be used: {error!r}") from error
+
+
+def _read_document(path: Path) -> dict[str, Any]:
+    try:
+        document = json.loads(path.read_bytes())
+    except OSError as error:
+        raise Misconfigured(f"RELAY_CONFIG can't be read: {error}") from error
+    except (ValueError, RecursionError) as error:
+        raise Misconfigured(f"RELAY_CONFIG {path} is not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise Misconfigured(f"RELAY_CONFIG {path} holds no JSON object")
+    return document
+
+
+def _read_document_shape(document: dict[str, Any]) -> ObjectShape:
+    """Read the shape of a file; the cached host list is data, of which only the key itself counts."""
+    cached_list = {"known": {}} if isinstance(document.get("known"), dict) else {}
+    return ObjectShape(read_shape(document | cached_list).keys)
+
+
+def _validate_reload(document: dict[str, Any], required: ObjectShape) -> None:
+    """Raise ValueError or Misconfigured unless a file read at SIGHUP can be applied whole."""
+    check_shape(document, required)
+    validate_reloaded_settings(document.get("settings"), required.keys.get("settings", Kind.ANY))
+    for key in ADDRESS_KEYS:
+        if document.get(key):
+            read_address(document[key], key)
+
+
+def _choose_discovery(
+    document: dict[str, Any], environ: Mapping[str, str], in_force: Config | None
+) -> tuple[str, int]:
+    """The address of discovery and notifications; a reload keeps that in force if no file ever had one."""
+    if in_force:
+        given = document.get("discovery")
+        return read_address(given, "discovery") if given else in_force.discovery
+    return read_address(environ.get("RELAY_DISCOVERY") or document.get("discovery"), "RELAY_DISCOVERY")
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -91,7 +91,13 @@
             counters,
         )
         self._notifications = NotificationSender(
-            loop, config.discovery, bounds, self._finish_message, log, counters
+            loop,
+            config.discovery,
+            lambda: self._watch.answering_address,
+            bounds,
+            self._finish_message,
+            log,
+            counters,
         )
         self._cached_list = self._decode_cached_list(config)  # None once calls may be sent
         if self._cached_list:
--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -152,6 +152,7 @@
         "_loop",
         "_server_wait",
         "_watch",
+        "address",
         "closed",
         "proven",
     )
@@ -179,6 +180,7 @@
             counters,
             self._poll_unread,
         )
+        self.address = address
         self.proven = self.closed = False
         self._failures, self._asked_at = 0, loop.time()
         self._asked_since, self._server_wait = -1, 0  # of the pending request
@@ -268,6 +270,11 @@
         )
         self._loop.call_soon(self._pollers[-1].poll)
 
+    @property
+    def answering_address(self) -> tuple[str, int]:
+        """The address that was the last one to answer with a list; the first one until any has."""
+        return self._pollers[0].address
+
     def build_query(self, server_wait: int) -> bytes:
         """The query string; without a known version it asks for the full list, which never waits."""
         return (
--- a/millweir/settings.py
+++ b/millweir/settings.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from millweir.interface import Effect, Profile, Settings, Tenant
+from millweir.required_keys import Shape, check_shape
 
 EFFECT_BY_SEMANTICS = {
     "pure": Effect.IDEMPOTENT,
@@ -96,28 +97,20 @@
     return is_number and math.isfinite(value) and value > 0
 
 
-def validate_reloaded_settings(given: Any, start: dict[str, Any]) -> None:
+def validate_reloaded_settings(given: Any, required: Shape) -> None:
     """Validate settings read at SIGHUP, which are applied whole or not at all.
 
-    Raises ValueError if they are not an object or empty; if a key that the settings at start had, at the top
-    or one level down, is missing; if there are no profiles (`grades`), or one lacks a key that every profile
-    at start had; if a lifetime, target latency or number of trips is not a number above 0.
+    Raises ValueError if they are not an object or empty; if a key is missing (`millweir/required_keys.py`);
+    if there are no profiles (`grades`); if a lifetime, target latency or number of trips is not a number
+    above 0.
     """
     if not isinstance(given, dict) or not given:
         raise ValueError("the settings are empty or not an object")
-    for key, value in start.items():
-        if key not in given:
-            raise ValueError(f"missing key {key!r}")
-        for inner in value if isinstance(value, dict) else ():
-            if not isinstance(given[key], dict) or inner not in given[key]:
-                raise ValueError(f"missing key {key}.{inner}")
+    check_shape(given, required, "settings")
     grades, ceilings = given.get("grades"), given.get("ceilings") or {}
     if not isinstance(grades, list) or not grades or not all(isinstance(grade, dict) for grade in grades):
         raise ValueError("the settings have no profiles (grades)")
-    needed = set.intersection(*(set(grade) for grade in start.get("grades") or [{}]))
     for grade in grades:
-        if missing := needed - grade.keys():
-            raise ValueError(f"profile {grade.get('name')!r}: missing keys {sorted(missing)}")
         for key in ("objective-us", "give-up-us"):
             if not _is_positive_number(grade.get(key)):
                 raise ValueError(f"profile {grade.get('name')!r}: {key} is no number above 0")
--- a/tests/net/test_answers.py
+++ b/tests/net/test_answers.py
@@ -237,6 +237,7 @@
         sender = NotificationSender(
             asyncio.get_running_loop(),
             agent.address,
+            lambda: agent.address,
             bounds(settings(), LIMITS),
             lambda message: acknowledged.append(message.id),
             log,
--- a/tests/net/test_reload.py
+++ b/tests/net/test_reload.py
@@ -1,4 +1,4 @@
-"""SIGHUP while the process starts, before or after it has read its configuration."""
+"""SIGHUP on real processes: at the start, and with files that lack the platform's address."""
 
 import json
 import signal
@@ -9,7 +9,7 @@
 import tomllib
 from pathlib import Path
 
-from rig import CONFIG, Platform, until
+from rig import CONFIG, Platform, Program, reply, until
 
 from millweir import __main__ as main
 from net.inside import run_with_relay
@@ -73,3 +73,23 @@
         await relay.until(lambda: relay.server._discovery_address == (host, int(port)))
 
     run_with_relay(platform, tmp_path, monkeypatch, steps)
+
+
+def test_messages_had_no_final_outcome_after_a_file_without_discovery(tmp_path):
+    """On a real process: the address has moved; then a file lacks it, and another names a dead one."""
+    platform = Platform(hosts=1)
+    platform.decide = lambda call: reply(500)  # a non-idempotent message ends by a notification
+    program = Program(platform, tmp_path)
+    try:
+        program.reload({"discovery": platform.move()})
+        until(lambda: program.log().count("reloaded discovery=") == 1)
+        program.reload({})
+        until(lambda: program.log().count("reloaded discovery=") + program.log().count("reload-failed") == 2)
+        assert program.hand_in("a", "once") == 202
+        until(lambda: "a" in platform.notified_at)
+        program.reload({"discovery": "127.0.0.1:9"})
+        until(lambda: "reloaded discovery=127.0.0.1:9 " in program.log())
+        assert program.hand_in("b", "once") == 202
+        until(lambda: "b" in platform.notified_at, 1.0)
+    finally:
+        program.end()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -544,7 +544,8 @@
     def reload(self, config):
         """Replace the configuration (text, or changes to it) and send SIGHUP."""
         fresh = self.folder / "fresh"
-        fresh.write_text(config if isinstance(config, str) else json.dumps(self.config | config))
+        whole = {"known": self.platform.list() | {"index": 0}} | self.config
+        fresh.write_text(config if isinstance(config, str) else json.dumps(whole | config))
         fresh.rename(self.folder / "config.json")
         self.send_signal(signal.SIGHUP)
 
--- a/tests/test_settings_again.py
+++ b/tests/test_settings_again.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from millweir.required_keys import read_shape
 from millweir.settings import validate_reloaded_settings
 
 START = {
@@ -34,7 +35,7 @@
         }
         given["ceilings"]["max-attempts"] = 1
 
-    validate_reloaded_settings(changed(change), START)
+    validate_reloaded_settings(changed(change), read_shape(START))
 
 
 @pytest.mark.parametrize(
@@ -59,10 +60,10 @@
 )
 def test_settings_with_a_missing_key_or_an_invalid_number_are_rejected(change):
     with pytest.raises(ValueError):
-        validate_reloaded_settings(changed(change), START)
+        validate_reloaded_settings(changed(change), read_shape(START))
 
 
 def test_settings_that_are_not_an_object_are_rejected():
     for given in (None, [], "settings", 0):
         with pytest.raises(ValueError):
-            validate_reloaded_settings(given, START)
+            validate_reloaded_settings(given, read_shape(START))
