Silences end without regard to older calls; rests are waited for, not connected past

Change: no wait for older calls; a call whose refusal must be believed prefers a connection that proves it, but opens none for that; the rest is a sixteenth of the mean answer time, at least 25 ms, and a call waits for it.

What holds the rule is the rest and what can be taken back; these are as they were.

--- a/millweir/answers/connection.py
+++ b/millweir/answers/connection.py
@@ -2,15 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from millweir.answers.policy import (
-    MAX_CONFIRMATION_DELAY_NS,
-    MAX_WAITED_FOR_AGE_NS,
-    RECHECK_INTERVAL_NS,
-)
+from millweir.answers.policy import MAX_CONFIRMATION_DELAY_NS, MAX_WAITED_FOR_AGE_NS
 
 Answer = TypeVar("Answer")
 NEVER = 1 << 62
@@ -21,13 +16,12 @@
     """When an unproven answer is settled; times in nanoseconds.
 
     `confirm_at`: not confirmed before, also after a silence.  `deadline`: of its message, if it was
-    delivered; else NEVER.  `given_up_at`: when its call would have been given up without an answer.
+    delivered; else NEVER.
     """
 
     answered_at: int
     confirm_at: int
     deadline: int
-    given_up_at: int = 0
 
     @property
     def settle_by(self) -> int:
@@ -97,26 +91,12 @@
         """Whether some of them have not seen a silence of the connection."""
         return bool(self._before_silence)
 
-    def take_confirmed(
-        self, now: int, is_early: Callable[[Answer, int], bool] = lambda answer, answered_at: False
-    ) -> list[Answer]:
-        """Take out the answers whose time has come after a silence.
-
-        `is_early`: whether the host shows that an answer of that time can't be confirmed yet.  It is checked
-        again, until its call would have been given up.
-        """
+    def take_confirmed(self, now: int) -> list[Answer]:
+        """Take out the answers whose time has come after a silence."""
         rows = self._after_silence
-        self._after_silence = []
-        confirmed = []
-        for answer, times in rows:
-            if min(times.confirm_at, times.settle_by) > now:
-                self._after_silence.append((answer, times))
-            elif now < min(times.given_up_at, times.deadline) and is_early(answer, times.answered_at):
-                self._after_silence.append((answer, replace(times, confirm_at=now + RECHECK_INTERVAL_NS)))
-            else:
-                confirmed.append(answer)
+        self._after_silence = [row for row in rows if min(row[1].confirm_at, row[1].settle_by) > now]
         self._update_waited_for()
-        return confirmed
+        return [answer for answer, times in rows if min(times.confirm_at, times.settle_by) <= now]
 
     def take_expired(self, now: int) -> list[Answer]:
         """Take out the answers that can't wait any longer for a silence."""
--- a/millweir/answers/policy.py
+++ b/millweir/answers/policy.py
@@ -18,8 +18,8 @@
 
   - A copy comes right behind its answer.  Each connection rests after an answer (`compute_rest`) before the
     next call is written, so that the copy is seen without a request.  This holds at hosts of any pace.
-  - Copies that come later still can pass for the next answer.  Where hosts refuse calls and a silence would
-    have to last long, a call whose refusal has to be believed gets a connection whose answer is proven.
+  - Copies that come later still can pass for the next answer.  A call whose refusal has to be believed gets a
+    connection whose next answer is proven, if there is one; else a silence has to tell.
 
 What is concluded from an answer to a message, by the effect of a repeat:
 
@@ -49,12 +49,8 @@
 from millweir.interface import MILLISECOND, SECOND, Effect
 
 MIN_REST_NS = 25 * MILLISECOND  # of a connection, between an answer and the next call
-REST_FRACTION = 1 / 4  # of the host's mean answer time: where that is longer, a longer rest costs little
+REST_FRACTION = 1 / 16  # of the host's mean answer time: where that is long, a longer rest costs little
 LATEST_COPY_NS = 5 * SECOND // 4  # behind its answer, as far as a copy is told by a rest alone
-MAX_REST_WAIT_NS = MIN_REST_NS  # for which a call waits for a connection at rest, to spare a new one
-# Calls whose refusal has to be believed get a proven answer where a silence would have to last longer ...
-MAX_PROOF_SILENCE_NS = SECOND // 2
-REFUSAL_MEMORY_NS = 10 * SECOND  # ... at hosts that refused a call within this time
 MIN_SILENCE_NS = 10 * MILLISECOND  # after an answer
 # An answer may take as long as the mean and so many mean deviations; both are moving averages (RFC 6298, 2).
 ANSWER_TIME_DEVIATIONS = 6
@@ -70,7 +66,6 @@
 # The same where a message waits for its confirmation.  Until then other connections are preferred.
 MAX_WAITED_FOR_AGE_NS = SECOND // 2
 MIN_WAITED_FRACTION = 0.5  # of the wait that discovery was asked for, before it answers without news
-RECHECK_INTERVAL_NS = SECOND // 20  # of an answer that its host shows to be too early to confirm
 # Past its deadline, a delivered message whose answer is not confirmed yet is ended by a notification.
 MAX_CONFIRMATION_DELAY_NS = 150 * MILLISECOND
 DISTRUST_NS = 60 * SECOND  # since the last byte that was not asked for
@@ -158,14 +153,6 @@
     return max(now + MIN_SILENCE_NS, min(written_at + answer_time, given_up_at))
 
 
-def needs_proven_connection(answer_time: int, since_refusal: int) -> bool:
-    """Whether a call whose refusal has to be believed gets a connection whose next answer is proven.
-
-    `answer_time`: how long the host may take.  `since_refusal`: the time since it refused a call.
-    """
-    return answer_time > MAX_PROOF_SILENCE_NS and since_refusal < REFUSAL_MEMORY_NS
-
-
 def compute_max_unproven_age(answer_time: int) -> int:
     """Return for how long a connection to a host may carry calls before it has been silent."""
     return max(MAX_UNPROVEN_AGE_NS, UNPROVEN_AGE_SILENCES * answer_time)
--- a/millweir/answers/trust.py
+++ b/millweir/answers/trust.py
@@ -9,29 +9,18 @@
     compute_answer_time,
     compute_max_unproven_age,
     compute_rest,
-    needs_proven_connection,
 )
 
-NEVER_REFUSED = -1 << 62
-
 
 class HostTrust:
     """What one host's answers have shown: how long they take, and whether some came unasked."""
 
-    __slots__ = (
-        "_answer_time_deviation",
-        "_distrusted_until",
-        "_mean_answer_time",
-        "_refused_at",
-        "last_served_call_at",
-    )
+    __slots__ = ("_answer_time_deviation", "_distrusted_until", "_mean_answer_time")
 
     def __init__(self) -> None:
         self._mean_answer_time = 0.0  # moving average of served calls; 0: it has not served one yet
         self._answer_time_deviation = 0.0
-        self._refused_at = NEVER_REFUSED
         self._distrusted_until = 0
-        self.last_served_call_at = 0  # when the last call was written that the host has served
 
     def record_served(self, taken: int) -> None:
         """Record how long the host took to serve a call, by an answer that is proven or confirmed.
@@ -45,10 +34,6 @@
         else:
             self._mean_answer_time, self._answer_time_deviation = taken, taken / 2
 
-    def record_refused(self, now: int) -> None:
-        """Record that the host refused a call."""
-        self._refused_at = now
-
     @property
     def answer_time(self) -> int:
         """How long the host may take to answer a call."""
@@ -64,10 +49,6 @@
         """For how long a connection to the host may carry calls before it has been silent."""
         return compute_max_unproven_age(self.answer_time)
 
-    def needs_proven_connection(self, now: int) -> bool:
-        """Whether a call whose refusal has to be believed gets a connection whose next answer is proven."""
-        return needs_proven_connection(self.answer_time, now - self._refused_at)
-
     def distrust(self, now: int) -> bool:
         """An answer was refuted; returns whether the host was trusted before."""
         was_trusted = self.is_trusted(now)
--- a/millweir/net/answer_checks.py
+++ b/millweir/net/answer_checks.py
@@ -35,19 +35,10 @@
     answer is reported a second time, as retracted.  The latest ones are kept for that, within a bound.
     """
 
-    __slots__ = ("_counters", "_is_early", "_log", "_loop", "_retractable", "_retractable_bytes", "_settle")
-
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        settle: Settle,
-        is_early: Callable[[UnprovenAnswer, int], bool],
-        log: Log,
-        counters: Counters,
-    ) -> None:
-        """`is_early`: whether the host shows that an answer of that time can't be confirmed yet."""
+    __slots__ = ("_counters", "_log", "_loop", "_retractable", "_retractable_bytes", "_settle")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, settle: Settle, log: Log, counters: Counters) -> None:
         self._loop, self._settle, self._log, self._counters = loop, settle, log, counters
-        self._is_early = is_early
         self._retractable: dict[Connection, list[UnprovenAnswer]] = {}
         self._retractable_bytes = 0
 
@@ -68,7 +59,7 @@
         now = clock.monotonic_ns()
         if connection.silent:
             connection.unproven.record_silence(now)
-        confirmed = connection.unproven.take_confirmed(now, self._is_early)
+        confirmed = connection.unproven.take_confirmed(now)
         self._keep_retractable(connection, confirmed)
         self._report(confirmed, Settlement.CONFIRMED)
         self._doubt(connection.unproven.take_expired(now), connection, "no silence in time")
--- a/millweir/net/connection_pool.py
+++ b/millweir/net/connection_pool.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from millweir.answers.policy import MAX_REST_WAIT_NS, is_next_answer_proven
+from millweir.answers.policy import is_next_answer_proven
 from millweir.answers.trust import HostTrust
 from millweir.net.links import Connection
 
@@ -22,22 +22,15 @@
     def choose(self, now: int, idle_cutoff: int, needs_proof: bool) -> Connection | None:
         """Choose an idle connection for a call; None if it is to open a new one.
 
-        It is the most recently used one that has rested.  If the call needs proof, it is the most recently
-        used one whose next answer is proven; where proof is worth a new connection, no other one.  If none
-        has rested, it is one that will have within MAX_REST_WAIT_NS: the caller waits for that.
+        It is the most recently used one that has rested; if the call needs proof, the most recently used one
+        whose next answer is proven, if there is one.  If none has rested, it is the one that will have first:
+        the caller waits for that, which takes a small part of the time that the host takes.
         """
         usable = self._find_usable(now, idle_cutoff)
-        if needs_proof:
-            if proven := [connection for connection in usable if _proves_next_answer(connection, now)]:
-                return proven[0]
-            if self.trust.needs_proven_connection(now):
-                return None
-        if rested := [connection for connection in usable if self.remaining_rest(connection, now) <= 0]:
-            return rested[0]
-        soonest = min(usable, key=lambda connection: connection.idle_since, default=None)
-        if soonest and self.remaining_rest(soonest, now) <= MAX_REST_WAIT_NS:
-            return soonest
-        return None
+        proven = [connection for connection in usable if needs_proof and _proves_next_answer(connection, now)]
+        rested = [connection for connection in usable if self.remaining_rest(connection, now) <= 0]
+        chosen = proven or rested or sorted(usable, key=lambda connection: connection.idle_since)
+        return chosen[0] if chosen else None
 
     def remaining_rest(self, connection: Connection, now: int) -> int:
         """How long a connection rests before it may carry a call; not above 0 if it may now."""
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -61,7 +61,7 @@
         self._calls: dict[Job[OwedMessage], HostCall] = {}
         self._connecting: set[asyncio.Task[None]] = set()
         self._settle = settle
-        self._checks = AnswerChecks(loop, self._settle_answer, self._awaits_older_call, log, counters)
+        self._checks = AnswerChecks(loop, self._settle_answer, log, counters)
         self._record_wait = record_wait
         self._retired: set[Connection] = set()  # open, for their last answers to be settled
         self._resting: set[Connection] = set()  # chosen for a call, which waits for the end of their rest
@@ -174,7 +174,9 @@
         """Record how far an answer is believed and what is unproven of it; free its connection."""
         pool, connection, now = call.pool, call.connection, clock.monotonic_ns()
         connection.in_step = belief is Belief.PROVEN
-        self._record_pace(call, belief, now)
+        is_refused = OUTCOME_BY_STATUS.get(connection.reader.status, Outcome.FAULT).never_ran
+        if belief is Belief.PROVEN and not is_refused:
+            pool.trust.record_served(now - call.written_at)
         silence_end = compute_silence_end(now, call.written_at, pool.trust.answer_time, call.given_up_at)
         self._record_unasked_wait(pool, connection.reader.trailing_retry_after)
         if belief is Belief.REFUTED:
@@ -190,7 +192,6 @@
                 now,
                 compute_confirmation_time(call.written_at, silence_end, is_waited_for),
                 clock.from_wall(part.item.deadline) if finished else NEVER,
-                call.given_up_at,
             )
             is_urgent = not finished and is_waited_for or times.deadline - now < MAX_UNPROVEN_AGE_NS
             connection.unproven.add(answer, times, silence_end, is_urgent)
@@ -200,17 +201,6 @@
         else:
             self.return_to_pool(pool, connection)
 
-    def _record_pace(self, call: HostCall, belief: Belief, now: int) -> None:
-        """Record how long the host took, if the answer is proven, or that it refused the call."""
-        outcome = OUTCOME_BY_STATUS.get(call.connection.reader.status, Outcome.FAULT)
-        trust = call.pool.trust
-        if outcome.never_ran:
-            trust.record_refused(now)
-            return
-        trust.last_served_call_at = max(trust.last_served_call_at, call.written_at)
-        if belief is Belief.PROVEN:
-            trust.record_served(now - call.written_at)
-
     def _settle_answer(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
         """Pass on that an unproven answer is settled; a confirmed delivery shows the host's pace."""
         pool = self._pools.get(answer.part.job.host)
@@ -218,19 +208,6 @@
             pool.trust.record_served(answer.taken)
         self._settle(answer, settlement)
 
-    def _awaits_older_call(self, answer: UnprovenAnswer, answered_at: int) -> bool:
-        """Whether the host owes the answer to an older call than that of this answer, and served none since.
-
-        Then it takes longer now than its earlier answers show.
-        """
-        written_at, host = answered_at - answer.taken, answer.part.job.host
-        pool = self._pools.get(host)
-        if pool and pool.trust.last_served_call_at > written_at:
-            return False
-        return any(
-            call.job.host == host and 0 < call.written_at < written_at for call in self._calls.values()
-        )
-
     def record_early_answer(self, call: HostCall, belief: Belief) -> None:
         """Record an answer that came before its call was written whole; the connection is closed already."""
         if belief is Belief.REFUTED:
