A test of withdrawn requests waits for their turn, not only for their ends

The connections ended before the turn that answers what they had sent; the test waited for the ends alone. It waits for the turn now and asserts the same: exactly 50 withdrawn, nothing owed, nothing sent.

--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -138,7 +138,9 @@
             client.send(request(f"p{n}"))
             client.close()  # the sockets hold both before the loop runs on
         await relay.until(lambda: not relay.server.clients._connections)
-        assert relay.server._counters.counts["requests_withdrawn"] == 50
+        counts = relay.server._counters.counts
+        await relay.until(lambda: counts["requests_withdrawn"])  # their turn may come after their ends
+        assert counts["requests_withdrawn"] == 50
         assert not relay.server._journal.owed and not platform.calls and not relay.server._owed
 
     run_with_relay(platform, tmp_path, monkeypatch, steps)
