--- a/millweir/control.py
+++ b/millweir/control.py
@@ -662,7 +662,7 @@
             packet
         )
 
-    def settle_refusal(self, now: int, ident: int, number: int, never_ran: bool) -> None:
+    def settle_outcome(self, now: int, ident: int, number: int, never_ran: bool) -> None:
         """Record whether an unproven outcome is a confirmed refusal; a packet that waited goes on.
 
         One that was confirmed before may be taken back: a packet that is still held is answered then, if the
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -157,7 +157,7 @@
         """Report how one part of a job ended; `finished`: its packet has its final outcome.
 
         `proven`: the answer can't belong to another call.  Else it is settled later: a refusal by
-        `settle_refusal`; a final outcome that was none by adding the packet again.
+        `settle_outcome`; a final outcome that was none by adding the packet again.
         """
         if self._parts.pop((part._packet, part._number), None) is None:
             return
@@ -172,10 +172,10 @@
         self._now = now
         self._relay.end_key_quiet(now, part._packet)
 
-    def settle_refusal(self, now: int, part: Part[Item], never_ran: bool) -> None:
+    def settle_outcome(self, now: int, part: Part[Item], never_ran: bool) -> None:
         """Report whether an outcome that was unproven is a confirmed refusal: the trip never ran."""
         self._now = now
-        self._relay.settle_refusal(now, part._packet.id, part._number, never_ran)
+        self._relay.settle_outcome(now, part._packet.id, part._number, never_ran)
 
     def draw_back_off(self, failures: int) -> int:
         """The time until discovery is asked again, drawn at random, after so many failures in a row."""
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -485,7 +485,7 @@
         """Act on an answer that was unproven, now that it is confirmed or in doubt."""
         part = answer.part
         if not answer.outcome.finished:
-            self._settle_refusal(answer, settlement)
+            self._settle_undelivered(answer, settlement)
         elif settlement is Settlement.CONFIRMED:
             self._finish_answered(part.item, answer.outcome.outcome)
             self._engine.end_key_quiet(clock.monotonic_ns(), part)
@@ -495,7 +495,7 @@
             self._reconsider(part)
         self.request_turn()
 
-    def _settle_refusal(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
+    def _settle_undelivered(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
         message = answer.part.item
         is_refusal = answer.outcome.outcome.never_ran
         never_ran = is_refusal and settlement is Settlement.CONFIRMED
@@ -504,7 +504,7 @@
                 self._journal.record_never_ran(message, answer.trip)
             elif settlement is Settlement.RETRACTED:
                 self._journal.record_may_have_run(message, answer.trip)
-        self._engine.settle_refusal(clock.monotonic_ns(), answer.part, never_ran)
+        self._engine.settle_outcome(clock.monotonic_ns(), answer.part, never_ran)
 
     def _restore_ended(self, message: OwedMessage) -> None:
         """Owe a message again that had passed for delivered."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -716,7 +716,7 @@
     assert len(rig.sent) == 1 and ident not in rig.answers
     if not never_ran:
         rig.sent[0].outcome = Outcome.RESET
-    rig.relay.settle_refusal(rig.now, ident, 0, never_ran)
+    rig.relay.settle_outcome(rig.now, ident, 0, never_ran)
     rig.has_input = True
     rig.pass_time(SECOND)
     assert len(rig.sent) == (2 if never_ran else 1)
@@ -729,9 +729,9 @@
     rig.pass_time(SECOND)
     end_unproven(rig, rig.sent[0], Outcome.FULL)
     rig.update_host_list(Change.DELTA, [entry(0, 0, kind=1, phase=Phase.DRAINING)])  # it stays held
-    rig.relay.settle_refusal(rig.now, ident, 0, True)
+    rig.relay.settle_outcome(rig.now, ident, 0, True)
     rig.sent[0].outcome = Outcome.RESET
-    rig.relay.settle_refusal(rig.now, ident, 0, False)
+    rig.relay.settle_outcome(rig.now, ident, 0, False)
     rig.update_host_list(Change.DELTA, [entry(0, 0, kind=1)])
     rig.pass_time(SECOND)
     assert len(rig.sent) == 1 and rig.answers[ident] == "errored"
@@ -745,7 +745,7 @@
     end_unproven(rig, rig.sent[0], Outcome.FAULT)
     rig.pass_time(SECOND)
     assert len(rig.sent) == 1 + allow_second_copies
-    rig.relay.settle_refusal(rig.now, ident, 0, False)
+    rig.relay.settle_outcome(rig.now, ident, 0, False)
     rig.has_input = True
     rig.pass_time(5 * SECOND)  # the host is suspected meanwhile
     assert len(rig.sent) == 2
@@ -767,7 +767,7 @@
     end_unproven(rig, rig.sent[0], Outcome.FULL)
     rig.pass_time(SECOND)
     assert len(rig.sent) == 2
-    rig.relay.settle_refusal(rig.now, ident, 0, True)
+    rig.relay.settle_outcome(rig.now, ident, 0, True)
     assert rig.sent[0].packet.trips[0].never_ran
 
 
