A call that waits for a rest and is given up counts as never sent, not as a failed connect

Found on reading: HostCall.give_up took a call without a connection for one that was connecting, so that giving up a call during its connection's rest (25 ms) would have counted against the host.

--- a/millweir/net/host_call.py
+++ b/millweir/net/host_call.py
@@ -78,6 +78,7 @@
         "_written_at",
         "job",
         "connection",
+        "is_resting",
         "pool",
         "timer",
         "pending_parts",
@@ -89,6 +90,7 @@
         self.pool = pool
         self.pending_parts: dict[Part[OwedMessage], None] = dict.fromkeys(job.parts)
         self.connection: Connection | None = None
+        self.is_resting = False  # waits until its connection has rested
         self.timer: asyncio.TimerHandle | None = None
         self._written_parts: list[Part[OwedMessage]] = []
         self._written_at = 0
@@ -197,7 +199,7 @@
         if part not in self.pending_parts:
             return
         if self.connection is None:
-            outcome = Outcome.UNCONNECTED  # nothing was written yet
+            outcome = Outcome.MOOT if self.is_resting else Outcome.UNCONNECTED  # nothing was written yet
         elif len(self.pending_parts) == 1:
             self.connection.close("given-up", abort=True)
         if self.connection and not self._journaled_trips:
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -103,6 +103,7 @@
         if (remaining_rest := pool.remaining_rest(connection, now)) <= 0:
             call.write_request(connection)
         else:
+            call.is_resting = True
             self._resting.add(connection)
             self.loop.call_later(
                 remaining_rest / 1e9, clock.call_after_poll, self.loop, self._end_rest, call, connection
@@ -113,6 +114,7 @@
         if self._closed:
             return
         self._resting.discard(connection)
+        call.is_resting = False
         if self._pools.get(call.pool.name) is not call.pool:
             call.finish_all(Outcome.MOOT)  # its host has left or moved
         if not call.pending_parts:
