A refused message waits for a silence of a second at most, as before the rests

Cause (inferred from what differs by design, not traced): the silence after a refusal had no upper limit but the call's time-out, and a host not yet served by counted as taking a second; with sparse traffic at overloaded hosts, many refusals come on used connections and their messages waited for seconds.

Change: for what a message waits for, the limit of 1 s and the quarter of a second for an unknown host are back. Deliveries, for which nothing waits, keep the longer silence. What holds the rule for copies right behind an answer is the connection's rest; a refusal that a later answer disproves is taken back while its message is held.

--- a/millweir/answers/policy.py
+++ b/millweir/answers/policy.py
@@ -56,7 +56,8 @@
 ANSWER_TIME_DEVIATIONS = 6
 MEAN_WEIGHT = 1 / 8  # of the last answer in the mean
 DEVIATION_WEIGHT = 1 / 4
-UNKNOWN_ANSWER_TIME_NS = SECOND  # of a host that has not served a call yet
+UNKNOWN_ANSWER_TIME_NS = SECOND // 4  # of a host that has not served a call yet
+MAX_WAITED_FOR_SILENCE_NS = SECOND  # what it confirms can be taken back until the message has gone again
 # An answer is not confirmed before so long after its call: some answers take far longer than the others.
 MIN_WAITED_FOR_AGE_NS = SECOND // 4
 MIN_UNHURRIED_AGE_NS = SECOND // 2  # nothing waits for it, but the message goes again if the process ends
@@ -145,11 +146,16 @@
     return int(mean + ANSWER_TIME_DEVIATIONS * deviation) or UNKNOWN_ANSWER_TIME_NS
 
 
-def compute_silence_end(now: int, written_at: int, answer_time: int, given_up_at: int) -> int:
+def compute_silence_end(
+    now: int, written_at: int, answer_time: int, given_up_at: int, is_waited_for: bool
+) -> int:
     """Return until when a connection must be silent after an answer to a call written at that time.
 
-    `given_up_at`: when the call would have been given up without an answer.
+    `given_up_at`: when the call would have been given up without an answer.  `is_waited_for`: its message, or
+    the next one of its key, waits for that.
     """
+    if is_waited_for:
+        answer_time = min(answer_time, MAX_WAITED_FOR_SILENCE_NS)
     return max(now + MIN_SILENCE_NS, min(written_at + answer_time, given_up_at))
 
 
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -179,7 +179,6 @@
         is_refused = OUTCOME_BY_STATUS.get(connection.reader.status, Outcome.FAULT).never_ran
         if belief is Belief.PROVEN and not is_refused:
             pool.trust.record_served(now - call.written_at)
-        silence_end = compute_silence_end(now, call.written_at, pool.trust.answer_time, call.given_up_at)
         self._record_unasked_wait(pool, connection.reader.trailing_retry_after)
         if belief is Belief.REFUTED:
             reason = "unasked" if connection.reader.followed else "misnamed"
@@ -190,6 +189,9 @@
         for answer in unproven:
             part, finished = answer.part, answer.outcome.finished
             is_waited_for = part.in_order if finished else part.waits_for_proof
+            silence_end = compute_silence_end(
+                now, call.written_at, pool.trust.answer_time, call.given_up_at, is_waited_for
+            )
             times = AnswerTimes(
                 now,
                 compute_confirmation_time(call.written_at, silence_end, is_waited_for),
--- a/tests/answers/test_policy.py
+++ b/tests/answers/test_policy.py
@@ -107,7 +107,7 @@
         arrivals.sort()
         now, answered = arrivals.pop(0)
         settle(now)
-        silence_end = compute_silence_end(now, written_at, trust.answer_time, NEVER)
+        silence_end = compute_silence_end(now, written_at, trust.answer_time, NEVER, False)
         at = compute_confirmation_time(written_at, silence_end, is_waited_for=False)
         unproven.add((number, answered), AnswerTimes(now, at, NEVER), silence_end, False)
         if not copied and rng.random() < 0.5:
--- a/tests/net/test_slow_answers.py
+++ b/tests/net/test_slow_answers.py
@@ -73,8 +73,11 @@
     trust = HostTrust()
     for _ in range(20):
         trust.record_served(3 * SECOND)
-    assert compute_silence_end(20 * MILLISECOND, 0, trust.answer_time, 16 * SECOND) >= 3 * SECOND
-    assert compute_silence_end(20 * MILLISECOND, 0, trust.answer_time, SECOND) == SECOND  # its time-out
+    assert compute_silence_end(20 * MILLISECOND, 0, trust.answer_time, 16 * SECOND, False) >= 3 * SECOND
+    assert (
+        compute_silence_end(20 * MILLISECOND, 0, trust.answer_time, SECOND, False) == SECOND
+    )  # its time-out
+    assert compute_silence_end(20 * MILLISECOND, 0, trust.answer_time, 16 * SECOND, True) == SECOND
 
 
 def make_connection(idle_for, in_step):
