A name that is listed for another destination gets a record of its own

What callers would see: after the list gives a name to a host of another destination (in one change, or after it had gone for up to a minute), messages of the old destination are still decided for it and those of the new one never.

Cause: `update_hosts` made a record once for a name (`_register_host`); an entry with another group kept the first one's destination, limit, waits and health. Waits and slow start that are kept by name passed to the new host too (`RetryAfterStore`, `_forgotten`).

Change: an entry with another destination drops the old record and makes a new one. Calls in flight keep the old record, so their outcomes concern the old destination; its waits are not recorded under the name any more, and what was kept of the name is forgotten. What is kept of a host after a minute is kept by name and destination.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -225,9 +225,10 @@
 
     def update_hosts(
         self, now: int, change: Change, entries: tuple[Entry, ...], earliest_received_at: int = 0
-    ) -> None:
+    ) -> list[bytes]:
         """Apply an update of the host list; in a full list, hosts that are missing have been removed.
 
+        Returns the names that stand for hosts of another destination now.
         `earliest_received_at`: when the update may have arrived, if before now; grace periods start then.
         """
         self._now = now
@@ -238,7 +239,7 @@
             self._set_timer(
                 now + min(self._watch_retry_limit, SECOND << min(self._failed_watches, 8) >> 2), None
             )
-            return
+            return []
         self._failed_watches *= change is Change.CACHED
         for host in self._departed_hosts.take_idle(now - FORGET_HOST_AFTER_NS):
             self._slow_start.forget_host(self._hosts.pop(host.id))
@@ -254,8 +255,11 @@
                 self._dirty[host.destination] = None
                 del host.destination.hosts[host]
                 self._departed_hosts.add(host)
+        reassigned = []
         for entry in entries:
             if entry.phase is not Phase.GONE:
+                if self._drop_record_of_other_destination(entry):
+                    reassigned.append(entry.host)
                 host = self._hosts.get(entry.host) or self._register_host(entry)
                 # A cached list was received before the restart: its grace periods have passed.
                 notified_at = (
@@ -274,6 +278,28 @@
                     # The listed rate may change while the relay runs.
                     host.limit_scope.listed_rate = host.limit_scope.max_limit = entry.rate
                     host.limit_scope.fair_share = entry.rate / self._relay_count
+        return reassigned
+
+    def _drop_record_of_other_destination(self, entry: Entry) -> bool:
+        """Drop the record of a host whose name stands for one of another destination now.
+
+        The calls in flight keep the old record, and with it the limit, the waits and the health that they
+        concern; the new host starts with none of them.
+        """
+        host = self._hosts.get(entry.host)
+        if host is None or host.destination is self._destinations[entry.destination]:
+            return False
+        if host in host.destination.hosts:
+            del host.destination.hosts[host]
+            self._dirty[host.destination] = None
+        self._departed_hosts.discard(host)
+        host.drain_started_at = host.drain_started_at or self._now
+        del self._hosts[host.id]
+        return True
+
+    def is_current_record(self, host: Host) -> bool:
+        """Whether the host's name still stands for this host."""
+        return self._hosts.get(host.id) is host
 
     def _register_host(self, entry: Entry) -> Host:
         destination = self._destinations[entry.destination]
@@ -1033,7 +1059,8 @@
                     del self._keys[subject.id]
             elif isinstance(subject, Host):
                 if (
-                    not subject.in_flight
+                    self.is_current_record(subject)
+                    and not subject.in_flight
                     and self._now - max(subject.last_answer_at, subject.idle_closed_at)
                     >= self._full_table_idle_time
                 ):
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -136,13 +136,19 @@
 
     def update_hosts(
         self, now: int, change: Change, entries: tuple[Entry, ...], received_at: int = 0
-    ) -> None:
+    ) -> list[str]:
         """Apply an update of the host list.
 
+        Returns the names that stand for hosts of another destination now.
         `received_at`: when it may have arrived, if that is earlier because the process was stalled.
         """
         self._now = now
-        self._relay.update_hosts(now, change, entries, received_at or now)
+        reassigned = self._relay.update_hosts(now, change, entries, received_at or now)
+        return [name.decode() for name in reassigned]
+
+    def is_current_host(self, job: Job[Item]) -> bool:
+        """Whether the name of the job's host still stands for a host of that destination."""
+        return self._relay.is_current_record(job._host)
 
     def report_outcome(
         self,
--- a/millweir/net/cold_hosts.py
+++ b/millweir/net/cold_hosts.py
@@ -151,6 +151,11 @@
             if recovering and self._engine.restore_host(now, recovering):
                 del self._unlisted[name]
 
+    def forget_hosts(self, hosts: Iterable[str]) -> None:
+        """Forget the state of names that stand for hosts of another destination now."""
+        for name in hosts:
+            self._unlisted.pop(name, None)
+
     def may_have_missed(self, failed_at: int) -> bool:
         """Whether a call that failed at that time may have failed after the last record in the file.
 
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -241,7 +241,11 @@
         if all_draining:
             entries = [replace(entry, phase=Phase.DRAINING) for entry in entries]
         now = clock.monotonic_ns()
-        self._engine.update_hosts(now, change, tuple(entries), self._loop_pulse.earliest_arrival(now))
+        reassigned = self._engine.update_hosts(
+            now, change, tuple(entries), self._loop_pulse.earliest_arrival(now)
+        )
+        self._retry_after_waits.forget_hosts(reassigned)
+        self._recovering_hosts.forget_hosts(reassigned)
         names = [entry.host.decode() for entry in entries if entry.phase is not Phase.GONE]
         self._cordons.apply_to_hosts(names)
         self._recovering_hosts.apply_to_hosts(names)
@@ -467,7 +471,7 @@
         proven: bool,
     ) -> None:
         """Record the outcome of an attempt; one that is not proven is settled later."""
-        if wait > 0:
+        if wait > 0 and self._engine.is_current_host(part.job):
             self._retry_after_waits.record_wait(part.job.host, wait)
         self._counters.add("trips_" + outcome.name.lower())
         if finished and proven:
--- a/millweir/net/retry_after.py
+++ b/millweir/net/retry_after.py
@@ -68,6 +68,11 @@
             if wait_end > wall_now:
                 self._engine.apply_retry_after(now, host.encode(), clock.from_wall(wait_end))
 
+    def forget_hosts(self, hosts: Iterable[str]) -> None:
+        """Forget the waits of names that stand for hosts of another destination now."""
+        for host in hosts:
+            self._wait_ends.pop(host, None)
+
     def record_wait(self, host: str, wait: int) -> None:
         """Record a wait, in nanoseconds, that a host asked this process for, and write it for the others."""
         now = clock.to_wall(clock.monotonic_ns())
--- a/millweir/slow_start.py
+++ b/millweir/slow_start.py
@@ -29,7 +29,7 @@
 
 from millweir.events import HostState, HostTransition, RecoveringHost
 from millweir.interface import SECOND, Settings
-from millweir.records import NEVER, Call, Host
+from millweir.records import NEVER, Call, Destination, Host
 from millweir.recovery_schedule import RecoverySchedule, find_siblings, is_on_trial
 
 # Log odds of a sequential probability ratio test: 4 in 5 calls fail during an outage, 1 in 5 without one.
@@ -77,7 +77,7 @@
         self.transitions: deque[HostTransition] = deque(maxlen=MAX_PENDING_TRANSITIONS)  # newest last
         self.changes = 0  # number of changes to the result of `list_recovering_hosts`
         self.replaced = False  # another process uses this relay's part of the budget
-        self._forgotten: OrderedDict[bytes, RecoveringHost] = OrderedDict()
+        self._forgotten: OrderedDict[tuple[bytes, Destination], RecoveringHost] = OrderedDict()
 
     def record_call(self, host: Host, now: int) -> None:
         """A call to the host is sent."""
@@ -197,13 +197,13 @@
     def forget_host(self, host: Host) -> None:
         """Keeps a snapshot of a host whose record is removed: it may be listed again as its outage ends."""
         if host.slow_start_rate or self._last_call_failed(host):
-            self._forgotten[host.id] = snapshot_host(host)
+            self._forgotten[host.id, host.destination] = snapshot_host(host)
             if len(self._forgotten) > MAX_FORGOTTEN_HOSTS:
                 self._forgotten.popitem(last=False)
 
     def recall_host(self, host: Host, now: int) -> None:
         """Restores the snapshot of a host that is listed again after its record was removed."""
-        if snapshot := self._forgotten.pop(host.id, None):
+        if snapshot := self._forgotten.pop((host.id, host.destination), None):
             self.restore_host(host, snapshot, now)
 
     def record_known_wait(self, host: Host, now: int) -> None:
--- a/tests/net/test_reassigned_addresses.py
+++ b/tests/net/test_reassigned_addresses.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 import pytest
-from rig import Platform
+from rig import Platform, reply
 
 from millweir.interface import MILLISECOND, Change, Outcome
 from millweir.net import clock, connection_pool
@@ -109,6 +109,16 @@
     )
 
 
+async def return_name_with_another_destination(platform, relay, address):
+    platform.add("h0", status="DELETED")
+    await relay.until(lambda: relay.is_listed("own") and not relay.is_listed("h0"))
+    platform.add("h0", group=NEW)
+
+
+async def change_destination(platform, relay, address):
+    platform.add("h0", group=NEW)
+
+
 HANDOVERS = [
     reassign_in_one_change,
     reassign_in_two_changes,
@@ -117,6 +127,8 @@
     list_new_owner_before_a_drain_of_the_old_one,
     list_both_in_a_whole_list,
     move_host,
+    return_name_with_another_destination,
+    change_destination,
 ]
 
 
@@ -296,3 +308,22 @@
         assert gate.transport.is_closing()
 
     run_with_relay(platform, tmp_path, monkeypatch, steps)
+
+
+def test_the_wait_of_a_host_bound_the_one_of_another_destination_that_has_its_name_now(tmp_path, monkeypatch):
+    """Guards against a retry-after that is remembered by the host's name alone."""
+    platform = Platform(hosts=1)
+    platform.decide = lambda call: reply(429, Retry_After=3)
+
+    async def steps(relay):
+        await submit_messages(relay, "refused", left="2000m")
+        await relay.until(lambda: relay.server._retry_after_waits._wait_ends)
+        platform.decide = lambda call: reply(200)
+        platform.add("h0", group=NEW)
+        await relay.until(lambda: relay.server._hosts._pools["h0"].endpoint.destination == NEW)
+        platform.add("h0", group=NEW, rate=40.0)  # the waits of the hosts of an update are applied
+        await submit_messages(relay, "next", dest=NEW)
+        await relay.until(lambda: platform.sent("next"), AT_ONCE_SECONDS)
+        assert not relay.server._retry_after_waits._wait_ends
+
+    run_with_relay(platform, tmp_path, monkeypatch, steps)
--- a/tests/test_list_changes.py
+++ b/tests/test_list_changes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 from rig import Rig, entry
@@ -57,6 +57,11 @@
             if row.phase is Phase.GONE:
                 continue
             host = self.hosts.get(row.host)
+            if host and host.destination != row.destination:  # the name stands for another host now
+                if host.listed:
+                    dirty.add(host.destination)
+                del self.hosts[row.host]
+                host = None
             if host is None:
                 self.registrations += 1
                 host = self.hosts[row.host] = ModelHost(row.destination, row.rate, self.registrations)
@@ -86,7 +91,9 @@
 def random_entry(chance: random.Random, phases: tuple[Phase, ...]) -> Entry:
     number = chance.randrange(HOSTS_EACH)
     rate = chance.choice((2.0, 4.0))  # of a host with a limit of its own
-    return entry(chance.randrange(DESTINATIONS), number, kind=1, phase=chance.choice(phases), rate=rate)
+    row = entry(chance.randrange(DESTINATIONS), number, kind=1, phase=chance.choice(phases), rate=rate)
+    moves = chance.random() < 0.1
+    return replace(row, destination=chance.randrange(DESTINATIONS)) if moves else row
 
 
 def compare(rig: Rig, model: Model, records: dict[int, object]) -> None:
@@ -179,3 +186,26 @@
         == count_steps_of_a_lost_call(1_000)
         == count_steps_of_a_lost_call(10_000)
     )
+
+
+def test_a_host_that_moved_to_another_destination_kept_the_first_one():
+    """Guards against calls for its old destination, and against the old one's limit, wait and health."""
+    rig = Rig(entries=[entry(0, 0, kind=1), entry(1, 0, kind=1)])
+    moving = rig.entries[0]
+    old = rig.relay._hosts[moving.host]
+    rig.add_packet(0, 0)
+    rig.relay.end_round(rig.now)
+    (trip,) = rig.trips_in_flight()
+    old.slow_start_rate = 1.0
+    rig.relay.apply_retry_after(rig.now, moving.host, rig.now + 5 * SECOND)
+    moved = replace(moving, destination=1)
+    assert rig.relay.update_hosts(rig.now, Change.DELTA, (moved,)) == [moving.host]
+    new = rig.relay._hosts[moving.host]
+    assert new in rig.relay._destinations[1].hosts and old not in rig.relay._destinations[0].hosts
+    assert not new.slow_start_rate and new.limit_scope.retry_after_until < rig.now
+    rig.end_call(trip, Outcome.FULFILLED)
+    assert new.last_success_at == 0 and not new.in_flight
+    rig.relay.update_hosts(rig.now, Change.DELTA, (replace(moved, phase=Phase.GONE),))
+    rig.now += FORGET_HOST_AFTER_NS + 1
+    assert rig.relay.update_hosts(rig.now, Change.DELTA, (moving,)) == []
+    assert rig.relay._hosts[moving.host] in rig.relay._destinations[0].hosts
