What an answer proves late counts for the endpoint that gave it, not for the name's next owner

What callers would see: calls to a host that has moved, or whose name stands for another destination's host now, rest and wait by the pace of the old machine; a retry-after that came unasked from the old one binds the new one.

Cause: an unproven answer was settled by the host's name, at its pool of that moment (`_settle_answer`), and a retry-after without a request was passed on by name, whoever had it.

Change: an unproven answer keeps the trust of the endpoint that gave it; an unasked retry-after binds while the name stands for a host of the same destination, or for none.

Failed before: both cases of test_an_answer_that_was_settled_late_counted_for_the_next_owner_of_the_name.

--- a/millweir/net/address_owners.py
+++ b/millweir/net/address_owners.py
@@ -68,6 +68,11 @@
             return self._endpoints.get(endpoint.name) is endpoint
         return endpoint.address not in self._claims
 
+    def is_name_of(self, endpoint: Endpoint) -> bool:
+        """Whether the endpoint's name stands for a host of the same destination still, or has left."""
+        host = self._listed.get(endpoint.name)
+        return host is None or host.entry.destination == endpoint.destination
+
     def list_names_except(self, names: Container[str]) -> list[str]:
         """Return the names of the listed hosts that are not among these."""
         return [name for name in self._listed if name not in names]
--- a/millweir/net/host_call.py
+++ b/millweir/net/host_call.py
@@ -16,6 +16,7 @@
     judge_answer,
     judge_early_answer,
 )
+from millweir.answers.trust import HostTrust
 from millweir.facade import Job, Part
 from millweir.interface import MILLISECOND, Outcome
 from millweir.net import clock
@@ -63,6 +64,7 @@
     part: Part[OwedMessage]
     trip: int  # index of the trip in the journal
     outcome: PartOutcome
+    trust: HostTrust  # in the endpoint that gave it
     call_number: int  # of the call on its connection
     taken: int  # nanoseconds from the call to this answer
 
@@ -262,7 +264,9 @@
         if belief is Belief.REFUTED:
             outcomes = dict.fromkeys(self.pending_parts, PartOutcome(Outcome.SPOILT))
         unproven = [
-            UnprovenAnswer(part, self._journaled_trips[part], how, connection.request_count, taken)
+            UnprovenAnswer(
+                part, self._journaled_trips[part], how, self.pool.trust, connection.request_count, taken
+            )
             for part, how in outcomes.items()
             if belief is Belief.UNPROVEN
             and (how.finished or how.outcome.never_ran or part.forbids_second_copy)
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -247,9 +247,8 @@
 
     def _settle_answer(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
         """Pass on that an unproven answer is settled; a confirmed delivery shows the host's pace."""
-        pool = self._pools.get(answer.part.job.host)
-        if pool and settlement is Settlement.CONFIRMED and answer.outcome.finished:
-            pool.trust.record_served(answer.taken)
+        if settlement is Settlement.CONFIRMED and answer.outcome.finished:
+            answer.trust.record_served(answer.taken)
         self._settle(answer, settlement)
 
     def record_early_answer(self, call: HostCall, belief: Belief) -> None:
@@ -265,7 +264,7 @@
             self._record_desynchronisation(pool, connection, "unasked")
 
     def _record_unasked_wait(self, pool: ConnectionPool, wait: int) -> None:
-        if wait:
+        if wait and self._owners.is_name_of(pool.endpoint):
             self._record_wait(pool.name, wait)
 
     def _record_desynchronisation(self, pool: ConnectionPool, connection: Connection, reason: str) -> None:
--- a/tests/net/test_answers.py
+++ b/tests/net/test_answers.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 import uvloop
 from rig import entry, settings
 
+from millweir.answers.trust import HostTrust
 from millweir.control import bounds
 from millweir.facade import DecisionEngine
 from millweir.interface import SECOND, Change, Limits, Outcome
@@ -301,3 +303,38 @@
         return watched.names
 
     assert uvloop.run(run()) == [(8, ["h0"]), (9, ["h0"])]
+
+
+@pytest.mark.parametrize("destination, waits", [(0, 1), (1, 0)], ids=["moved", "another-destination"])
+def test_an_answer_that_was_settled_late_counted_for_the_next_owner_of_the_name(tmp_path, destination, waits):
+    """Guards what is settled by the name of a host: its trust, and a retry-after that came unasked."""
+
+    async def steps(scene):
+        await scene.call("a", answer=DELIVERED)
+        second = await scene.call("b", answer=DELIVERED)
+        assert not scene.outcomes["b"][2]  # unproven
+        third = await scene.call("c", answer=DELIVERED)
+        name = entry(0, 0).host.decode()
+        listed = replace(entry(0, 0), destination=destination)
+        scene.hosts.update_hosts({name: ListedHost(listed, ("127.0.0.1", 9))}, [])
+        await scene.until(lambda: "c" in scene.settled)
+        assert scene.settled["c"] == [Settlement.CONFIRMED]
+        assert second.connection is third.connection
+        trust = scene.hosts._pools[name].trust
+        assert trust.answer_time == HostTrust().answer_time  # it has served nothing yet
+
+    run_scene(Scene(tmp_path), steps)
+
+    async def steps_of_a_wait(scene):
+        await scene.call("a", answer=DELIVERED)
+        second = await scene.call("b", answer=DELIVERED)
+        name = entry(0, 0).host.decode()
+        listed = replace(entry(0, 0), destination=destination)
+        scene.hosts.update_hosts({name: ListedHost(listed, ("127.0.0.1", 9))}, [])
+        second.write(WAIT)
+        await scene.until(lambda: "b" in scene.settled)
+        assert scene.waits == [7 * SECOND] * waits
+
+    folder = tmp_path / "wait"
+    folder.mkdir()
+    run_scene(Scene(folder), steps_of_a_wait)
