The first change of the list may remove a host that the cached list lacks, or name one twice

What callers would see: after a restart the relay never learns of a change again: its watch of discovery ends with an exception, and calls go on by the list of that moment.

Cause: the first change is merged with the cached list; `del` of a host that is in neither (it came and went since the list was cached, or the change removes it twice) raised KeyError in the watch. In any change a host named twice was both listed and removed: which of the two held depended on the part of the program.

Change: a removed host need not be known; of several entries for a host in one document the last one counts.

--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -222,7 +222,7 @@
         if cached and change is Change.DELTA:
             hosts = cached.hosts | update.hosts
             for name in update.removed:
-                del hosts[name]
+                hosts.pop(name, None)  # one that came and went since the list was cached is in neither
             update = replace(update, hosts=hosts, removed={})
         if cached or not self._has_host_list:
             change = Change.CACHED
--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -57,6 +57,8 @@
                 phase=phase,
                 rate=parse_number(row.get("weight", 0.0)),
             )
+            hosts.pop(name, None)  # of several entries for a host, the last one counts
+            removed.pop(name, None)
             if phase is Phase.GONE:
                 removed[name] = entry
             else:
--- a/tests/net/test_restored.py
+++ b/tests/net/test_restored.py
@@ -13,6 +13,7 @@
 from millweir.control import bounds
 from millweir.interface import Limits
 from millweir.net import clock
+from millweir.net.discovery import decode_host_list
 from millweir.net.journal import FILE_NAME, Journal, OwedMessage, build_slot_file_name
 from millweir.settings import parse_settings
 from net.inside import run_with_relay
@@ -71,6 +72,36 @@
         (journal_folder / FILE_NAME).rename(folder / build_slot_file_name(slot))
 
 
+@pytest.mark.parametrize("rows", [["passing"], ["passing", "passing"], ["h1", "h1"]])
+def test_the_watch_stopped_at_a_first_change_that_removed_a_host_the_cached_list_lacks(
+    tmp_path, monkeypatch, rows
+):
+    """Guards the merge of the first change with the cached list: hosts that came and went, or twice."""
+    platform = GatedDiscovery(hosts=2)
+    known = platform.list()
+    removed = [platform.rows["h1"] | {"name": name, "status": "DELETED"} for name in rows]
+    platform.index += 1
+    change = {"index": platform.index, "snapshot": False, "endpoints": removed}
+    platform.raw_list = json.dumps(change).encode()
+
+    async def steps(relay):
+        platform.add("later")
+        await relay.until(lambda: "later" in relay.server._hosts._pools)
+        assert ("h1" in relay.server._hosts._pools) is ("h1" not in rows)
+
+    run_with_relay(platform, tmp_path, monkeypatch, steps, {"known": known})
+
+
+@pytest.mark.parametrize("statuses", [["SERVING", "DELETED"], ["DELETED", "SERVING"]])
+def test_a_host_named_twice_in_one_change_was_removed_and_listed(statuses):
+    """Guards against two meanings of one change: the last entry for a host counts."""
+    row = Platform(hosts=1).list()["endpoints"][-1]
+    rows = [row | {"status": status} for status in statuses]
+    update = decode_host_list({"index": 5, "endpoints": rows}, parse_settings(CONFIG))
+    gone = statuses[-1] == "DELETED"
+    assert (list(update.hosts), list(update.removed)) == (([], ["h0"]) if gone else (["h0"], []))
+
+
 @pytest.mark.parametrize("change", ["drained", "deleted", "whole"])
 def test_no_call_is_sent_by_a_cached_list_before_discovery_has_answered(tmp_path, start, change):
     platform = GatedDiscovery(hosts=2)
