The host list moves out of the relay server into a module of its own

RelayServer merged the cached list, applied updates and started the wait for discovery beside its turns; `net/host_list.py` does this now, with the same steps in the same order. No change of behaviour.

--- a/millweir/lab/scale/network.py
+++ b/millweir/lab/scale/network.py
@@ -76,7 +76,7 @@
             self._folder, bounds.max_journal_file_bytes, bounds.max_journal_live_bytes, log.info
         )
         self.server = RelayServer(loop, config, self.engine, self._journal, log, Counters())
-        self.server._receive_update(Change.FULL, decode_host_list(host_list, settings))
+        self.server.host_list.receive(Change.FULL, decode_host_list(host_list, settings))
         self.engine.tick(clock.monotonic_ns())
         return self
 
@@ -92,7 +92,8 @@
 
     def make_iteration_countable(self) -> None:
         """Makes iteration over the relay's tables count as instructions from here on."""
-        for owner in (self.engine._relay, self.engine, self.server, self.server._hosts):
+        hosts = self.server._hosts
+        for owner in (self.engine._relay, self.engine, self.server, hosts, hosts._owners):
             make_iteration_countable(owner)
         make_iteration_countable(self.server._retry_after_waits)
         make_iteration_countable(self.server._cordons)
@@ -105,7 +106,7 @@
 
     def apply_update(self, update: bytes) -> None:
         """Applies an encoded update as if discovery had sent it."""
-        self.server._receive_update(
+        self.server.host_list.receive(
             Change.DELTA, decode_host_list(json.loads(update), self.server._service_classes.settings)
         )
 
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -10,12 +10,11 @@
 import json
 import traceback
 from collections import deque
-from dataclasses import replace
 from typing import Any
 
 from millweir.events import EndReason
 from millweir.facade import DecisionEngine, Part, UndeliveredPacket
-from millweir.interface import MILLISECOND, Change, Outcome, Phase
+from millweir.interface import MILLISECOND, Outcome
 from millweir.net import clock
 from millweir.net.answer_checks import Settlement
 from millweir.net.clients import ClientConnection, ClientListener
@@ -23,10 +22,11 @@
 from millweir.net.config import Config
 from millweir.net.cordons import Cordons
 from millweir.net.counters import Counters
-from millweir.net.discovery import DiscoveryWatch, HostListUpdate, InvalidHostList, decode_host_list
+from millweir.net.discovery import DiscoveryWatch
 from millweir.net.ended import EndedIds
 from millweir.net.heads import Request, parse_number
 from millweir.net.host_call import UnprovenAnswer
+from millweir.net.host_list import HostList, decode_cached_list
 from millweir.net.hosts import HostConnections
 from millweir.net.journal import Journal, OwedMessage
 from millweir.net.lag import LoopLag, StallDetector
@@ -61,9 +61,7 @@
         self._owed: dict[bytes, OwedMessage] = {}
         self._backlog: deque[OwedMessage] = deque()  # owed but not submitted to the engine yet, oldest first
         self._ended_ids = EndedIds(bounds.max_ended_ids)
-        self._turn_scheduled = self._has_host_list = self._shutting_down = self._linger_elapsed = (
-            self._quiesced
-        ) = False
+        self._turn_scheduled = self._shutting_down = self._linger_elapsed = self._quiesced = False
         self._replies = ReplyCounts()
         self._cordons = Cordons(config.state, engine, self.request_turn, log)
         self._recovering_hosts = RecoveringHostStore(
@@ -100,12 +98,17 @@
             log,
             counters,
         )
-        self._cached_list = self._decode_cached_list(config)  # None once calls may be sent
-        if self._cached_list:
-            self._apply_update(Change.CACHED, self._cached_list, all_draining=True)
-            loop.call_later(
-                bounds.startup_list_wait_ns / 1e9, clock.call_after_poll, loop, self._use_cached_list
-            )
+        self.host_list = HostList(
+            decode_cached_list(config, log),
+            self._hosts,
+            engine,
+            self._cordons,
+            self._recovering_hosts,
+            self._retry_after_waits,
+            self._loop_pulse,
+            self.request_turn,
+        )
+        self.host_list.schedule_use_of_cached(loop, bounds)
         self._cordons.read_file()
         # Before the retry-after waits: the restored state decides how calls spread once a wait has ended.
         self._recovering_hosts.read_file()
@@ -113,42 +116,19 @@
             self._restore_message(message)
         self._schedule_adoption()
         self._retry_after_waits.start()
-        version = self._cached_list.version if self._cached_list else -1
         self._watch = DiscoveryWatch(
             loop,
             config.discovery,
             settings,
             bounds,
-            version,
-            self._receive_update,
+            self.host_list.version,
+            self.host_list.receive,
             engine.draw_back_off,
             log,
             counters,
         )
         self.request_turn()
 
-    def _decode_cached_list(self, config: Config) -> HostListUpdate | None:
-        """Decode the host list that was cached before the restart; None where it is unusable.
-
-        Without it, discovery is asked for the full list.
-        """
-        try:
-            return decode_host_list(config.cached_list, config.settings)
-        except InvalidHostList as error:
-            self._log.info(f"known-list-unusable {str(error)[:200]}")
-            return None
-
-    def _use_cached_list(self) -> None:
-        """Send calls by the cached host list: discovery has not answered within the startup wait.
-
-        Rule 3 (nothing new is sent to a draining host): a change that discovery holds counts as received from
-        the moment the process starts.  Until this point the hosts of the cached list are treated as draining,
-        so packets, restored ones included, are accepted and held.
-        """
-        cached, self._cached_list = self._cached_list, None
-        if cached:
-            self._apply_update(Change.CACHED, cached)
-
     def _schedule_adoption(self) -> None:
         self._loop.call_later(self._bounds.client_grace_ns / 1e9, self._adopt_orphans)
 
@@ -173,7 +153,7 @@
 
     def is_ready(self) -> bool:
         """Whether a host list is present and the relay is neither shutting down nor quiesced."""
-        return self._has_host_list and not self._shutting_down and not self._quiesced
+        return self.host_list.is_known and not self._shutting_down and not self._quiesced
 
     def collect_counters(self) -> dict[str, Any]:
         """The counters of the control address: totals since the process started, and current values."""
@@ -212,46 +192,6 @@
         self._quiesced = False
         self.clients.draining = self._shutting_down
 
-    def _receive_update(self, change: Change, update: HostListUpdate) -> None:
-        """Apply an update from discovery.
-
-        A drain in the first update began before the restart: that update is merged into the cached list, and
-        the result is applied as a cached list.
-        """
-        cached, self._cached_list = self._cached_list, None
-        if cached and change is Change.DELTA:
-            hosts = cached.hosts | update.hosts
-            for name in update.removed:
-                hosts.pop(name, None)  # one that came and went since the list was cached is in neither
-            update = replace(update, hosts=hosts, removed={})
-        if cached or not self._has_host_list:
-            change = Change.CACHED
-        self._apply_update(change, update)
-
-    def _apply_update(self, change: Change, update: HostListUpdate, all_draining: bool = False) -> None:
-        self._has_host_list = True
-        is_delta = change is Change.DELTA
-        entries = self._hosts.update_hosts(
-            update.hosts, update.removed if is_delta else self._hosts.names_except(update.hosts)
-        )
-        if is_delta:
-            entries += update.removed.values()
-        else:  # a whole list names those alone that are there
-            entries = [entry for entry in entries if entry.phase is not Phase.GONE]
-        if all_draining:
-            entries = [replace(entry, phase=Phase.DRAINING) for entry in entries]
-        now = clock.monotonic_ns()
-        reassigned = self._engine.update_hosts(
-            now, change, tuple(entries), self._loop_pulse.earliest_arrival(now)
-        )
-        self._retry_after_waits.forget_hosts(reassigned)
-        self._recovering_hosts.forget_hosts(reassigned)
-        names = [entry.host.decode() for entry in entries if entry.phase is not Phase.GONE]
-        self._cordons.apply_to_hosts(names)
-        self._recovering_hosts.apply_to_hosts(names)
-        self._retry_after_waits.apply_to_hosts(names)
-        self.request_turn()
-
     def _restore_message(self, message: OwedMessage) -> None:
         """Register a message accepted before the restart; later turns submit it to the engine."""
         message.restored = True
--- a/tests/net/inside.py
+++ b/tests/net/inside.py
@@ -171,7 +171,7 @@
         self.patch.setattr(main, "RelayServer", RelayServer)
         self.server_task = asyncio.get_running_loop().create_task(self._serve(config))
         await self.until(lambda: self.server and self.server.is_ready() and self.listens())
-        await self.until(lambda: not self.server._cached_list)  # discovery has answered
+        await self.until(lambda: not self.server.host_list.waits_for_discovery)  # discovery has answered
         return self
 
     async def _serve(self, config):
--- a/tests/net/test_reassigned_addresses.py
+++ b/tests/net/test_reassigned_addresses.py
@@ -277,7 +277,7 @@
             hosts.start_call = start_call
             change_together(platform, {"name": "h0", "status": "DELETED"}, {"name": "own"})
             update = decode_host_list(platform.list(platform.index - 2), relay.server._watch._settings)
-            relay.server._receive_update(Change.DELTA, update)
+            relay.server.host_list.receive(Change.DELTA, update)
             start_call(job)
 
         def record(part, outcome, *given):
