Rig: hosts that end messages, connections that end behind answers, and calls after an end

Change: `over-share` of the messages are over (410, or `expired` in a batch); faults `close-links` and `reset-links` end a connection 5 to 400 ms behind an answer; the history records connections; rule 1 of the checker now breaks when a message goes out after a whole final answer whose connection stood for 20 ms. A delivery may be repeated only where a copy on its connection spoke against it. The handlers of a stand-in's connection are one object now, in place of a function and a copier.

--- a/millweir/lab/checker.py
+++ b/millweir/lab/checker.py
@@ -1,6 +1,6 @@
 """Checks the six delivery rules on the history of the stand-ins alone, without knowledge of the relays' code.
 
-1: every accepted message gets exactly one final outcome, in time.
+1: every accepted message gets exactly one final outcome, in time, and is not sent again after that.
 2: no message takes effect twice.
 3: no new calls to a draining or removed host after the grace period.
 4: a recovering host is not overloaded.
@@ -16,9 +16,11 @@
 from millweir.lab.history import (
     Answered,
     Called,
+    Copied,
     Ended,
     Fallen,
     History,
+    LinkEnded,
     Listed,
     Noticed,
     Offered,
@@ -32,6 +34,10 @@
 TOLERANCE_NS = 50 * MILLISECOND  # added to every time limit
 PROCESS_ENDING_FAULTS = ("kill", "lose", "term", "roll", "kill-twice")
 NEVER_RAN_STATUSES = (429, 503, 504, 410)
+OVER_STATUS = 410  # nothing more is owed for the message
+FINAL_STATUSES = (200, OVER_STATUS)
+NEVER = 1 << 62
+READ_MARGIN_NS = 20 * MILLISECOND  # after which a whole answer has been read, if its connection stands
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +75,7 @@
         calls[call.id].append(call)
     returns: dict[int, Returned] = {row.call: row for row in history.select(Returned)}
     _check_outcomes(history, terms, offered, calls, returns, checked_at, verdict)
+    _check_calls_after_end(history, offered, calls, returns, verdict)
     _check_effects(terms, offered, calls, returns, verdict)
     _check_draining(history, terms, verdict)
     for row in history.select(Fallen):
@@ -137,12 +144,17 @@
             and returns[call.call].status == 200
             and returns[call.call].at <= answer_by.get(call.shared, 1 << 62)
         ]
+        over = [
+            returns[call.call].at
+            for call in calls[ident]
+            if call.call in returns and returns[call.call].status == OVER_STATUS
+        ]
         if answer is None or answer.status not in (200, 202):
             verdict.counts["refused" if answer and answer.status else "unanswered"] += 1
             continue
         verdict.counts["taken"] += 1
         received = notices[ident]
-        outcomes = [row.at for row in received] + delivered[:1]
+        outcomes = [row.at for row in received] + delivered[:1] + over[:1]
         due = packet.at + packet.left + terms.overdue
         spans = downtime[packet.relay]
         if any(lost and packet.at < start < min(outcomes, default=1 << 62) for start, _, lost in spans):
@@ -160,7 +172,56 @@
             late = min(outcomes)
             if not any(start < late and back + terms.after_ready > due for start, back, _ in spans):
                 verdict.broken[1].append(f"{ident} ended {(late - due) / 1e6:.0f} ms late")
-        verdict.counts["delivered" if delivered else received[0].result if received else "open"] += 1
+        undelivered = received[0].result if received else "over" if over else "open"
+        verdict.counts["delivered" if delivered else undelivered] += 1
+        verdict.counts["noticed-after-end"] += bool(received and (delivered or over))
+
+
+def _check_calls_after_end(
+    history: History,
+    offered: dict[str, Offered],
+    calls: dict[str, list[Called]],
+    returns: dict[int, Returned],
+    verdict: Verdict,
+) -> None:
+    """Rule 1: no call for a message after a whole answer that ended it.
+
+    A delivery may be repeated where a copy of an answer on its connection spoke against it.
+    """
+    ended_links = {row.link: row.at for row in history.select(LinkEnded)}
+    copied_links: dict[int, int] = {}
+    for row in history.select(Copied):
+        written_at = row.at + round(row.delay * 1e9)
+        copied_links[row.link] = min(written_at, copied_links.get(row.link, NEVER))
+    downtime = _find_downtime(history)
+    for ident in calls.keys() & offered.keys():
+        for call in calls[ident]:
+            answer = returns.get(call.call)
+            if answer is None or not answer.whole or answer.status not in FINAL_STATUSES:
+                continue
+            read_by = _find_read_time(answer.at, downtime[offered[ident].relay])
+            if ended_links.get(call.link, NEVER) < read_by:
+                continue
+            later = next((other.at for other in calls[ident] if other.at > read_by), NEVER)
+            if later == NEVER:
+                continue
+            if answer.status == 200 and copied_links.get(call.link, NEVER) <= later:
+                verdict.counts["repeated-after-copies"] += 1
+                continue
+            verdict.broken[1].append(
+                f"{ident} was answered {answer.status} and went out again "
+                f"{(later - answer.at) / 1e6:.0f} ms later"
+            )
+            break
+
+
+def _find_read_time(answered_at: int, downtime: list[tuple[int, int, bool]]) -> int:
+    """Return by when a relay has read an answer, if the connection stands until then."""
+    read_by = answered_at + READ_MARGIN_NS
+    for start, back, _ in downtime:
+        if start <= read_by <= back:
+            return back + READ_MARGIN_NS
+    return read_by
 
 
 def _check_effects(
--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -17,11 +17,20 @@
 import msgspec
 
 from millweir.lab.checker import Terms, Verdict, check_rules
+from millweir.lab.closed_connections import CloseTerms
 from millweir.lab.copied_answers import CopiedAnswers, CopyTerms
 from millweir.lab.destination import Destination, RecoveryTerms
 from millweir.lab.history import Ended, History, Ready, Started, Struck, monotonic_ns
 from millweir.lab.processes import Address, Relay, WaitTimeout
-from millweir.lab.scenario import HOST, HOST_COPIES, PLATFORM_COPIES, Fault, Scenario, list_faults
+from millweir.lab.scenario import (
+    HOST,
+    HOST_CLOSES,
+    HOST_COPIES,
+    PLATFORM_COPIES,
+    Fault,
+    Scenario,
+    list_faults,
+)
 from millweir.lab.standins import SETTINGS, Clients, Host, Platform
 from millweir.lab.views import FaultRecord, MembershipFinding, PolledViews, evaluate_views
 from millweir.lab.wire import Faults, Wire
@@ -84,6 +93,7 @@
         for host in self.hosts:
             host.refused_share = scenario.refused_share
             host.service_time = scenario.service_time
+            host.is_over = self._is_over
         self.wires: dict[tuple[str, str], Wire] = {}
         self.relays: dict[str, Relay] = {}
         self._clients: Clients | None = None
@@ -107,6 +117,11 @@
         count = self.scenario.groups if self.scenario.shared_limit else self.scenario.hosts
         return [Destination(self.scenario.host_rate, terms, monotonic_ns()) for _ in range(count)]
 
+    def _is_over(self, ident: str) -> bool:
+        """Whether the hosts say of a message that it is over; the same for every call."""
+        share = self.scenario.over_share
+        return share > 0 and random.Random(f"{self.seed} {ident}").random() < share
+
     # Addresses.
 
     def members_address(self, name: str) -> Address:
@@ -273,6 +288,8 @@
         try:
             if fault.kind in HOST_COPIES + PLATFORM_COPIES:
                 await self._inject_copies(fault)
+            elif fault.kind in HOST_CLOSES:
+                await self._inject_closes(fault)
             elif fault.kind in HOST:
                 await asyncio.gather(*(self._inject_host_fault(fault, int(name[1:])) for name in fault.who))
             elif fault.who:
@@ -399,8 +416,18 @@
 
     def _find_copier(self, kind: str, who: str) -> CopiedAnswers:
         if kind == "copy-list":
-            return self.platform.copies.lists
-        return self.platform.copies.notices if kind == "copy-notice" else self.hosts[int(who[1:])].copies
+            return self.platform.list_copies
+        return self.platform.notice_copies if kind == "copy-notice" else self.hosts[int(who[1:])].copies
+
+    async def _inject_closes(self, fault: Fault) -> None:
+        terms = CloseTerms(fault.share, fault.after / 1e9, fault.wait / 1e9, fault.kind == "reset-links")
+        draws = [self.hosts[int(who[1:])].closes for who in fault.who]
+        for draw in draws:
+            draw.terms = terms
+        await asyncio.sleep(fault.span / 1e9)
+        for draw in draws:
+            if draw.terms is terms:  # else a later fault has replaced it
+                draw.terms = None
 
     async def _inject_connection_fault(self, fault: Fault) -> None:
         seconds, both_directions = fault.span / 1e9, fault.kind in ("cut", "split", "flap")
--- a/millweir/lab/copied_answers.py
+++ b/millweir/lab/copied_answers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 
 
@@ -22,12 +21,11 @@
 class CopiedAnswers:
     """Draws the copies of one stand-in's answers; no copies without `terms`."""
 
-    def __init__(self, rng: random.Random, record: Callable[[float], None]) -> None:
-        """`record` is called for each copy with its delay."""
-        self._rng, self._record = rng, record
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
         self.terms: CopyTerms | None = None
 
-    def draw_copies(self, line: str, answers: list[bytes]) -> list[tuple[float, bytes]]:
+    def draw_copies(self, answers: list[bytes]) -> list[tuple[float, bytes]]:
         """Return the copies that follow the last of these answers, each with its delay in seconds."""
         terms = self.terms
         if terms is None or self._rng.random() >= terms.share:
@@ -37,18 +35,4 @@
             answer = self._rng.choice(answers) if terms.older else answers[-1]
             size = self._rng.randrange(1, len(answer)) if terms.partial else len(answer)
             copies.append((self._rng.uniform(terms.earliest, terms.latest), answer[:size]))
-        for delay, _ in copies:
-            self._record(delay)
         return copies
-
-
-class PlatformCopies:
-    """The copies of a platform's answers: of host lists, and of acknowledged notifications."""
-
-    def __init__(self, lists: CopiedAnswers, notices: CopiedAnswers) -> None:
-        self.lists, self.notices = lists, notices
-
-    def draw_copies(self, line: str, answers: list[bytes]) -> list[tuple[float, bytes]]:
-        """Return the copies that follow the answer to a request with this line."""
-        copier = self.notices if line.startswith("POST ") else self.lists
-        return copier.draw_copies(line, answers)
--- a/millweir/lab/history.py
+++ b/millweir/lab/history.py
@@ -41,16 +41,21 @@
     host: str
     call: int
     shared: int = 0  # number of the batch call that carried it, 0 for a call of its own
+    link: int = 0  # number of the connection that carried it
 
 
 class Returned(Event, frozen=True, tag="returned"):
-    """The host wrote its response, or the connection had ended (status 0)."""
+    """The host wrote its response, or the connection had ended (status 0).
+
+    In the response to a batch, the status is that of the message's own state.
+    """
 
     id: str
     call: int
     status: int
     ran: bool
     wait: int = 0  # retry-after in nanoseconds
+    whole: bool = True  # every byte of the response was written
 
 
 class Copied(Event, frozen=True, tag="copied"):
@@ -58,6 +63,13 @@
 
     source: str
     delay: float
+    link: int = 0  # number of the connection
+
+
+class LinkEnded(Event, frozen=True, tag="link-ended"):
+    """A connection to a host has ended, from either side."""
+
+    link: int
 
 
 class Noticed(Event, frozen=True, tag="noticed"):
@@ -113,6 +125,7 @@
     | Called
     | Returned
     | Copied
+    | LinkEnded
     | Noticed
     | Listed
     | Fallen
--- a/millweir/lab/http_server.py
+++ b/millweir/lab/http_server.py
@@ -38,13 +38,6 @@
     on_closed: Callable[[], None]  # called when the peer has closed the connection
 
 
-class AnswerCopier(Protocol):
-    """Draws what is written on a connection, unasked, after one of its answers."""
-
-    def draw_copies(self, line: str, answers: list[bytes]) -> list[tuple[float, bytes]]:
-        """Return the copies that follow the last of these answers to a request line, with their delays."""
-
-
 class Work(Awaitable["bytes | TruncatedResponse | None"], Protocol):
     """What a request asks for; it is awaited, or closed if its connection ends before its turn."""
 
@@ -52,7 +45,28 @@
         """Give it up; a coroutine has this method."""
 
 
-Handle = Callable[[str, dict[str, str], bytes], Work]
+@dataclass(frozen=True, slots=True)
+class Close:
+    """A connection that the server ends by itself: how many seconds after an answer, and how."""
+
+    delay: float
+    reset: bool
+
+
+class ConnectionHandler(Protocol):
+    """What a stand-in does on one connection."""
+
+    def receive(self, line: str, fields: dict[str, str], body: bytes) -> Work:
+        """Take a request as it arrives; the result handles it."""
+
+    def draw_copies(self, line: str, answers: list[bytes]) -> list[tuple[float, bytes]]:
+        """Return what follows, unasked, the last of these answers to a request line, with its delays."""
+
+    def draw_close(self) -> Close | None:
+        """Return when the connection is ended after an answer, whatever it carries then; None: never."""
+
+    def end(self) -> None:
+        """Take note that the connection has ended."""
 
 
 class ServedConnection:
@@ -62,11 +76,10 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        handle: Handle,
-        copier: AnswerCopier | None,
+        handler: ConnectionHandler,
     ) -> None:
         self._reader, self._writer = reader, writer
-        self._handle, self._copier = handle, copier
+        self._handler = handler
         self._requests: asyncio.Queue[tuple[str, Work]] = asyncio.Queue()
         self._answers: deque[bytes] = deque(maxlen=MAX_EARLIER_ANSWERS)
 
@@ -83,10 +96,11 @@
                     await task
             while not self._requests.empty():
                 self._requests.get_nowait()[1].close()
+            self._handler.end()
 
     async def _read_requests(self) -> None:
         while (message := await read_http(self._reader)) is not None:
-            self._requests.put_nowait((message[0], self._handle(*message)))
+            self._requests.put_nowait((message[0], self._handler.receive(*message)))
 
     async def _answer_requests(self) -> None:
         while True:
@@ -102,10 +116,12 @@
                     raw.on_closed()
             self._writer.write(raw)
             self._answers.append(raw)
-            if self._copier:
-                loop = asyncio.get_running_loop()
-                for delay, copy in self._copier.draw_copies(line, list(self._answers)):
-                    loop.call_later(delay, self._write_copy, copy)
+            loop = asyncio.get_running_loop()
+            for delay, copy in self._handler.draw_copies(line, list(self._answers)):
+                loop.call_later(delay, self._write_copy, copy)
+            if close := self._handler.draw_close():
+                end = self._writer.transport.abort if close.reset else self._writer.close
+                loop.call_later(close.delay, end)
             await self._writer.drain()
 
     def _write_copy(self, copy: bytes) -> None:
@@ -115,17 +131,16 @@
 
 async def serve(
     address: Address,
-    handle: Handle,
+    open_handler: Callable[[], ConnectionHandler],
     open_writers: set[asyncio.StreamWriter] | None = None,
-    copier: AnswerCopier | None = None,
 ) -> asyncio.Server:
-    """Serve requests with `handle`; `open_writers` holds the writers of the open connections."""
+    """Serve each connection with a handler of its own; `open_writers` holds the writers of the open ones."""
     writers = open_writers if open_writers is not None else set()
 
     async def serve_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         writers.add(writer)
         try:
-            await ServedConnection(reader, writer, handle, copier).run()
+            await ServedConnection(reader, writer, open_handler()).run()
         except (OSError, asyncio.CancelledError):
             pass
         finally:
--- a/millweir/lab/scenario.py
+++ b/millweir/lab/scenario.py
@@ -24,6 +24,9 @@
 # first part; several times; the same for the host lists and the acknowledged notifications of the platform.
 HOST_COPIES = ("copy", "copy-older", "copy-part", "copy-several")
 PLATFORM_COPIES = ("copy-list", "copy-notice")
+# A share of the answers is followed by the end of the connection, whatever it carries then.
+HOST_CLOSES = ("close-links", "reset-links")
+CLOSE_DELAYS_S = (0.005, 0.4)  # bounds of a drawn delay
 COPY_DELAYS_S = (0.001, 0.004, 0.012, 0.02, 0.12, 0.4, 1.0)  # bounds of a drawn delay
 LINK = ("cut", "cut-one-way", "loss", "delay", "reorder", "duplicate", "bandwidth", "flap", "split")
 
@@ -38,16 +41,16 @@
     start: tuple[str, ...] = ()
     end: tuple[str, ...] = ()
     # Of lost or duplicated datagrams; of the processor left to a starved relay; of a shut host's refusals
-    # that carry a retry-after; of the answers that are copied.
+    # that carry a retry-after; of the answers that are copied, or followed by the end of their connection.
     share: float = 0.3
-    # Delay, reordering jitter, half a flapping period, start delay, or the longest delay of a copy.
+    # Delay, reordering jitter, half a flapping period, start delay, or the longest delay behind an answer.
     wait: Duration = Duration(0)
-    after: Duration = Duration(0)  # shortest delay of a copy
+    after: Duration = Duration(0)  # shortest delay of a copy, or of the end of a connection, behind an answer
     bytes_second: float = 20_000.0
     hours: float = 1.0  # clock skew
 
     def __post_init__(self) -> None:
-        if self.kind not in PROCESS + HOST + HOST_COPIES + PLATFORM_COPIES + LINK:
+        if self.kind not in PROCESS + HOST + HOST_COPIES + PLATFORM_COPIES + HOST_CLOSES + LINK:
             raise ValueError(f"unknown fault kind: {self.kind!r}")
 
     def describe(self) -> str:
@@ -73,6 +76,7 @@
     groups: int = 2  # destinations, over which the hosts are distributed
     host_rate: float = 40.0  # calls per second that a host accepts when not recovering
     refused_share: float = 0.0  # of the calls that are refused with a plain 503 after the service time
+    over_share: float = 0.0  # of the messages that are over, as every host says without running them
     # Of each call that a host runs, where it refuses calls at once; 0: drawn, with a median of 30 ms.
     service_time: Duration = Duration(0)
     shared_limit: bool = False  # the hosts of a destination share that rate, and recover as one
@@ -126,6 +130,8 @@
         )
     if kind in HOST_COPIES + PLATFORM_COPIES:
         return _draw_copy_fault(scenario, rng, at, kind, span)
+    if kind in HOST_CLOSES:
+        return _draw_close_fault(scenario, rng, at, kind, span)
     if kind in HOST:
         hosts = rng.sample(range(scenario.hosts), rng.randint(1, max(1, scenario.hosts // 2)))
         return Fault(at=Duration(at), span=span, kind=kind, who=tuple(f"h{host}" for host in hosts))
@@ -162,3 +168,17 @@
         after=Duration(round(earliest * SECOND)),
         wait=Duration(round(latest * SECOND)),
     )
+
+
+def _draw_close_fault(scenario: Scenario, rng: random.Random, at: int, kind: str, span: Duration) -> Fault:
+    hosts = rng.sample(range(scenario.hosts), rng.randint(1, scenario.hosts))
+    earliest, latest = CLOSE_DELAYS_S
+    return Fault(
+        at=Duration(at),
+        span=span,
+        kind=kind,
+        who=tuple(f"h{host}" for host in hosts),
+        share=rng.choice((0.05, 0.2)),
+        after=Duration(round(earliest * SECOND)),
+        wait=Duration(round(latest * SECOND)),
+    )
--- a/millweir/lab/standins.py
+++ b/millweir/lab/standins.py
@@ -11,8 +11,10 @@
 import random
 from collections import deque
 from collections.abc import Callable, Coroutine, Generator
+from itertools import count
 
-from millweir.lab.copied_answers import CopiedAnswers, PlatformCopies
+from millweir.lab.closed_connections import ClosedConnections
+from millweir.lab.copied_answers import CopiedAnswers
 from millweir.lab.destination import Destination
 from millweir.lab.history import (
     Answered,
@@ -20,16 +22,18 @@
     Copied,
     Fallen,
     History,
+    LinkEnded,
     Listed,
     Noticed,
     Offered,
     Returned,
     monotonic_ns,
 )
-from millweir.lab.http_server import Address, TruncatedResponse, build_response, read_http, serve
+from millweir.lab.http_server import Address, Close, TruncatedResponse, build_response, read_http, serve
 
 SECOND = 1_000_000_000
 CLIENT_TIMEOUT_S = 0.4
+OVER_STATUS = 410  # the message is over: nothing more is owed for it
 
 SETTINGS = {
     "balancers": 5,
@@ -74,6 +78,9 @@
 }
 
 
+_link_numbers = count(1)
+
+
 class PendingCall:
     """A call that has arrived: it is handled in its turn, or its connection ends before."""
 
@@ -115,15 +122,19 @@
         self.retry_after_share = 1.0  # share of these refusals that carry a retry-after
         self.refused_share = 0.0  # share of the other calls that is refused after the service time
         self.service_time = 0  # nanoseconds for a call that is run, where refusals come at once; 0: drawn
-        self.copies = CopiedAnswers(
-            random.Random(rng.getrandbits(60)), lambda delay: history.add(Copied(monotonic_ns(), name, delay))
-        )
+        self.is_over: Callable[[str], bool] = lambda ident: False  # whether it says that a message is over
+        seed = rng.getrandbits(60)
+        self.copies = CopiedAnswers(random.Random(seed))
+        self.closes = ClosedConnections(random.Random(seed ^ 1))
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._outages = 0
 
     async def open(self) -> None:
-        self._server = await serve(self.address, self._receive_call, self._writers, self.copies)
+        self._server = await serve(self.address, self._open_connection, self._writers)
+
+    def _open_connection(self) -> HostConnection:
+        return HostConnection(self, self._history)
 
     def close(self) -> None:
         self._server.close()
@@ -162,7 +173,7 @@
         self.shut_until = 0
         self.destination.end_outage(self.name, monotonic_ns())
 
-    def _receive_call(self, line: str, fields: dict[str, str], body: bytes) -> PendingCall:
+    def receive_call(self, line: str, fields: dict[str, str], body: bytes, link: int = 0) -> PendingCall:
         """Record a call as it arrives; the result handles it."""
         in_batch = " /hook/batch " in line
         idents = [row["id"] for row in json.loads(body)] if in_batch else [fields.get("x-correlation-id", "")]
@@ -170,7 +181,7 @@
         self._calls[0] += len(idents)
         now = monotonic_ns()
         for ident, call in zip(idents, calls, strict=True):
-            self._history.add(Called(now, ident, self.name, call, calls[0] if in_batch else 0))
+            self._history.add(Called(now, ident, self.name, call, calls[0] if in_batch else 0, link))
         if overload := self.destination.record_call(now):
             self._history.add(Fallen(now, self.name, overload))
         return PendingCall(
@@ -183,7 +194,9 @@
     ) -> bytes | TruncatedResponse:
         now = monotonic_ns()
         status, wait, ran = 200, 0.0, True
-        if self.shut_until:
+        if not in_batch and self.is_over(idents[0]):
+            status, ran = OVER_STATUS, False
+        elif self.shut_until:
             has_retry_after = self._rng.random() < self.retry_after_share
             status, wait, ran = 503, max(self.shut_until - now, 0) / SECOND * has_retry_after, False
         elif not self.destination.take_token(now):
@@ -209,7 +222,10 @@
         self, idents: list[str], calls: range, in_batch: bool, status: int, ran: bool, wait: float
     ) -> bytes | TruncatedResponse | None:
         """Record and return the response; a single message counts as answered from its first line on."""
-        rows = json.dumps([{"id": ident, "state": "accepted"} for ident in idents]).encode()
+        states = ["expired" if self.is_over(ident) else "accepted" for ident in idents]
+        rows = json.dumps(
+            [{"id": ident, "state": state} for ident, state in zip(idents, states, strict=True)]
+        ).encode()
         raw = build_response(
             status, rows if in_batch and status == 200 else b"", **({"Retry-After": wait} if wait else {})
         )
@@ -220,16 +236,44 @@
             sent = self._rng.randrange(1, len(raw))
         counts = sent == len(raw) or not in_batch and sent > raw.index(b"\n")
         if counts:
-            self._record_return(idents, calls, status, ran, wait)
+            self._record_return(idents, calls, status, ran, wait, whole=sent == len(raw))
         if sent == len(raw):
             return raw
         return TruncatedResponse(
             raw[:sent], lambda: counts or self._record_return(idents, calls, 0, ran, 0.0)
         )
 
-    def _record_return(self, idents: list[str], calls: range, status: int, ran: bool, wait: float) -> None:
+    def _record_return(
+        self, idents: list[str], calls: range, status: int, ran: bool, wait: float, whole: bool = True
+    ) -> None:
+        now = monotonic_ns()
         for ident, call in zip(idents, calls, strict=True):
-            self._history.add(Returned(monotonic_ns(), ident, call, status, ran, int(wait * 1e9)))
+            over = status == 200 and self.is_over(ident)
+            own_status, own_ran = (OVER_STATUS, False) if over else (status, ran)
+            self._history.add(Returned(now, ident, call, own_status, own_ran, int(wait * 1e9), whole))
+
+
+class HostConnection:
+    """One connection to a host."""
+
+    def __init__(self, host: Host, history: History) -> None:
+        self._host, self._history = host, history
+        self._number = next(_link_numbers)
+
+    def receive(self, line: str, fields: dict[str, str], body: bytes) -> PendingCall:
+        return self._host.receive_call(line, fields, body, self._number)
+
+    def draw_copies(self, line: str, answers: list[bytes]) -> list[tuple[float, bytes]]:
+        copies = self._host.copies.draw_copies(answers)
+        for delay, _ in copies:
+            self._history.add(Copied(monotonic_ns(), self._host.name, delay, self._number))
+        return copies
+
+    def draw_close(self) -> Close | None:
+        return self._host.closes.draw()
+
+    def end(self) -> None:
+        self._history.add(LinkEnded(monotonic_ns(), self._number))
 
 
 class Platform:
@@ -237,15 +281,8 @@
 
     def __init__(self, address: Address, history: History, rng: random.Random) -> None:
         self.address, self._history = address, history
-        self.copies = PlatformCopies(
-            *(
-                CopiedAnswers(
-                    random.Random(rng.getrandbits(60)),
-                    lambda delay, name=name: history.add(Copied(monotonic_ns(), name, delay)),
-                )
-                for name in ("lists", "notices")
-            )
-        )
+        self.list_copies = CopiedAnswers(random.Random(rng.getrandbits(60)))
+        self.notice_copies = CopiedAnswers(random.Random(rng.getrandbits(60)))
         self._index = 1
         self._rows: dict[str, dict] = {}
         self._list_changed = asyncio.Condition()
@@ -254,7 +291,7 @@
         self.watches = 0
 
     async def open(self) -> None:
-        self._server = await serve(self.address, self._handle_request, copier=self.copies)
+        self._server = await serve(self.address, lambda: self)
 
     def close(self) -> None:
         self._server.close()
@@ -280,7 +317,22 @@
         rows = [row for row in self._rows.values() if row["index"] > since]
         return {"index": self._index, "snapshot": since < 0, "endpoints": rows}
 
-    async def _handle_request(self, line: str, fields: dict[str, str], body: bytes) -> bytes | None:
+    def draw_copies(self, line: str, answers: list[bytes]) -> list[tuple[float, bytes]]:
+        """Return the copies of a host list, or of the answer to a notification."""
+        is_notice = line.startswith("POST ")
+        copies = (self.notice_copies if is_notice else self.list_copies).draw_copies(answers)
+        for delay, _ in copies:
+            self._history.add(Copied(monotonic_ns(), "notices" if is_notice else "lists", delay))
+        return copies
+
+    def draw_close(self) -> Close | None:
+        """Leave connections open."""
+
+    def end(self) -> None:
+        """Nothing is recorded of the platform's connections."""
+
+    async def receive(self, line: str, fields: dict[str, str], body: bytes) -> bytes | None:
+        """Answer a request for the host list, a watch, or a notification."""
         method, path, _ = line.split(" ")
         if method == "POST":
             for row in body.splitlines():
--- a/tests/lab/test_checker.py
+++ b/tests/lab/test_checker.py
@@ -5,15 +5,17 @@
 
 import pytest
 
-from millweir.lab.checker import check_rules
+from millweir.lab.checker import READ_MARGIN_NS, check_rules
 from millweir.lab.cluster import Rig
 from millweir.lab.destination import Destination, RecoveryTerms
 from millweir.lab.history import (
     Answered,
     Called,
+    Copied,
     Ended,
     Fallen,
     History,
+    LinkEnded,
     Listed,
     Noticed,
     Offered,
@@ -110,12 +112,63 @@
         Ready(8 * S, "r1"),
         Noticed(9 * S, "p", "dead"),
     ),
+    "over": (accepted_message(), call(status=410)),
+    "over, and the answer was lost with its connection": (
+        accepted_message(),
+        call(status=410),
+        LinkEnded(S + S // 10 + READ_MARGIN_NS - 1, 0),
+        call(at=2 * S, number=2, status=410),
+    ),
+    "over, and the process was killed at that moment": (
+        accepted_message(),
+        Struck(S, "kill", "r1"),
+        call(status=410),
+        LinkEnded(S + S // 10, 0),
+        Ready(2 * S, "r1"),
+        call(at=3 * S, number=2, status=410),
+    ),
+    "delivered again after a copy on the connection": (
+        accepted_message(),
+        call(),
+        Copied(S + S // 10, "h", 0.5),
+        call(at=2 * S, number=2),
+    ),
+    "delivered again after a part of an answer": (
+        accepted_message(),
+        Called(S, "p", "h", 1),
+        Returned(S + 1, "p", 1, 200, True, whole=False),
+        call(at=2 * S, number=2),
+    ),
     "lost with its machine": (accepted_message(), Struck(S, "lose", "r1"), Ready(8 * S, "r1")),
 }
 INVALID = {
     "no outcome": (1, (accepted_message(),)),
     "ended twice": (1, (accepted_message(), Noticed(S, "p", "dead"), Noticed(2 * S, "p", "dead"))),
     "ended late": (1, (accepted_message(), Noticed(8 * S, "p", "dead"))),
+    "over and sent again": (1, (accepted_message(), call(status=410), call(at=2 * S, number=2, status=410))),
+    "over and sent again after a copy": (
+        1,
+        (
+            accepted_message(),
+            call(status=410),
+            Copied(S + S // 10, "h", 0.1),
+            call(at=2 * S, number=2, status=410),
+        ),
+    ),
+    "over and sent again as its connection ended later": (
+        1,
+        (
+            accepted_message(),
+            call(status=410),
+            LinkEnded(S + S // 10 + READ_MARGIN_NS, 0),
+            call(at=2 * S, number=2, status=410),
+        ),
+    ),
+    "delivered and sent again": (1, (accepted_message(), call(), call(at=2 * S, number=2))),
+    "delivered and sent again before the copy": (
+        1,
+        (accepted_message(), call(), Copied(S + S // 10, "h", 1.5), call(at=2 * S, number=2)),
+    ),
     "no outcome after a restart": (1, (accepted_message(), Struck(S, "kill", "r1"), Ready(8 * S, "r1"))),
     "non-idempotent twice": (
         2,
@@ -217,7 +270,7 @@
         host.set_hung(True)
         host.set_hung(False)
         for number in range(calls):
-            call = asyncio.ensure_future(host._receive_call("", {"x-correlation-id": str(number)}, b""))
+            call = asyncio.ensure_future(host.receive_call("", {"x-correlation-id": str(number)}, b""))
             await asyncio.sleep(0)
             call.cancel()
         return list(history.select(Fallen))
