Messages that a host's whole answer ended are not sent again, here or in the next process

Cause: on a used connection such an answer is unproven. Whether it may go out and how it ends were one question. Evidence: rig, `answer-doubted ... reason='connection lost'` before each second call in one process; kills for the rest. Change: `answers/final.py` decides the two apart. The first whole final answer is journalled at once (a record that earlier builds skip) and forbids any further byte: asked at the submission, at a restart and at `may_write`. Confirmed, it ends the message silently; else by one notification, which does no harm. One way back is kept: a delivery that bytes on its connection spoke against. Events: `answer-unconfirmed`, `message-sent-again`; `message-ended` names the answer.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -729,6 +729,16 @@
             if key.queue:
                 self._update_order(key.queue[0])
 
+    def hold_key(self, now: int, profile: int, key_id: int) -> None:
+        """Let no packet of a key go for its quiet time: a call of an earlier, ended one may still run."""
+        if not (self._profiles[profile][0].in_order and key_id):
+            return
+        key = self._keys.get(key_id) or self._keys.setdefault(key_id, OrderingKey(key_id))
+        key.quiet_until = max(key.quiet_until, now + self._key_quiet_time)
+        self._set_timer(key.quiet_until, key)
+        if key.queue:
+            self._update_order(key.queue[0])
+
     def _retry_or_answer(self, packet: Packet, outcome: Outcome, call: Call) -> None:
         """Hold a packet whose trip has ended, to be sent again, or answer it."""
         if self._may_retry(packet) and (outcome is not Outcome.UNREADABLE or call.shared):
--- a/millweir/events.py
+++ b/millweir/events.py
@@ -55,6 +55,7 @@
     MAY_HAVE_RUN = "may-have-run"  # an attempt may have taken effect, and it may not be sent again
     REPEAT_WINDOW = "repeat-window-over"  # hosts no longer remember its idempotency key
     UNREADABLE = "unreadable"  # the host could not parse it
+    ANSWER_UNCONFIRMED = "answer-unconfirmed"  # a host's answer ended it, and was not confirmed
 
 
 class RefusalReason(Enum):
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -178,6 +178,11 @@
         self._now = now
         self._relay.end_key_quiet(now, part._packet)
 
+    def hold_key(self, now: int, profile: int, key: int) -> None:
+        """Hold back the packets of a key for a while: a call of an ended one may still be out."""
+        self._now = now
+        self._relay.hold_key(now, profile, key)
+
     def settle_outcome(self, now: int, part: Part[Item], never_ran: bool) -> None:
         """Report whether an outcome that was unproven is a confirmed refusal: the trip never ran."""
         self._now = now
--- a/millweir/net/answer_checks.py
+++ b/millweir/net/answer_checks.py
@@ -4,8 +4,8 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from enum import Enum
 
+from millweir.answers.final import Settlement
 from millweir.answers.policy import MAX_RETRACTABLE_BYTES
 from millweir.net import clock
 from millweir.net.counters import Counters
@@ -17,14 +17,6 @@
 RETAINED_OVERHEAD_BYTES = 1 << 10  # of a message beside its body
 
 
-class Settlement(Enum):
-    """What became of an unproven answer."""
-
-    CONFIRMED = "confirmed"
-    DOUBTED = "doubted"  # it may belong to another request
-    RETRACTED = "retracted"  # the same, after a silence had confirmed it
-
-
 Settle = Callable[[UnprovenAnswer, Settlement], None]
 
 
@@ -62,7 +54,7 @@
         confirmed = connection.unproven.take_confirmed(now)
         self._keep_retractable(connection, confirmed)
         self._report(confirmed, Settlement.CONFIRMED)
-        self._doubt(connection.unproven.take_expired(now), connection, "no silence in time")
+        self._leave_unconfirmed(connection.unproven.take_expired(now), connection, "no silence in time")
         connection.close_if_settled()
         self.schedule(connection)
 
@@ -72,8 +64,12 @@
         self._report(connection.unproven.take_all(), Settlement.CONFIRMED)
 
     def doubt_all(self, connection: Connection, reason: str) -> None:
-        """An answer is refuted, or no silence can confirm the answers any more."""
-        self._doubt(connection.unproven.take_all(), connection, reason)
+        """An answer is refuted: those before it may be as wrong."""
+        answers = connection.unproven.take_all()
+        for answer in answers:
+            self._counters.add("answers_doubted")
+            self._log_answer("answer-doubted", answer, connection, reason)
+        self._report(answers, Settlement.DOUBTED)
 
     def retract_all(self, connection: Connection, reason: str) -> None:
         """An answer is refuted: what a silence confirmed before may be as wrong."""
@@ -92,7 +88,7 @@
         if connection.ended_as_announced:
             self.confirm_all(connection)
         self._report(connection.unproven.take_after_silence(), Settlement.CONFIRMED)
-        self.doubt_all(connection, "connection lost")
+        self._leave_unconfirmed(connection.unproven.take_all(), connection, "connection lost")
 
     def _keep_retractable(self, connection: Connection, confirmed: list[UnprovenAnswer]) -> None:
         if confirmed:
@@ -106,12 +102,15 @@
         self._retractable_bytes -= sum(map(_count_retained_bytes, answers))
         return answers
 
-    def _doubt(self, answers: Iterable[UnprovenAnswer], connection: Connection, reason: str) -> None:
+    def _leave_unconfirmed(
+        self, answers: Iterable[UnprovenAnswer], connection: Connection, reason: str
+    ) -> None:
+        """Report answers against which nothing spoke, and which no silence can confirm any more."""
         answers = list(answers)
         for answer in answers:
-            self._counters.add("answers_doubted")
-            self._log_answer("answer-doubted", answer, connection, reason)
-        self._report(answers, Settlement.DOUBTED)
+            self._counters.add("answers_unconfirmed")
+            self._log_answer("answer-unconfirmed", answer, connection, reason)
+        self._report(answers, Settlement.UNCONFIRMED)
 
     def _log_answer(self, event: str, answer: UnprovenAnswer, connection: Connection, reason: str) -> None:
         self._log.info(
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -12,27 +12,26 @@
 from collections import deque
 from typing import Any
 
-from millweir.events import EndReason
+from millweir.answers.final import Settlement
 from millweir.facade import DecisionEngine, Part, UndeliveredPacket
 from millweir.interface import MILLISECOND, Outcome
 from millweir.net import clock
-from millweir.net.answer_checks import Settlement
 from millweir.net.clients import ClientConnection, ClientListener
 from millweir.net.cold_hosts import RecoveringHostStore
 from millweir.net.config import Config
 from millweir.net.cordons import Cordons
 from millweir.net.counters import Counters
 from millweir.net.discovery import DiscoveryWatch
-from millweir.net.ended import EndedIds
 from millweir.net.heads import Request, parse_number
-from millweir.net.host_call import UnprovenAnswer
+from millweir.net.host_call import UnprovenAnswer, choose_final_answer
 from millweir.net.host_list import HostList, decode_cached_list
 from millweir.net.hosts import HostConnections
 from millweir.net.journal import Journal, OwedMessage
 from millweir.net.lag import LoopLag, StallDetector
 from millweir.net.log import Log
+from millweir.net.message_ends import MessageEnds
 from millweir.net.notices import NotificationSender
-from millweir.net.replies import Reply, ReplyCounts
+from millweir.net.replies import Reply
 from millweir.net.retry_after import RetryAfterStore
 from millweir.net.service_classes import ServiceClasses
 
@@ -60,9 +59,18 @@
         self._discovery_address = config.discovery
         self._owed: dict[bytes, OwedMessage] = {}
         self._backlog: deque[OwedMessage] = deque()  # owed but not submitted to the engine yet, oldest first
-        self._ended_ids = EndedIds(bounds.max_ended_ids)
         self._turn_scheduled = self._shutting_down = self._linger_elapsed = self._quiesced = False
-        self._replies = ReplyCounts()
+        self._ends = MessageEnds(
+            self._owed,
+            journal,
+            engine,
+            bounds,
+            self._submit_message,
+            lambda message: self._notifications.add(message),
+            log,
+            counters,
+        )
+        self._replies = self._ends.replies
         self._cordons = Cordons(config.state, engine, self.request_turn, log)
         self._recovering_hosts = RecoveringHostStore(
             loop, journal.folder, journal.slot, engine, self.request_turn, log
@@ -82,7 +90,7 @@
             bounds,
             settings.connect_timeout,
             journal,
-            engine.may_write,
+            self._may_send,
             self._record_outcome,
             self._settle_answer,
             self._record_unasked_wait,
@@ -94,7 +102,7 @@
             config.discovery,
             lambda: self._watch.answering_address,
             bounds,
-            self._finish_message,
+            self._ends.finish,
             log,
             counters,
         )
@@ -203,6 +211,13 @@
         )
         if message.given_up:
             self._notifications.add(message)
+        elif message.final_answer:
+            self._ends.end_restored(message)
+            self._engine.hold_key(
+                clock.monotonic_ns(),
+                self._service_classes.get_number(message.profile),
+                int.from_bytes(message.key),
+            )
         else:
             self._backlog.append(message)
 
@@ -251,6 +266,10 @@
         if failed_at and self._recovering_hosts.may_have_missed(failed_at):
             self._engine.report_earlier_failure(clock.monotonic_ns(), message.destination, failed_at)
 
+    def _may_send(self, now: int, part: Part[OwedMessage]) -> bool:
+        """Whether a message may go out now; asked before the first byte of a call and before the last."""
+        return part.item.final_answer is None and self._engine.may_write(now, part)
+
     def request_turn(self) -> None:
         """Schedule a turn after all input that is already readable has been read."""
         if not self._turn_scheduled:
@@ -356,7 +375,7 @@
             self._accept_message(connection, request)
 
     def _accept_message(self, connection: ClientConnection, request: Request) -> None:
-        if request.id in self._owed or request.id in self._ended_ids:
+        if request.id in self._owed or request.id in self._ends.ended_ids:
             # A repeated request, or another client's request under the same id: the id is accepted already.
             # Rule 2 (no message takes effect twice); hosts can't use a second body under one id, and it would
             # harm the packets that travel in the same batch.
@@ -414,8 +433,8 @@
         if wait > 0 and self._engine.is_current_host(part.job):
             self._retry_after_waits.record_wait(part.job.host, wait)
         self._counters.add("trips_" + outcome.name.lower())
-        if finished and proven:
-            self._finish_answered(part.item, outcome)
+        if final_answer := choose_final_answer(outcome, finished):
+            self._ends.record_final_answer(part.item, final_answer, proven)
         self._engine.report_outcome(
             clock.monotonic_ns(), part, outcome, finished, wait, self._parse_load(load), proven
         )
@@ -423,26 +442,12 @@
             self._log_failure(part, outcome, finished, wait)
         self.request_turn()
 
-    def _finish_answered(self, message: OwedMessage, outcome: Outcome) -> None:
-        """End a message that its host has taken, or for which it wants no further attempt."""
-        if message.given_up is None and message.id in self._owed:
-            self._counters.add("packets_fulfilled" if outcome is Outcome.FULFILLED else "packets_over")
-            reply = Reply.SUCCESS if outcome is Outcome.FULFILLED else Reply.ERROR
-            self._replies.add(message.profile, reply)
-            self._finish_message(message)
-
     def _settle_answer(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
-        """Act on an answer that was unproven, now that it is confirmed or in doubt."""
-        part = answer.part
-        if not answer.outcome.finished:
-            self._settle_undelivered(answer, settlement)
-        elif settlement is Settlement.CONFIRMED:
-            self._finish_answered(part.item, answer.outcome.outcome)
-            self._engine.end_key_quiet(clock.monotonic_ns(), part)
+        """Act on an answer that was unproven, now that it is settled."""
+        if answer.outcome.finished:
+            self._ends.settle(answer, settlement)
         else:
-            if settlement is Settlement.RETRACTED:
-                self._restore_ended(part.item)
-            self._reconsider(part)
+            self._settle_undelivered(answer, settlement)
         self.request_turn()
 
     def _settle_undelivered(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
@@ -456,16 +461,6 @@
                 self._journal.record_may_have_run(message, answer.trip)
         self._engine.settle_outcome(clock.monotonic_ns(), answer.part, never_ran)
 
-    def _restore_ended(self, message: OwedMessage) -> None:
-        """Owe a message again that had passed for delivered."""
-        if message.id in self._owed:
-            return
-        try:
-            self._journal.record_accepted(message)
-        except OSError as error:  # its end is owed all the same
-            self._log.info(f"journal-failed taken {error}")
-        self._owed[message.id] = message
-
     def _record_unasked_wait(self, host: str, wait: int) -> None:
         """Heed a retry-after that came without a request: the answer to a call that had another one."""
         self._retry_after_waits.record_wait(host, wait)
@@ -473,22 +468,6 @@
         self._engine.apply_retry_after(now, host.encode(), now + wait)
         self.request_turn()
 
-    def _reconsider(self, part: Part[OwedMessage]) -> None:
-        """Take up a message again that may not have been delivered.
-
-        One whose key keeps an order can't go behind the next one, so it ends: its notification does no harm
-        if it was delivered.
-        """
-        message = part.item
-        if message.id not in self._owed or message.given_up is not None:
-            return
-        self._counters.add("packets_reconsidered")
-        if part.in_order:
-            self._engine.end_key_quiet(clock.monotonic_ns(), part)
-            self._give_up(message, EndReason.MAY_HAVE_RUN, len(message.trips))
-        else:
-            self._submit_message(message)
-
     def _log_failure(self, part: Part[OwedMessage], outcome: Outcome, finished: bool, wait: int) -> None:
         """Log a failed attempt with the current state of its host."""
         view = self._engine.view_host(part.job.host.encode())
@@ -516,31 +495,7 @@
             return ()
 
     def _end_undelivered(self, ending: UndeliveredPacket[OwedMessage]) -> None:
-        self._give_up(ending.item, ending.reason, ending.attempts, ending.again, ending.retry_after)
-
-    def _give_up(
-        self,
-        message: OwedMessage,
-        reason: EndReason,
-        attempts: int,
-        retryable: bool = False,
-        wait: int = 0,
-    ) -> None:
-        """End a message by a notification; `retryable`: it may be handed in again after the wait."""
-        remaining_ms = (message.deadline - clock.to_wall(clock.monotonic_ns())) // MILLISECOND
-        self._log.info(
-            f"message-ended id={message.id.decode()} end={'bounced' if retryable else 'dead'} "
-            f"reason={reason.value} attempts={attempts} left_ms={remaining_ms}"
-        )
-        self._counters.add("packets_dismissed" if retryable else "packets_errored")
-        self._replies.add(message.profile, Reply.OVERLOAD if retryable else Reply.ERROR)
-        self._journal.record_given_up(message, retryable, wait)
-        self._notifications.add(message)
-
-    def _finish_message(self, message: OwedMessage) -> None:
-        if self._owed.pop(message.id, None):
-            self._journal.record_ended(message)
-            self._ended_ids.add(message.id, clock.from_wall(message.deadline), clock.monotonic_ns())
+        self._ends.give_up(ending.item, ending.reason, ending.attempts, ending.again, ending.retry_after)
 
     def reload(self, config: Config) -> None:
         """Apply a configuration read at SIGHUP.
--- a/millweir/net/host_call.py
+++ b/millweir/net/host_call.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from millweir.answers.final import FinalAnswer
 from millweir.answers.policy import (
     Belief,
     Naming,
@@ -56,6 +57,18 @@
     outcome: Outcome
     finished: bool = False
 
+    @property
+    def final_answer(self) -> FinalAnswer | None:
+        """What the answer said, if it ended the packet."""
+        return choose_final_answer(self.outcome, self.finished)
+
+
+def choose_final_answer(outcome: Outcome, finished: bool) -> FinalAnswer | None:
+    """What an answer said that led to this outcome, if it ended the packet (`finished`)."""
+    if not finished:
+        return None
+    return FinalAnswer.DELIVERED if outcome is Outcome.FULFILLED else FinalAnswer.OVER
+
 
 @dataclass(frozen=True, slots=True)
 class UnprovenAnswer:
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -7,6 +7,7 @@
 from functools import partial
 
 from millweir.answers.connection import NEVER, AnswerTimes
+from millweir.answers.final import Settlement
 from millweir.answers.policy import (
     MAX_UNPROVEN_AGE_NS,
     OBSERVATION_NS,
@@ -18,7 +19,7 @@
 from millweir.interface import Bounds, Entry, Outcome, Phase
 from millweir.net import clock
 from millweir.net.address_owners import AddressOwners, ListedHost
-from millweir.net.answer_checks import AnswerChecks, Settle, Settlement
+from millweir.net.answer_checks import AnswerChecks, Settle
 from millweir.net.connection_pool import ConnectionPool
 from millweir.net.counters import Counters
 from millweir.net.host_call import OUTCOME_BY_STATUS, HostCall, UnprovenAnswer
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from millweir.answers.final import FinalAnswer
 from millweir.interface import MILLISECOND
 from millweir.net import clock
 
@@ -25,16 +26,22 @@
 # Kind, number, wall clock minus monotonic clock, boot id.  The number is 0, so that earlier builds skip
 # the record.
 CLOCK_RECORD = struct.Struct("<BQq16s")
+# Kind, 0 (so that earlier builds skip the record), number, the unconfirmed final answer (0: taken back).
+FINAL_ANSWER_RECORD = struct.Struct("<BQQB")
 ACCEPTED_KIND = 1
 TRIP_KIND = 2
 NEVER_RAN_KIND = 3
 GIVEN_UP_KIND = 4
 ENDED_KIND = 5
 CLOCK_KIND = 6
+FINAL_ANSWER_KIND = 7
+NO_TRIP = -1
 UNKNOWN_SENT_AT = 0  # wall time of a trip whose age can't be determined
 # The most that one trip takes in a file, and a message without its texts, body and trips.
 MAX_TRIP_BYTES = 2 * FRAME_HEADER.size + TRIP_RECORD.size + NEVER_RAN_RECORD.size
-MAX_FIXED_BYTES = 2 * FRAME_HEADER.size + ACCEPTED_RECORD.size + GIVEN_UP_RECORD.size
+MAX_FIXED_BYTES = (
+    3 * FRAME_HEADER.size + ACCEPTED_RECORD.size + GIVEN_UP_RECORD.size + FINAL_ANSWER_RECORD.size
+)
 FILE_NAME = "journal"
 SLOT_COUNT = 4  # processes that may share the folder at once: normally one, and in an upgrade its replacement
 
@@ -51,6 +58,8 @@
         "body",
         "deadline",
         "destination",
+        "ended_by_trip",
+        "final_answer",
         "given_up",
         "id",
         "idempotency_key",
@@ -84,6 +93,8 @@
         self.body = body
         self.trips: list[list[int]] = []  # when each was sent, and 1 once it is known that it never ran
         self.given_up: tuple[bool, int] | None = None
+        self.final_answer: FinalAnswer | None = None  # unproven: it is not sent again, and not ended yet
+        self.ended_by_trip = NO_TRIP  # index of the trip whose answer ended it, once a silence confirmed that
         self.restored = False  # accepted before the restart
         # The most it takes in a file.
         self.size = MAX_FIXED_BYTES + sum(map(len, self.text_fields)) + len(body)
@@ -106,10 +117,17 @@
             bodies.append(TRIP_RECORD.pack(TRIP_KIND, self.number, sent_at))
             if never_ran:
                 bodies.append(NEVER_RAN_RECORD.pack(NEVER_RAN_KIND, self.number, index))
+        if self.final_answer:
+            bodies.append(self.encode_final_answer())
         if self.given_up:
             bodies.append(GIVEN_UP_RECORD.pack(GIVEN_UP_KIND, self.number, *self.given_up))
         return bodies
 
+    def encode_final_answer(self) -> bytes:
+        """The record of its final answer."""
+        value = self.final_answer.value if self.final_answer else 0
+        return FINAL_ANSWER_RECORD.pack(FINAL_ANSWER_KIND, 0, self.number, value)
+
 
 def encode_frames(bodies: list[bytes]) -> bytes:
     return b"".join([FRAME_HEADER.pack(len(body), zlib.crc32(body)) + body for body in bodies])
@@ -290,6 +308,11 @@
         self._live_bytes += MAX_TRIP_BYTES
         self._write_or_log("trip", TRIP_RECORD.pack(TRIP_KIND, message.number, sent_at))
 
+    def record_final_answer(self, message: OwedMessage, final_answer: FinalAnswer | None) -> None:
+        """Record that a whole answer, not confirmed yet, has ended a message; None: that is taken back."""
+        message.final_answer = final_answer
+        self._write_or_log("final-answer", message.encode_final_answer())
+
     def record_given_up(self, message: OwedMessage, retryable: bool, wait: int) -> None:
         """Record an undelivered message of which the platform still has to be notified."""
         message.given_up = (retryable, wait)
@@ -415,6 +438,9 @@
                         f"clock-set-back ns={'unknown' if self._set_back_ns is None else self._set_back_ns}"
                     )
                 return True
+            if body[0] == FINAL_ANSWER_KIND:
+                self._apply_final_answer(body)
+                return True
             message = self.owed.get(struct.unpack_from("<Q", body, 1)[0])
             if body[0] == ENDED_KIND:
                 if message:
@@ -433,6 +459,11 @@
                 message.given_up = (bool(retryable), wait)
             else:
                 return False
-        except (struct.error, IndexError):
+        except (struct.error, IndexError, ValueError):
             return False
         return True
+
+    def _apply_final_answer(self, body: bytes) -> None:
+        _, _, number, value = FINAL_ANSWER_RECORD.unpack(body)
+        if message := self.owed.get(number):
+            message.final_answer = FinalAnswer(value) if value else None
--- /dev/null
+++ b/millweir/net/message_ends.py
@@ -0,0 +1,135 @@
+"""The one end of each owed message: by an answer of a host, or by a notification to the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from millweir.answers.final import Ending, FinalAnswer, Settlement, choose_ending
+from millweir.events import EndReason
+from millweir.facade import DecisionEngine
+from millweir.interface import MILLISECOND, Bounds
+from millweir.net import clock
+from millweir.net.counters import Counters
+from millweir.net.ended import EndedIds
+from millweir.net.host_call import UnprovenAnswer
+from millweir.net.journal import NO_TRIP, Journal, OwedMessage
+from millweir.net.log import Log
+from millweir.net.replies import Reply, ReplyCounts
+
+
+class MessageEnds:
+    """Ends owed messages, each once, and keeps those that a host has ended from being sent again."""
+
+    def __init__(
+        self,
+        owed: dict[bytes, OwedMessage],
+        journal: Journal,
+        engine: DecisionEngine[OwedMessage],
+        bounds: Bounds,
+        submit: Callable[[OwedMessage], None],
+        notify: Callable[[OwedMessage], None],
+        log: Log,
+        counters: Counters,
+    ) -> None:
+        """`submit`: gives a message to the engine; `notify`: queues the notification of its end."""
+        self._owed, self._journal, self._engine = owed, journal, engine
+        self._submit, self._notify = submit, notify
+        self._log, self._counters = log, counters
+        self.ended_ids = EndedIds(bounds.max_ended_ids)
+        self.replies = ReplyCounts()
+
+    def _is_open(self, message: OwedMessage) -> bool:
+        return message.given_up is None and self._owed.get(message.id) is message
+
+    def record_final_answer(self, message: OwedMessage, final_answer: FinalAnswer, proven: bool) -> None:
+        """Record that a whole answer has ended a message, which is not sent again.
+
+        One that is not proven is settled later.
+        """
+        if not self._is_open(message):
+            return
+        if proven:
+            self._end_silently(message, final_answer)
+        elif message.final_answer is not FinalAnswer.OVER:
+            self._journal.record_final_answer(message, final_answer)
+
+    def settle(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
+        """End a message as its unproven final answer is settled, or send it again."""
+        part, message = answer.part, answer.part.item
+        if settlement is Settlement.RETRACTED and message.ended_by_trip == answer.trip:
+            self._owe_again(message, answer.outcome.final_answer)
+        if not self._is_open(message):
+            self._engine.end_key_quiet(clock.monotonic_ns(), part)
+            return
+        final_answer = message.final_answer or answer.outcome.final_answer
+        ending = choose_ending(final_answer, settlement, part.in_order)
+        if ending is Ending.SENT_AGAIN:
+            self._send_again(message, settlement)
+            return
+        if ending is Ending.SILENT:
+            message.ended_by_trip = answer.trip
+            self._end_silently(message, final_answer)
+        else:
+            self._end_unconfirmed(message)
+        self._engine.end_key_quiet(clock.monotonic_ns(), part)
+
+    def end_restored(self, message: OwedMessage) -> None:
+        """End a message whose final answer an earlier process could not confirm."""
+        self._end_unconfirmed(message)
+
+    def _end_silently(self, message: OwedMessage, final_answer: FinalAnswer) -> None:
+        is_delivered = final_answer is FinalAnswer.DELIVERED
+        self._counters.add("packets_fulfilled" if is_delivered else "packets_over")
+        self.replies.add(message.profile, Reply.SUCCESS if is_delivered else Reply.ERROR)
+        self.finish(message)
+
+    def _end_unconfirmed(self, message: OwedMessage) -> None:
+        self._counters.add("packets_unconfirmed")
+        self.give_up(message, EndReason.ANSWER_UNCONFIRMED, len(message.trips))
+
+    def _send_again(self, message: OwedMessage, settlement: Settlement) -> None:
+        """Send a message again that passed for delivered, by an answer that belongs to another request."""
+        self._counters.add("packets_reconsidered")
+        self._log.info(
+            f"message-sent-again id={message.id.decode()} answer=delivered settlement={settlement.value} "
+            f"attempts={len(message.trips)}"
+        )
+        self._journal.record_final_answer(message, None)
+        self._submit(message)
+
+    def _owe_again(self, message: OwedMessage, final_answer: FinalAnswer) -> None:
+        """Owe a message again that had ended silently, by the answer that is retracted."""
+        message.ended_by_trip, message.final_answer = NO_TRIP, final_answer
+        if message.id in self._owed:
+            return
+        try:
+            self._journal.record_accepted(message)
+        except OSError as error:  # its end is owed all the same
+            self._log.info(f"journal-failed taken {error}")
+        self._owed[message.id] = message
+
+    def give_up(
+        self,
+        message: OwedMessage,
+        reason: EndReason,
+        attempts: int,
+        retryable: bool = False,
+        wait: int = 0,
+    ) -> None:
+        """End a message by a notification; `retryable`: it may be handed in again after the wait."""
+        remaining_ms = (message.deadline - clock.to_wall(clock.monotonic_ns())) // MILLISECOND
+        answer = message.final_answer.name.lower() if message.final_answer else "none"
+        self._log.info(
+            f"message-ended id={message.id.decode()} end={'bounced' if retryable else 'dead'} "
+            f"reason={reason.value} attempts={attempts} left_ms={remaining_ms} answer={answer}"
+        )
+        self._counters.add("packets_dismissed" if retryable else "packets_errored")
+        self.replies.add(message.profile, Reply.OVERLOAD if retryable else Reply.ERROR)
+        self._journal.record_given_up(message, retryable, wait)
+        self._notify(message)
+
+    def finish(self, message: OwedMessage) -> None:
+        """Record that nothing more is owed for a message."""
+        if self._owed.pop(message.id, None):
+            self._journal.record_ended(message)
+            self.ended_ids.add(message.id, clock.from_wall(message.deadline), clock.monotonic_ns())
--- a/tests/net/test_answers.py
+++ b/tests/net/test_answers.py
@@ -9,13 +9,13 @@
 import uvloop
 from rig import entry, settings
 
+from millweir.answers.final import Settlement
 from millweir.answers.trust import HostTrust
 from millweir.control import bounds
 from millweir.facade import DecisionEngine
 from millweir.interface import SECOND, Change, Limits, Outcome
 from millweir.net import clock
 from millweir.net.address_owners import ListedHost
-from millweir.net.answer_checks import Settlement
 from millweir.net.counters import Counters
 from millweir.net.hosts import HostConnections
 from millweir.net.journal import Journal, OwedMessage
--- /dev/null
+++ b/tests/net/test_final_answers.py
@@ -0,0 +1,124 @@
+"""Messages that went out again after a host's whole answer had ended them (issue 79)."""
+
+import contextlib
+import signal
+import time
+
+import pytest
+from rig import Platform, Program, reply, until
+
+from millweir.answers.final import Ending, FinalAnswer, Settlement, choose_ending
+from millweir.net.journal import NO_TRIP, Journal, OwedMessage
+
+SETTLED_AFTER = 1.2  # seconds in which an unproven answer of these hosts is settled and would be acted on
+
+
+@contextlib.contextmanager
+def playing(tmp_path, decide, **given):
+    """A relay process and one host, which has answered a first call on its connection."""
+    platform = Platform(hosts=1, **given)
+    program = Program(platform, tmp_path)
+    platform.decide = decide
+    try:
+        program.hand_in("first")
+        until(lambda: platform.sent("first"))
+        time.sleep(0.1)
+        yield platform, program
+    finally:
+        program.end()
+
+
+@pytest.mark.parametrize("status", [410, 200])
+@pytest.mark.parametrize("profile", ["again", "marked"])
+def test_a_message_went_out_again_as_its_connection_ended_behind_the_answer(tmp_path, status, profile):
+    """Guards against a call after an answer that no silence has confirmed."""
+
+    def decide(call):
+        return (reply(status),) if call.id == "b" else reply(200)  # the connection ends behind it
+
+    with playing(tmp_path, decide) as (platform, program):
+        program.hand_in("b", profile)
+        until(lambda: "answer-unconfirmed id=b" in program.log())
+        time.sleep(SETTLED_AFTER)
+        assert len(platform.sent("b")) == 1
+        assert platform.notification_results("b") == ["dead"]
+
+
+@pytest.mark.parametrize("status", [410, 200])
+def test_a_message_went_out_again_after_a_kill_behind_the_answer(tmp_path, status):
+    """Guards against a restart that does not know of an answer which is not confirmed yet."""
+
+    def decide(call):
+        return reply(status if call.id == "b" else 200)
+
+    with playing(tmp_path, decide) as (platform, program):
+        program.hand_in("b")
+        until(lambda: platform.sent("b"))
+        time.sleep(0.03)
+        program.end(signal.SIGKILL)
+        program.start()
+        until(lambda: "b" in platform.notified_at)
+        time.sleep(SETTLED_AFTER)
+        assert len(platform.sent("b")) == 1
+        assert platform.notification_results("b") == ["dead"]
+
+
+def test_a_message_that_was_over_went_out_again_after_an_unasked_byte(tmp_path):
+    """Guards against a call after a 410, whatever speaks against that answer."""
+
+    def decide(call):
+        return [reply(410), 0.05, reply(410)] if call.id == "b" else reply(200)
+
+    with playing(tmp_path, decide) as (platform, program):
+        program.hand_in("b")
+        until(lambda: "b" in platform.notified_at)
+        time.sleep(SETTLED_AFTER)
+        assert len(platform.sent("b")) == 1
+        assert platform.notification_results("b") == ["dead"]
+
+
+def test_a_delivery_that_bytes_spoke_against_was_not_sent_again(tmp_path):
+    """Guards the one way back: a copied 200 would lose the message in all but name."""
+
+    def decide(call):
+        return [reply(200), 0.05, reply(503)] if call.id == "b" else reply(200)
+
+    with playing(tmp_path, decide) as (platform, program):
+        program.hand_in("b")
+        until(lambda: len(platform.sent("b")) == 2)
+        assert "message-sent-again id=b" in program.log()
+
+
+@pytest.mark.parametrize(
+    "final_answer, settlement, in_order, ending",
+    [
+        *((answer, Settlement.CONFIRMED, False, Ending.SILENT) for answer in FinalAnswer),
+        *((answer, Settlement.UNCONFIRMED, False, Ending.NOTIFIED) for answer in FinalAnswer),
+        (FinalAnswer.DELIVERED, Settlement.DOUBTED, False, Ending.SENT_AGAIN),
+        (FinalAnswer.DELIVERED, Settlement.RETRACTED, False, Ending.SENT_AGAIN),
+        (FinalAnswer.DELIVERED, Settlement.DOUBTED, True, Ending.NOTIFIED),
+        (FinalAnswer.OVER, Settlement.DOUBTED, False, Ending.NOTIFIED),
+        (FinalAnswer.OVER, Settlement.RETRACTED, False, Ending.NOTIFIED),
+    ],
+)
+def test_how_a_message_ends_whose_answer_is_settled(final_answer, settlement, in_order, ending):
+    assert choose_ending(final_answer, settlement, in_order) is ending
+
+
+@pytest.mark.parametrize("compacted", [False, True])
+def test_the_journal_forgot_an_answer_that_was_not_confirmed(tmp_path, compacted):
+    """Guards the record over a restart, also where the file is written anew, and its withdrawal."""
+    journal = Journal(tmp_path, 20_000, 15_000, print)
+    messages = [OwedMessage(name, b"again", b"", b"", b"", 0, 9, b"body") for name in (b"a", b"b", b"c")]
+    for message in messages:
+        journal.record_accepted(message)
+    journal.record_final_answer(messages[0], FinalAnswer.OVER)
+    journal.record_final_answer(messages[1], FinalAnswer.DELIVERED)
+    journal.record_final_answer(messages[1], None)
+    if compacted:
+        journal._compact()
+    journal.close()
+    journal = Journal(tmp_path, 20_000, 15_000, print)
+    assert [owed.final_answer for owed in journal.owed.values()] == [FinalAnswer.OVER, None, None]
+    assert {owed.ended_by_trip for owed in journal.owed.values()} == {NO_TRIP}
+    journal.close()
--- a/tests/net/test_slow_answers.py
+++ b/tests/net/test_slow_answers.py
@@ -7,11 +7,11 @@
 import pytest
 from rig import Platform, Program, reply, until
 
+from millweir.answers.final import Settlement
 from millweir.answers.policy import LATEST_COPY_NS, MIN_REST_NS, compute_silence_end
 from millweir.answers.trust import HostTrust
 from millweir.interface import MILLISECOND, SECOND
 from millweir.net.address_owners import Endpoint
-from millweir.net.answer_checks import Settlement
 from millweir.net.connection_pool import ConnectionPool
 from millweir.net.journal import Journal, OwedMessage
 from net.test_answers import DELIVERED, NON_IDEMPOTENT, REFUSED, Scene, run_scene
