A batch's answer ends its messages also where the call was given up, late or misnamed

Cause: an answer was read for the messages that still waited for it. One whose attempt had timed out waits to go again, and its row was dropped; so were all rows of an answer past the earliest deadline, and of one that lacks or adds a name. Change: every message that was written is looked up in the answer. A row that ends a message holds by its name, whichever call the answer belongs to, and is proven. `accepted` past a deadline of the batch is still no delivery (it ends by a notification), but the message does not go again. A message that waits, or whose next call is not written yet, is withdrawn (`late-answer` in the log). Why it works: whether a message may go out no longer depends on which attempt is waited for.

--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -173,6 +173,14 @@
         if finished:
             self._items.pop(ident, None)
 
+    def withdraw(self, now: int, item: Item) -> None:
+        """End an item's packet without an answer, wherever it waits; a call that is out goes on."""
+        ident = next((ident for ident, held in self._items.items() if held is item), None)
+        if ident is not None:
+            self._now = now
+            del self._items[ident]
+            self._relay.withdraw_packet(now, ident)
+
     def end_key_quiet(self, now: int, part: Part[Item]) -> None:
         """Report that a final outcome that was unproven is confirmed: the next packet of the key may go."""
         self._now = now
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -12,10 +12,11 @@
 from collections import deque
 from typing import Any
 
-from millweir.answers.final import Settlement
+from millweir.answers.final import FinalAnswer, Settlement
 from millweir.facade import DecisionEngine, Part, UndeliveredPacket
 from millweir.interface import MILLISECOND, Outcome
 from millweir.net import clock
+from millweir.net.answer_outcomes import choose_final_answer
 from millweir.net.clients import ClientConnection, ClientListener
 from millweir.net.cold_hosts import RecoveringHostStore
 from millweir.net.config import Config
@@ -23,7 +24,7 @@
 from millweir.net.counters import Counters
 from millweir.net.discovery import DiscoveryWatch
 from millweir.net.heads import Request, parse_number
-from millweir.net.host_call import UnprovenAnswer, choose_final_answer
+from millweir.net.host_call import UnprovenAnswer
 from millweir.net.host_list import HostList, decode_cached_list
 from millweir.net.hosts import HostConnections
 from millweir.net.journal import Journal, OwedMessage
@@ -92,6 +93,7 @@
             journal,
             self._may_send,
             self._record_outcome,
+            self._record_late_answer,
             self._settle_answer,
             self._record_unasked_wait,
             log,
@@ -442,6 +444,13 @@
             self._log_failure(part, outcome, finished, wait)
         self.request_turn()
 
+    def _record_late_answer(self, part: Part[OwedMessage], final_answer: FinalAnswer, proven: bool) -> None:
+        """Record a final answer to a call that was given up for this message, which may wait to go again."""
+        self._log.info(f"late-answer id={part.item.id.decode()} answer={final_answer.name.lower()}")
+        self._ends.record_final_answer(part.item, final_answer, proven)
+        self._engine.withdraw(clock.monotonic_ns(), part.item)
+        self.request_turn()
+
     def _settle_answer(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
         """Act on an answer that was unproven, now that it is settled."""
         if answer.outcome.finished:
--- a/millweir/net/host_call.py
+++ b/millweir/net/host_call.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from millweir.answers.final import FinalAnswer
+from millweir.answers.final import FinalAnswer, Settlement
 from millweir.answers.policy import (
     Belief,
     Naming,
@@ -21,54 +21,21 @@
 from millweir.facade import Job, Part
 from millweir.interface import MILLISECOND, Outcome
 from millweir.net import clock
+from millweir.net.answer_outcomes import (
+    DELIVERED_STATUS,
+    KNOWN_STATUSES,
+    PartOutcome,
+    read_common_outcome,
+    read_part_outcome,
+    read_states,
+)
 from millweir.net.heads import ResponseReader
-from millweir.net.journal import OwedMessage
+from millweir.net.journal import NO_TRIP, OwedMessage
 from millweir.net.links import Connection
 
 if TYPE_CHECKING:
     from millweir.net.hosts import ConnectionPool, HostConnections
 
-# A call that was answered with any other status may have run.
-OUTCOME_BY_STATUS = {
-    200: Outcome.FULFILLED,
-    429: Outcome.FULL,
-    503: Outcome.FULL,
-    504: Outcome.MOOT,
-    410: Outcome.MOOT,
-    404: Outcome.MOOT,
-    400: Outcome.UNREADABLE,
-    413: Outcome.UNREADABLE,
-}
-REFUSED_STATUSES = (429, 503)
-OUTCOME_BY_STATE = {  # of one packet in the response to a batch
-    "accepted": Outcome.FULFILLED,
-    "fault": Outcome.FAULT,
-    "deferred": Outcome.FULL,
-    "expired": Outcome.MOOT,
-    "no_more": Outcome.MOOT,
-}
-FINAL_STATES = ("accepted", "expired")  # the packet needs no further trip
-
-
-@dataclass(frozen=True, slots=True)
-class PartOutcome:
-    """How one packet fared; `finished`: it needs no further trip."""
-
-    outcome: Outcome
-    finished: bool = False
-
-    @property
-    def final_answer(self) -> FinalAnswer | None:
-        """What the answer said, if it ended the packet."""
-        return choose_final_answer(self.outcome, self.finished)
-
-
-def choose_final_answer(outcome: Outcome, finished: bool) -> FinalAnswer | None:
-    """What an answer said that led to this outcome, if it ended the packet (`finished`)."""
-    if not finished:
-        return None
-    return FinalAnswer.DELIVERED if outcome is Outcome.FULFILLED else FinalAnswer.OVER
-
 
 @dataclass(frozen=True, slots=True)
 class UnprovenAnswer:
@@ -267,80 +234,97 @@
 
     def handle_response(self, connection: Connection) -> None:
         """Take a complete answer, as far as it may be believed (see `millweir/answers/policy.py`)."""
-        reader = connection.reader
         if not self._journaled_trips:
             self._handle_early_answer(connection)
             return
-        naming, outcomes = self._read_outcomes(connection)
+        reader, too_late = connection.reader, self._is_past_deadline
+        naming, outcomes = self._read_outcomes(connection, too_late)
         belief = judge_answer(self._expects_proven, reader.followed, naming)
-        taken = clock.monotonic_ns() - self._written_at
         if belief is Belief.REFUTED:
-            outcomes = dict.fromkeys(self.pending_parts, PartOutcome(Outcome.SPOILT))
+            outcomes = {
+                part: how if how.by_name else PartOutcome(Outcome.SPOILT) for part, how in outcomes.items()
+            }
         unproven = [
-            UnprovenAnswer(
-                part, self._journaled_trips[part], how, self.pool.trust, connection.request_count, taken
-            )
+            self._build_unproven(part, how)
             for part, how in outcomes.items()
-            if belief is Belief.UNPROVEN
-            and (how.finished or how.outcome.never_ran or part.forbids_second_copy)
+            if belief is Belief.UNPROVEN and self._has_to_be_proven(part, how)
         ]
         self._hosts.record_answer(self, belief, unproven)
         for part, how in outcomes.items():
-            self.finish_part(
-                part,
-                how.outcome,
-                how.finished,
-                reader.retry_after,
-                reader.backend_load,
-                proven=belief is not Belief.UNPROVEN,
-            )
+            proven = belief is not Belief.UNPROVEN or how.by_name
+            if part not in self.pending_parts:
+                self._report_late(part, how, proven)
+            elif too_late and how.final_answer is FinalAnswer.DELIVERED:
+                self._finish_unconfirmed(part, how, Settlement.UNCONFIRMED)
+            else:
+                self.finish_part(
+                    part, how.outcome, how.finished, reader.retry_after, reader.backend_load, proven
+                )
+
+    def _has_to_be_proven(self, part: Part[OwedMessage], how: PartOutcome) -> bool:
+        """Whether what an unproven answer says of a message is settled later."""
+        if how.finished:
+            return not how.by_name
+        return part in self.pending_parts and (how.outcome.never_ran or part.forbids_second_copy)
+
+    def _build_unproven(self, part: Part[OwedMessage], how: PartOutcome) -> UnprovenAnswer:
+        trip, taken = self._journaled_trips.get(part, NO_TRIP), clock.monotonic_ns() - self._written_at
+        return UnprovenAnswer(part, trip, how, self.pool.trust, self.connection.request_count, taken)
+
+    def _report_late(self, part: Part[OwedMessage], how: PartOutcome, proven: bool) -> None:
+        """Report that a message of a batch has ended which this call had been given up for."""
+        if how.final_answer:
+            self._hosts.report_late(part, how.final_answer, proven)
+
+    def _finish_unconfirmed(self, part: Part[OwedMessage], how: PartOutcome, settlement: Settlement) -> None:
+        """End a message by a final answer that is not proven, and that nothing can confirm any more."""
+        self.finish_part(part, how.outcome, finished=True, proven=False)
+        self._hosts.settle_answer(self._build_unproven(part, how), settlement)
 
     def _handle_early_answer(self, connection: Connection) -> None:
         """Take an answer that came before the last byte of the call was sent: the call never ran."""
         reader = connection.reader
-        how = self._read_common_outcome(reader, connection.request_count)
+        how = read_common_outcome(reader, connection.request_count)
         belief = judge_early_answer(connection.request_count, how.outcome.never_ran and not how.finished)
         self._hosts.record_early_answer(self, belief)
         outcome = Outcome.CUT_OFF if belief is Belief.REFUTED else how.outcome
         self.finish_all(outcome, False, reader.retry_after, reader.backend_load)
 
-    def _read_outcomes(self, connection: Connection) -> tuple[Naming, dict[Part[OwedMessage], PartOutcome]]:
-        """Return whether the answer names the packets of this call, and how each of them fared by it."""
+    def _read_outcomes(
+        self, connection: Connection, too_late: bool
+    ) -> tuple[Naming, dict[Part[OwedMessage], PartOutcome]]:
+        """Return whether the answer names the messages of this call, and how each of them fared by it.
+
+        Those that the call was given up for are among them.  `too_late`: a message has reached its deadline,
+        so that the answer is a delivery for none of them (rule 1: each has its end in time).
+        """
         reader = connection.reader
-        if reader.status == 200 and not self.is_single:
-            return self._read_states(reader)
-        how = self._read_common_outcome(reader, connection.request_count)
-        return Naming.NONE, dict.fromkeys(self.pending_parts, how)
-
-    def _read_common_outcome(self, reader: ResponseReader, call_number: int) -> PartOutcome:
-        if reader.over_slots:
-            return PartOutcome(Outcome.MOOT)
-        if reader.status not in (200, 410, 429, 500, 503, 504):
+        if reader.status == DELIVERED_STATUS and not self.is_single:
+            return self._read_states(reader, too_late)
+        if reader.status not in KNOWN_STATUSES:
             self._hosts.log.info(f"odd-answer host={self.pool.name} status={reader.status}")
-        outcome = OUTCOME_BY_STATUS.get(reader.status, Outcome.FAULT)
-        if reader.status == 503 and not reader.keep_alive and call_number == 1:
-            outcome = Outcome.CROWDED  # refused on a new connection: too many
-        return PartOutcome(outcome, outcome is Outcome.FULFILLED or reader.status == 410)
-
-    def _read_states(self, reader: ResponseReader) -> tuple[Naming, dict[Part[OwedMessage], PartOutcome]]:
-        try:
-            states = {row["id"]: row["state"] for row in json.loads(reader.body)}
-        except (ValueError, KeyError, TypeError, RecursionError):
-            states = {}  # every packet may have run
+        how = read_common_outcome(reader, connection.request_count)
+        return Naming.NONE, dict.fromkeys(self._written_parts, how)
+
+    def _read_states(
+        self, reader: ResponseReader, too_late: bool
+    ) -> tuple[Naming, dict[Part[OwedMessage], PartOutcome]]:
+        states = read_states(reader.body)
+        if states is None:
+            states = {}  # every message may have run
             self._hosts.log.info(f"garbled-answer host={self.pool.name}")
-        naming = self._compare_names(states)
-        if clock.monotonic_ns() >= self.job.answer_deadline:
-            # Each packet gets its final outcome in time (rule 1): after the deadline of one packet, the
-            # response to its batch counts for none of them.
-            return naming, dict.fromkeys(self.pending_parts, PartOutcome(Outcome.CANCELLED))
         outcomes = {}
-        for part in self.pending_parts:
-            state = states.get(part.item.id.decode())
-            outcome = (
-                OUTCOME_BY_STATE.get(state, Outcome.SPOILT) if isinstance(state, str) else Outcome.SPOILT
-            )
-            outcomes[part] = PartOutcome(outcome, state in FINAL_STATES)
-        return naming, outcomes
+        for part in self._written_parts:
+            how = read_part_outcome(states.get(part.item.id.decode()))
+            if too_late and not how.finished:
+                how = PartOutcome(Outcome.CANCELLED)
+            outcomes[part] = how
+        return self._compare_names(states), outcomes
+
+    @property
+    def _is_past_deadline(self) -> bool:
+        """Whether a message of the batch has reached its deadline."""
+        return not self.is_single and clock.monotonic_ns() >= self.job.answer_deadline
 
     def _compare_names(self, states: dict[str, object]) -> Naming:
         """Compare the names in an answer with the packets that were written."""
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 from millweir.answers.connection import NEVER, AnswerTimes
-from millweir.answers.final import Settlement
+from millweir.answers.final import FinalAnswer, Settlement
 from millweir.answers.policy import (
     MAX_UNPROVEN_AGE_NS,
     OBSERVATION_NS,
@@ -20,15 +20,17 @@
 from millweir.net import clock
 from millweir.net.address_owners import AddressOwners, ListedHost
 from millweir.net.answer_checks import AnswerChecks, Settle
+from millweir.net.answer_outcomes import OUTCOME_BY_STATUS
 from millweir.net.connection_pool import ConnectionPool
 from millweir.net.counters import Counters
-from millweir.net.host_call import OUTCOME_BY_STATUS, HostCall, UnprovenAnswer
+from millweir.net.host_call import HostCall, UnprovenAnswer
 from millweir.net.journal import Journal, OwedMessage
 from millweir.net.links import Connection
 from millweir.net.log import Log
 
 MaySend = Callable[[int, Part[OwedMessage]], bool]
 ReportOutcome = Callable[[Part[OwedMessage], Outcome, bool, int, bytes, bool], None]
+ReportLate = Callable[[Part[OwedMessage], FinalAnswer, bool], None]
 RecordWait = Callable[[str, int], None]
 
 
@@ -43,16 +45,22 @@
         journal: Journal,
         may_send: MaySend,
         report: ReportOutcome,
+        report_late: ReportLate,
         settle: Settle,
         record_wait: RecordWait,
         log: Log,
         counters: Counters,
     ) -> None:
-        """`settle`: called for each unproven answer; `record_wait`: for a retry-after that came unasked."""
+        """Start without hosts.
+
+        `report_late`: called for a final answer to a message that its call had been given up for; `settle`:
+        for each unproven answer; `record_wait`: for a retry-after that came unasked.
+        """
         self.loop = loop
         self.journal = journal
         self._may_send = may_send
         self.report = report
+        self.report_late = report_late
         self.log = log
         self.counters = counters
         self.bounds = bounds
@@ -63,7 +71,7 @@
         self._calls: dict[Job[OwedMessage], HostCall] = {}
         self._connecting: set[asyncio.Task[None]] = set()
         self._settle = settle
-        self._checks = AnswerChecks(loop, self._settle_answer, log, counters)
+        self._checks = AnswerChecks(loop, self.settle_answer, log, counters)
         self._record_wait = record_wait
         self._retired: set[Connection] = set()  # open, for their last answers to be settled
         self._resting: set[Connection] = set()  # chosen for a call, which waits for the end of their rest
@@ -246,7 +254,7 @@
         else:
             self.return_to_pool(pool, connection)
 
-    def _settle_answer(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
+    def settle_answer(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
         """Pass on that an unproven answer is settled; a confirmed delivery shows the host's pace."""
         if settlement is Settlement.CONFIRMED and answer.outcome.finished:
             answer.trust.record_served(answer.taken)
--- a/tests/net/test_answers.py
+++ b/tests/net/test_answers.py
@@ -9,7 +9,7 @@
 import uvloop
 from rig import entry, settings
 
-from millweir.answers.final import Settlement
+from millweir.answers.final import FinalAnswer, Settlement
 from millweir.answers.trust import HostTrust
 from millweir.control import bounds
 from millweir.facade import DecisionEngine
@@ -29,8 +29,9 @@
 IDEMPOTENT, NON_IDEMPOTENT = 0, 2  # numbers of the profiles
 
 
-def batch_answer(*names):
-    body = json.dumps([{"id": name, "state": "accepted"} for name in names]).encode()
+def batch_answer(*names, state=()):
+    """The answer to a batch; `state`: of each message, if not all are accepted."""
+    body = json.dumps([{"id": name, "state": dict(state).get(name, "accepted")} for name in names]).encode()
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
 
 
@@ -39,6 +40,7 @@
 
     def __init__(self, folder, hold=0.001, kind=1):
         self.outcomes, self.settled, self.waits, self.lines = {}, {}, [], []
+        self.late = {}  # final answers to calls that had been given up for a message
         now = clock.monotonic_ns()
         self.engine = DecisionEngine(settings(), Limits(256, 1 << 20, 1 << 26), 1, now)
         self.engine.update_hosts(now, Change.CACHED, (entry(0, 0, kind=kind, rate=500.0),))
@@ -59,6 +61,7 @@
             self.journal,
             lambda *_: True,
             self.record_outcome,
+            self.record_late_answer,
             self.record_settlement,
             lambda host, wait: self.waits.append(wait),
             log,
@@ -71,6 +74,9 @@
         self.outcomes[part.item.id.decode()] = (outcome, finished, proven)
         self.engine.report_outcome(clock.monotonic_ns(), part, outcome, finished, wait, (), proven)
 
+    def record_late_answer(self, part, final_answer, proven):
+        self.late[part.item.id.decode()] = (final_answer, proven)
+
     def record_settlement(self, answer, settlement):
         self.settled.setdefault(answer.part.item.id.decode(), []).append(settlement)
 
@@ -206,6 +212,75 @@
     run_scene(Scene(tmp_path, kind=0), steps)
 
 
+def test_a_batch_answer_that_came_after_a_message_was_given_up_let_it_go_again(tmp_path):
+    """Guards the rows of messages for which the call was given up, on a used connection too (issue 79)."""
+
+    async def steps(scene):
+        await scene.call("z", answer=DELIVERED)
+        scene.send("a", "b", "c")
+        request = await scene.agent.next_request()
+        await asyncio.sleep(0.02)
+        call = next(iter(scene.hosts._calls.values()))
+        for part in [part for part in call.pending_parts if part.item.id in (b"a", b"b")]:
+            scene.hosts.abandon(part)
+        request.write(batch_answer("a", "b", "c", state={"a": "expired", "b": "accepted", "c": "deferred"}))
+        await scene.until(lambda: "c" in scene.outcomes)
+        assert scene.late == {"a": (FinalAnswer.OVER, True), "b": (FinalAnswer.DELIVERED, True)}
+        assert scene.outcomes["c"][0] is Outcome.FULL
+
+    run_scene(Scene(tmp_path, kind=0), steps)
+
+
+def test_a_batch_answer_past_a_deadline_let_its_messages_go_again(tmp_path):
+    """Guards against a call after `expired` or `accepted`, which is no delivery then (issue 79)."""
+
+    async def steps(scene):
+        scene.send("a", "b", "c")
+        request = await scene.agent.next_request()
+        await asyncio.sleep(0.02)
+        next(iter(scene.hosts._calls))._call.deadline = clock.monotonic_ns()
+        request.write(batch_answer("a", "b", "c", state={"a": "expired", "b": "accepted", "c": "deferred"}))
+        await scene.until(lambda: "c" in scene.outcomes)
+        assert scene.outcomes["a"] == (Outcome.MOOT, True, True)
+        assert scene.outcomes["b"] == (Outcome.FULFILLED, True, False)
+        assert scene.outcomes["c"][:2] == (Outcome.CANCELLED, False)
+        assert scene.settled == {"b": [Settlement.UNCONFIRMED]}
+
+    run_scene(Scene(tmp_path, kind=0), steps)
+
+
+def test_a_misnamed_batch_answer_let_the_messages_go_again_that_it_ended(tmp_path):
+    """Guards rows that name a message, in an answer that is refuted as a whole (issue 79)."""
+
+    async def steps(scene):
+        await scene.call("z", answer=DELIVERED)
+        states = {"a": "expired", "b": "accepted", "x": "accepted"}
+        await scene.call("a", "b", "c", answer=batch_answer("a", "b", "x", state=states))
+        assert scene.outcomes["a"] == (Outcome.MOOT, True, True)
+        assert scene.outcomes["b"] == (Outcome.FULFILLED, True, True)
+        assert scene.outcomes["c"][:2] == (Outcome.SPOILT, False)
+
+    run_scene(Scene(tmp_path, kind=0), steps)
+
+
+def test_a_message_that_waited_to_go_again_was_not_withdrawn(tmp_path):
+    """Guards the engine's part of a late answer: neither a held message nor one in flight goes on."""
+    now = clock.monotonic_ns()
+    engine = DecisionEngine(settings(), Limits(256, 1 << 20, 1 << 26), 1, now)
+    engine.update_hosts(now, Change.CACHED, (entry(0, 0, kind=1, rate=500.0),))
+    for name in ("held", "out"):
+        engine.add_packet(now, name, IDEMPOTENT, 0, 0, now + 9 * SECOND, 0)
+    engine.withdraw(now, "held")
+    engine.tick(now)
+    part = engine.pop_job().parts[0]
+    assert part.item == "out" and engine.pop_job() is None and engine.may_write(now, part)
+    engine.withdraw(now, "out")
+    assert not engine.may_write(now, part)
+    engine.report_outcome(now, part, Outcome.FULL)
+    engine.tick(now + SECOND)
+    assert engine.pop_job() is None and engine.pop_ended() is None and not engine._relay._packets
+
+
 @pytest.mark.parametrize(
     "cut", [b"HTTP/1.1 200 ", b"HTTP/1.1 200 O", b"HTTP/1.1 200 OK\r\nX-Backend-Load: x0"]
 )
