A 410 to a connection's first call ends the message also before the call's last byte

Cause: `judge_early_answer` was told that a final answer may have run, and no early answer was taken as final. Change: on a connection's first call, where nobody else can be meant, it is proven and ends the message. A 200 stays no delivery: the host has not got the call. The test failed before: CUT_OFF, not finished.

--- a/millweir/net/host_call.py
+++ b/millweir/net/host_call.py
@@ -282,13 +282,19 @@
         self._hosts.settle_answer(self._build_unproven(part, how), settlement)
 
     def _handle_early_answer(self, connection: Connection) -> None:
-        """Take an answer that came before the last byte of the call was sent: the call never ran."""
+        """Take an answer that came before the last byte of the call was sent: the call never ran.
+
+        On a connection's first call it can't be meant for another one: that the messages are over ends them.
+        A delivery is none, as the host has not got the call.
+        """
         reader = connection.reader
         how = read_common_outcome(reader, connection.request_count)
-        belief = judge_early_answer(connection.request_count, how.outcome.never_ran and not how.finished)
+        belief = judge_early_answer(connection.request_count, how.outcome.never_ran)
         self._hosts.record_early_answer(self, belief)
-        outcome = Outcome.CUT_OFF if belief is Belief.REFUTED else how.outcome
-        self.finish_all(outcome, False, reader.retry_after, reader.backend_load)
+        if belief is Belief.REFUTED:
+            self.finish_all(Outcome.CUT_OFF, False, reader.retry_after, reader.backend_load)
+        else:
+            self.finish_all(how.outcome, how.finished, reader.retry_after, reader.backend_load)
 
     def _read_outcomes(
         self, connection: Connection, too_late: bool
--- a/tests/net/test_answers.py
+++ b/tests/net/test_answers.py
@@ -169,6 +169,26 @@
     run_scene(Scene(tmp_path, hold=0.05), steps)
 
 
+@pytest.mark.parametrize(
+    "answer, outcome",
+    [
+        (OVER, (Outcome.MOOT, True, True)),
+        (REFUSED, (Outcome.FULL, False, True)),
+        (DELIVERED, (Outcome.CUT_OFF, False, True)),  # the host has not got the call
+    ],
+)
+def test_an_answer_to_a_first_call_before_its_last_byte_was_discarded(answer, outcome, tmp_path):
+    """Guards against a further call after it: on a first call nobody else can be meant (issue 79)."""
+
+    async def steps(scene):
+        scene.send("a")
+        (await scene.agent.next_request()).write(answer)
+        await scene.until(lambda: "a" in scene.outcomes)
+        assert scene.outcomes["a"] == outcome
+
+    run_scene(Scene(tmp_path, hold=0.05), steps)
+
+
 @pytest.mark.parametrize("copy", [OVER, REFUSED, DELIVERED])
 @pytest.mark.parametrize("after", [0.0, 0.008, 0.015])
 def test_a_copy_right_behind_an_answer_passed_for_the_next_one(copy, after, tmp_path):
