A final answer that bytes speak against forbids a further call too: the one way back goes

Cause: a 200 in doubt by a copy was taken as a reason to send again. Which of a connection's answers a copy stands for can't be told, so nearly all of those repeats were of messages that had arrived. Change: a final answer is for good; in doubt, the message ends by one notification. Why it works: no path from a final answer to the engine is left.

--- a/millweir/answers/policy.py
+++ b/millweir/answers/policy.py
@@ -23,9 +23,8 @@
 
 What is concluded from an answer to a message, by the effect of a repeat:
 
-  delivered or over   unproven: owed until it is confirmed.  In doubt: may have run, so it is sent again where
-                      that is allowed; else it is ended by a notification, which does no harm if it was
-                      delivered.  So is a message whose key keeps an order, as the next one may be out.
+  delivered or over   not sent again, whatever comes (see `final.py`).  Unproven: owed until it is confirmed.
+                      Else it is ended by a notification, which does no harm if the answer was true.
   refused             unproven: a non-idempotent message waits for the confirmation, others are sent again at
                       once, as after a call that may have run.  In doubt: may have run.
   failed              may have run.  Unproven: where no second copy may be out, the message waits until its
@@ -33,7 +32,7 @@
   retry-after         binds at once, also where it came unasked.
   anything else       may have run, as always.
 
-The next message of a key in order waits for the confirmation: after a restart, the earlier one may go again.
+The next message of a key in order waits for the confirmation: the call of the earlier one may still run.
 
 The platform.  A connection carries one request with notifications.  Host lists carry versions, which tell
 most copies (`judge_host_list`); then a new connection is opened, whose first answer is proven.
@@ -60,7 +59,7 @@
 MAX_WAITED_FOR_SILENCE_NS = SECOND  # what it confirms can be taken back until the message has gone again
 # An answer is not confirmed before so long after its call: some answers take far longer than the others.
 MIN_WAITED_FOR_AGE_NS = SECOND // 4
-MIN_UNHURRIED_AGE_NS = SECOND // 2  # nothing waits for it, but the message goes again if the process ends
+MIN_UNHURRIED_AGE_NS = SECOND // 2  # nothing waits for it
 # Connections that are in constant use rest after this time, until they have been silent ...
 MAX_UNPROVEN_AGE_NS = SECOND
 UNPROVEN_AGE_SILENCES = 2  # ... or after so many silences of the host, if that is longer
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -163,7 +163,7 @@
         """Report how one part of a job ended; `finished`: its packet has its final outcome.
 
         `proven`: the answer can't belong to another call.  Else it is settled later: a refusal by
-        `settle_outcome`; a final outcome that was none by adding the packet again.
+        `settle_outcome`; a final outcome by the caller, who does not send the packet again.
         """
         if self._parts.pop((part._packet, part._number), None) is None:
             return
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -66,7 +66,6 @@
             journal,
             engine,
             bounds,
-            self._submit_message,
             lambda message: self._notifications.add(message),
             log,
             counters,
@@ -214,7 +213,7 @@
         if message.given_up:
             self._notifications.add(message)
         elif message.final_answer:
-            self._ends.end_restored(message)
+            self._ends.end_unconfirmed(message)
             self._engine.hold_key(
                 clock.monotonic_ns(),
                 self._service_classes.get_number(message.profile),
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -26,7 +26,7 @@
 # Kind, number, wall clock minus monotonic clock, boot id.  The number is 0, so that earlier builds skip
 # the record.
 CLOCK_RECORD = struct.Struct("<BQq16s")
-# Kind, 0 (so that earlier builds skip the record), number, the unconfirmed final answer (0: taken back).
+# Kind, 0 (so that earlier builds skip the record), number, the final answer that is not confirmed.
 FINAL_ANSWER_RECORD = struct.Struct("<BQQB")
 ACCEPTED_KIND = 1
 TRIP_KIND = 2
@@ -125,8 +125,7 @@
 
     def encode_final_answer(self) -> bytes:
         """The record of its final answer."""
-        value = self.final_answer.value if self.final_answer else 0
-        return FINAL_ANSWER_RECORD.pack(FINAL_ANSWER_KIND, 0, self.number, value)
+        return FINAL_ANSWER_RECORD.pack(FINAL_ANSWER_KIND, 0, self.number, self.final_answer.value)
 
 
 def encode_frames(bodies: list[bytes]) -> bytes:
@@ -308,8 +307,8 @@
         self._live_bytes += MAX_TRIP_BYTES
         self._write_or_log("trip", TRIP_RECORD.pack(TRIP_KIND, message.number, sent_at))
 
-    def record_final_answer(self, message: OwedMessage, final_answer: FinalAnswer | None) -> None:
-        """Record that a whole answer, not confirmed yet, has ended a message; None: that is taken back."""
+    def record_final_answer(self, message: OwedMessage, final_answer: FinalAnswer) -> None:
+        """Record that a whole answer, not confirmed yet, has ended a message."""
         message.final_answer = final_answer
         self._write_or_log("final-answer", message.encode_final_answer())
 
@@ -466,4 +465,4 @@
     def _apply_final_answer(self, body: bytes) -> None:
         _, _, number, value = FINAL_ANSWER_RECORD.unpack(body)
         if message := self.owed.get(number):
-            message.final_answer = FinalAnswer(value) if value else None
+            message.final_answer = FinalAnswer(value)
--- a/millweir/net/message_ends.py
+++ b/millweir/net/message_ends.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from millweir.answers.final import Ending, FinalAnswer, Settlement, choose_ending
+from millweir.answers.final import FinalAnswer, Settlement
 from millweir.events import EndReason
 from millweir.facade import DecisionEngine
 from millweir.interface import MILLISECOND, Bounds
@@ -26,14 +26,13 @@
         journal: Journal,
         engine: DecisionEngine[OwedMessage],
         bounds: Bounds,
-        submit: Callable[[OwedMessage], None],
         notify: Callable[[OwedMessage], None],
         log: Log,
         counters: Counters,
     ) -> None:
-        """`submit`: gives a message to the engine; `notify`: queues the notification of its end."""
+        """`owed`: the messages by their ids; `notify`: queues the notification of a message's end."""
         self._owed, self._journal, self._engine = owed, journal, engine
-        self._submit, self._notify = submit, notify
+        self._notify = notify
         self._log, self._counters = log, counters
         self.ended_ids = EndedIds(bounds.max_ended_ids)
         self.replies = ReplyCounts()
@@ -50,53 +49,33 @@
             return
         if proven:
             self._end_silently(message, final_answer)
-        elif message.final_answer is not FinalAnswer.OVER:
+        else:
             self._journal.record_final_answer(message, final_answer)
 
     def settle(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
-        """End a message as its unproven final answer is settled, or send it again."""
+        """End a message as its unproven final answer is settled."""
         part, message = answer.part, answer.part.item
         if settlement is Settlement.RETRACTED and message.ended_by_trip == answer.trip:
             self._owe_again(message, answer.outcome.final_answer)
-        if not self._is_open(message):
-            self._engine.end_key_quiet(clock.monotonic_ns(), part)
-            return
-        final_answer = message.final_answer or answer.outcome.final_answer
-        ending = choose_ending(final_answer, settlement, part.in_order)
-        if ending is Ending.SENT_AGAIN:
-            self._send_again(message, settlement)
-            return
-        if ending is Ending.SILENT:
-            message.ended_by_trip = answer.trip
-            self._end_silently(message, final_answer)
-        else:
-            self._end_unconfirmed(message)
+        if self._is_open(message):
+            if settlement is Settlement.CONFIRMED:
+                message.ended_by_trip = answer.trip
+                self._end_silently(message, answer.outcome.final_answer)
+            else:
+                self.end_unconfirmed(message)
         self._engine.end_key_quiet(clock.monotonic_ns(), part)
 
-    def end_restored(self, message: OwedMessage) -> None:
-        """End a message whose final answer an earlier process could not confirm."""
-        self._end_unconfirmed(message)
-
     def _end_silently(self, message: OwedMessage, final_answer: FinalAnswer) -> None:
         is_delivered = final_answer is FinalAnswer.DELIVERED
         self._counters.add("packets_fulfilled" if is_delivered else "packets_over")
         self.replies.add(message.profile, Reply.SUCCESS if is_delivered else Reply.ERROR)
         self.finish(message)
 
-    def _end_unconfirmed(self, message: OwedMessage) -> None:
+    def end_unconfirmed(self, message: OwedMessage) -> None:
+        """End a message by a notification whose final answer nothing can confirm any more."""
         self._counters.add("packets_unconfirmed")
         self.give_up(message, EndReason.ANSWER_UNCONFIRMED, len(message.trips))
 
-    def _send_again(self, message: OwedMessage, settlement: Settlement) -> None:
-        """Send a message again that passed for delivered, by an answer that belongs to another request."""
-        self._counters.add("packets_reconsidered")
-        self._log.info(
-            f"message-sent-again id={message.id.decode()} answer=delivered settlement={settlement.value} "
-            f"attempts={len(message.trips)}"
-        )
-        self._journal.record_final_answer(message, None)
-        self._submit(message)
-
     def _owe_again(self, message: OwedMessage, final_answer: FinalAnswer) -> None:
         """Owe a message again that had ended silently, by the answer that is retracted."""
         message.ended_by_trip, message.final_answer = NO_TRIP, final_answer
