A 410 with bytes behind it, or cut behind its first line, forbids a further call

What callers saw: a message went out again after a 410 that arrived together with a copy of it, or whose connection ended within it. Cause: on a used connection an answer with bytes behind it was refuted whole, its message treated as one that may have run; a cut answer counted as a lost connection, whatever its first line said. Change: a whole final answer that is refuted ends its message by a notification, as one that is refuted later does. A first line with 410 on a single message says that it is over: silently on a first call, else by a notification.

--- a/millweir/net/host_call.py
+++ b/millweir/net/host_call.py
@@ -24,6 +24,7 @@
 from millweir.net.answer_outcomes import (
     DELIVERED_STATUS,
     KNOWN_STATUSES,
+    OVER_STATUS,
     PartOutcome,
     read_common_outcome,
     read_part_outcome,
@@ -207,8 +208,11 @@
         if self.connection and not self._journaled_trips:
             outcome = Outcome.MOOT
         if self.is_delivered:
-            outcome = Outcome.FULFILLED
-        self.finish_part(part, outcome, finished=self.is_delivered)
+            self.finish_part(part, Outcome.FULFILLED, finished=True)
+        elif self.is_over:
+            self._finish_over(part)
+        else:
+            self.finish_part(part, outcome)
 
     def give_up_expired(self) -> None:
         """Give up the packets whose waiting time has passed, and set the timer for the others."""
@@ -242,7 +246,7 @@
         belief = judge_answer(self._expects_proven, reader.followed, naming)
         if belief is Belief.REFUTED:
             outcomes = {
-                part: how if how.by_name else PartOutcome(Outcome.SPOILT) for part, how in outcomes.items()
+                part: how if how.finished else PartOutcome(Outcome.SPOILT) for part, how in outcomes.items()
             }
         unproven = [
             self._build_unproven(part, how)
@@ -256,6 +260,8 @@
                 self._report_late(part, how, proven)
             elif too_late and how.final_answer is FinalAnswer.DELIVERED:
                 self._finish_unconfirmed(part, how, Settlement.UNCONFIRMED)
+            elif belief is Belief.REFUTED and how.finished and not how.by_name:
+                self._finish_unconfirmed(part, how, Settlement.DOUBTED)
             else:
                 self.finish_part(
                     part, how.outcome, how.finished, reader.retry_after, reader.backend_load, proven
@@ -354,6 +360,24 @@
             and is_delivery_certain(connection.request_count, connection.reader.status_line_code)
         )
 
+    @property
+    def is_over(self) -> bool:
+        """Whether a status line has said that a single message is over, whatever follows it."""
+        connection = self.connection
+        return (
+            bool(self._journaled_trips)
+            and self.is_single
+            and not connection.invalid_response
+            and connection.reader.status_line_code == OVER_STATUS
+        )
+
+    def _finish_over(self, part: Part[OwedMessage]) -> None:
+        """End a message by a status line alone, which on a used connection may be that of an earlier call."""
+        if self.connection.request_count == 1:
+            self.finish_part(part, Outcome.MOOT, finished=True)
+        else:
+            self._finish_unconfirmed(part, PartOutcome(Outcome.MOOT, True), Settlement.UNCONFIRMED)
+
     @property
     def needs_proof(self) -> bool:
         """Whether a message of the call would have to wait until an unproven answer is confirmed."""
@@ -375,6 +399,9 @@
             self.finish_all(
                 Outcome.FULFILLED, True, connection.reader.retry_after, connection.reader.backend_load
             )
+        elif self.is_over:
+            for part in list(self.pending_parts):
+                self._finish_over(part)
         else:
             outcome = Outcome.SPOILT if connection.invalid_response else Outcome.RESET
             self.finish_all(outcome if self._journaled_trips else Outcome.CUT_OFF)
--- a/tests/net/test_answers.py
+++ b/tests/net/test_answers.py
@@ -328,6 +328,43 @@
     run_scene(Scene(tmp_path), steps)
 
 
+@pytest.mark.parametrize("used, outcome", [(False, (True, True)), (True, (True, False))])
+@pytest.mark.parametrize("ending", ["lost", "given up"])
+def test_a_message_went_out_again_after_a_status_line_that_it_is_over(tmp_path, used, outcome, ending):
+    """Guards against a call after a 410 that is cut behind its first line (issue 79)."""
+
+    async def steps(scene):
+        if used:
+            await scene.call("z", answer=DELIVERED)
+        scene.send("a")
+        request = await scene.agent.next_request()
+        await asyncio.sleep(0.02)
+        request.write(b"HTTP/1.1 410 Gone\r\nX-Ba")
+        await asyncio.sleep(0.02)
+        if ending == "lost":
+            request.end()
+        else:
+            scene.hosts.abandon(next(iter(next(iter(scene.hosts._calls.values())).pending_parts)))
+        await scene.until(lambda: "a" in scene.outcomes)
+        assert scene.outcomes["a"] == (Outcome.MOOT, *outcome)
+        assert scene.settled == ({"a": [Settlement.UNCONFIRMED]} if used else {})
+
+    run_scene(Scene(tmp_path), steps)
+
+
+@pytest.mark.parametrize("answer, outcome", [(OVER, Outcome.MOOT), (DELIVERED, Outcome.FULFILLED)])
+def test_a_message_went_out_again_after_a_final_answer_with_bytes_behind_it(tmp_path, answer, outcome):
+    """Guards against a call after an answer and its copy that are read at once (issue 79)."""
+
+    async def steps(scene):
+        await scene.call("z", answer=DELIVERED)
+        await scene.call("a", answer=answer + answer)
+        assert scene.outcomes["a"] == (outcome, True, False)
+        assert scene.settled == {"a": [Settlement.DOUBTED]}
+
+    run_scene(Scene(tmp_path), steps)
+
+
 def test_a_retry_after_that_came_unasked_was_not_heeded(tmp_path):
     async def steps(scene):
         request = await scene.call("a", answer=DELIVERED)
