Records of an end that a full disk refused are written before any later one

What callers saw: a message whose end the disk did not take (final answer, end, notice, an attempt that may have run) was owed afresh by the next process, though the disk had taken records again for long: it went out again. Cause: `_write_or_log` dropped what it could not write. Nothing is taken on and no attempt made before they are there, which bounds them by what was owed.

--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -156,6 +156,7 @@
         if orphaned:
             self._log.always(f"adopted owed={len(orphaned)}")
             clock.call_after_poll(self._loop, self.request_turn)
+        self._journal.write_late_records()
         self._cordons.read_file(only_if_changed=True)
         self._recovering_hosts.read_file()
         self._schedule_adoption()
@@ -544,6 +545,7 @@
 
     def close(self) -> None:
         """Close all connections at the end of the process; the journal holds the calls still in flight."""
+        self._journal.write_late_records()
         self._recovering_hosts.close()
         self._watch.close()
         self._notifications.close()
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -162,6 +162,9 @@
         self.owed: dict[int, OwedMessage] = {}
         self.torn_bytes = 0  # dropped from the end of the file at the start
         self._live_bytes = self._file_bytes = self._last_number = 0
+        # Records that the disk did not take, oldest first.  No message and no trip is recorded before they
+        # are, so there are at most a few for each message that was owed then.
+        self._unwritten: list[bytes] = []
         self._reserve_fd = -1  # kept open, and closed to make room for the descriptor of the next file
         # Both are of the file that is being read: how far the wall clock was set back since it was written
         # (None where that is unknown), and how far it was moved in either direction.
@@ -323,26 +326,37 @@
             self._live_bytes -= message.size
             self._write_or_log("over", ENDED_RECORD.pack(ENDED_KIND, message.number))
 
+    def write_late_records(self) -> None:
+        """Write what the disk did not take before, if it takes it now."""
+        if self._unwritten:
+            try:
+                self._write([])
+            except OSError as error:
+                self._log_line(f"journal-failed late records={len(self._unwritten)} {error}")
+
     def _write_or_log(self, what: str, body: bytes) -> None:
-        """Write a record; where the disk does not take it, log that and go on.
+        """Write a record; one that the disk does not take is written before any later one.
 
-        After a restart fewer messages are then known to have ended.
+        After a restart until then, fewer messages are known to have ended.
         """
         try:
             self._write([body])
         except OSError as error:
+            self._unwritten.append(body)
             self._log_line(f"journal-failed {what} {error}")
 
     def _write(self, bodies: list[bytes]) -> None:
-        raw = encode_frames(bodies)
+        raw = encode_frames([*self._unwritten, *bodies])
         if self._file_bytes + len(raw) > self._max_file_bytes:
             self._compact()
+            raw = encode_frames(bodies)  # the new file has the others
         written = os.write(self._file_fd, raw)
         self._file_bytes += written
         if written < len(raw):  # reading would stop at a partial record and lose the records after it
             os.ftruncate(self._file_fd, self._file_bytes - written)
             self._file_bytes -= written
             raise OSError("the journal took only a part of a record")
+        self._unwritten.clear()
 
     def _reuse_file(self) -> bool:
         """Continue the previous process's file if it is undamaged and most of it is still owed."""
@@ -398,6 +412,7 @@
         if self._file_fd >= 0:
             os.close(self._file_fd)
         self._file_fd, self._file_bytes = new_fd, len(raw)
+        self._unwritten.clear()  # what they tell is in the new file
 
     def _load_records(self, raw: bytes) -> None:
         offset, self._set_back_ns, self._wall_clock_shift_ns = 0, None, 0
--- a/tests/net/test_final_answers.py
+++ b/tests/net/test_final_answers.py
@@ -1,6 +1,7 @@
 """Messages that went out again after a host's whole answer had ended them (issue 79)."""
 
 import contextlib
+import errno
 import signal
 import time
 
@@ -8,6 +9,7 @@
 from rig import Platform, Program, reply, until
 
 from millweir.answers.final import FinalAnswer
+from millweir.net import journal as journal_module
 from millweir.net.journal import NO_TRIP, Journal, OwedMessage
 
 SETTLED_AFTER = 1.2  # seconds in which an unproven answer of these hosts is settled and would be acted on
@@ -99,3 +101,37 @@
     ]
     assert {owed.ended_by_trip for owed in journal.owed.values()} == {NO_TRIP}
     journal.close()
+
+
+@pytest.mark.parametrize("compacted", [False, True])
+def test_the_journal_lost_what_ended_a_message_while_its_disk_was_full(tmp_path, monkeypatch, compacted):
+    """Guards the records that the disk did not take: they come before any later one (issue 79)."""
+    journal = Journal(tmp_path, 20_000, 15_000, print)
+    messages = [
+        OwedMessage(name, b"again", b"", b"", b"", 0, 9, b"body") for name in (b"a", b"b", b"c", b"d")
+    ]
+    for message in messages[:3]:
+        journal.record_accepted(message)
+        journal.record_trips([message], 5)
+    monkeypatch.setattr(journal_module.os, "write", refuse_to_write)
+    journal.record_final_answer(messages[0], FinalAnswer.DELIVERED)
+    journal.record_ended(messages[1])
+    journal.record_may_have_run(messages[2], 0)
+    journal.write_late_records()
+    with pytest.raises(OSError):
+        journal.record_accepted(messages[3])  # nothing is taken on meanwhile
+    with pytest.raises(OSError):
+        journal.record_trips([messages[2]], 6)
+    monkeypatch.undo()
+    if compacted:
+        journal._compact()
+    journal.write_late_records()
+    journal.close()
+    journal = Journal(tmp_path, 20_000, 15_000, print)
+    found = [(owed.id, owed.final_answer, len(owed.trips)) for owed in journal.owed.values()]
+    assert found == [(b"a", FinalAnswer.DELIVERED, 1), (b"c", None, 2)] and not journal.torn_bytes
+    journal.close()
+
+
+def refuse_to_write(descriptor, raw):
+    raise OSError(errno.ENOSPC, "No space left on device")
