A test of the order of a key after a restart behind a final answer

The next message of a key waits for the quiet time where the earlier one had its final answer in an earlier process (its call may run still if the answer was a copy).

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -518,6 +518,16 @@
     assert [rig.answers.get(ident) for ident in stuck].count("dismissed") == 1
 
 
+def test_the_next_message_of_a_key_went_while_a_call_of_an_ended_one_might_run():
+    """Guards the order after a restart, where the earlier message had its final answer (issue 79)."""
+    rig = Rig()
+    rig.relay.hold_key(rig.now, 3, 7)
+    held_until = rig.quiet_until[7] = rig.now + rig.settings.key_quiet_period
+    rig.add_packet(3, key=7)
+    rig.pass_time(SECOND, succeed_after()(rig))
+    assert [sent.at >= held_until for sent in rig.sent] == [True]
+
+
 def test_a_restored_packet_with_one_trip_remaining_is_found_again_in_its_queue():
     # Found in the scenario "herd": a relay that restarted with such a packet crashed when it was sent.
     rig = Rig(entries=[entry(0, 0)], max_trips=3)
