--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -256,7 +256,8 @@
 
     def settle_answer(self, answer: UnprovenAnswer, settlement: Settlement) -> None:
         """Pass on that an unproven answer is settled; a confirmed delivery shows the host's pace."""
-        if settlement is Settlement.CONFIRMED and answer.outcome.finished:
+        is_delivery = answer.outcome.final_answer is FinalAnswer.DELIVERED
+        if settlement is Settlement.CONFIRMED and is_delivery:
             answer.trust.record_served(answer.taken)
         self._settle(answer, settlement)
 
--- a/tests/net/test_answers.py
+++ b/tests/net/test_answers.py
@@ -154,6 +154,20 @@
     run_scene(Scene(tmp_path), steps)
 
 
+def test_a_message_that_was_over_counted_as_served(tmp_path):
+    """Guards the host's pace: a 410 runs nothing, and would shorten the silences that tell copies."""
+
+    async def steps(scene):
+        await scene.call("a", answer=DELIVERED)
+        trust = next(iter(scene.hosts._pools.values())).trust
+        taken = trust.answer_time
+        await scene.call("b", answer=OVER)
+        await scene.until(lambda: "b" in scene.settled)
+        assert scene.settled == {"b": [Settlement.CONFIRMED]} and trust.answer_time == taken
+
+    run_scene(Scene(tmp_path), steps)
+
+
 @pytest.mark.parametrize("copy", [OVER, REFUSED, DELIVERED, WAIT])
 def test_a_copy_that_came_before_the_last_byte_passed_for_the_answer(copy, tmp_path):
     """A copied 410 ended the message: it was neither delivered nor ended by a notification."""
