A doubtful answer to a batch ends a message that was given up by a notification

Change: `_settle_at_once` says it for all messages of a call alike. The test failed before (proven).

--- a/millweir/net/host_call.py
+++ b/millweir/net/host_call.py
@@ -255,17 +255,16 @@
         ]
         self._hosts.record_answer(self, belief, unproven)
         for part, how in outcomes.items():
-            proven = belief is not Belief.UNPROVEN or how.by_name
-            if part not in self.pending_parts:
-                self._report_late(part, how, proven)
-            elif too_late and how.final_answer is FinalAnswer.DELIVERED:
-                self._finish_unconfirmed(part, how, Settlement.UNCONFIRMED)
-            elif belief is Belief.REFUTED and how.finished and not how.by_name:
-                self._finish_unconfirmed(part, how, Settlement.DOUBTED)
-            else:
+            settlement = _settle_at_once(how, belief, too_late)
+            proven = settlement is None and (belief is not Belief.UNPROVEN or how.by_name)
+            if part in self.pending_parts:
                 self.finish_part(
                     part, how.outcome, how.finished, reader.retry_after, reader.backend_load, proven
                 )
+            elif how.final_answer:
+                self._hosts.report_late(part, how.final_answer, proven)
+            if settlement:
+                self._hosts.settle_answer(self._build_unproven(part, how), settlement)
 
     def _has_to_be_proven(self, part: Part[OwedMessage], how: PartOutcome) -> bool:
         """Whether what an unproven answer says of a message is settled later."""
@@ -277,11 +276,6 @@
         trip, taken = self._journaled_trips.get(part, NO_TRIP), clock.monotonic_ns() - self._written_at
         return UnprovenAnswer(part, trip, how, self.pool.trust, self.connection.request_count, taken)
 
-    def _report_late(self, part: Part[OwedMessage], how: PartOutcome, proven: bool) -> None:
-        """Report that a message of a batch has ended which this call had been given up for."""
-        if how.final_answer:
-            self._hosts.report_late(part, how.final_answer, proven)
-
     def _finish_unconfirmed(self, part: Part[OwedMessage], how: PartOutcome, settlement: Settlement) -> None:
         """End a message by a final answer that is not proven, and that nothing can confirm any more."""
         self.finish_part(part, how.outcome, finished=True, proven=False)
@@ -405,3 +399,15 @@
         else:
             outcome = Outcome.SPOILT if connection.invalid_response else Outcome.RESET
             self.finish_all(outcome if self._journaled_trips else Outcome.CUT_OFF)
+
+
+def _settle_at_once(how: PartOutcome, belief: Belief, too_late: bool) -> Settlement | None:
+    """Return how a final answer is settled as it comes; None if it is proven, or settled later.
+
+    `too_late`: a message of the batch has reached its deadline, so that the answer is no delivery.
+    """
+    if too_late and how.final_answer is FinalAnswer.DELIVERED:
+        return Settlement.UNCONFIRMED
+    if belief is Belief.REFUTED and how.finished and not how.by_name:
+        return Settlement.DOUBTED
+    return None
--- a/tests/net/test_answers.py
+++ b/tests/net/test_answers.py
@@ -265,6 +265,24 @@
     run_scene(Scene(tmp_path, kind=0), steps)
 
 
+def test_a_doubtful_answer_to_a_batch_ended_a_message_silently_that_was_given_up(tmp_path):
+    """Guards the end of a message that nobody waits for: by a notification, unless it is proven."""
+
+    async def steps(scene):
+        await scene.call("z", answer=DELIVERED)
+        scene.send("a", "b")
+        request = await scene.agent.next_request()
+        await asyncio.sleep(0.02)
+        call = next(iter(scene.hosts._calls.values()))
+        scene.hosts.abandon(next(part for part in call.pending_parts if part.item.id == b"a"))
+        request.write(OVER + OVER)
+        await scene.until(lambda: "b" in scene.outcomes)
+        assert scene.late == {"a": (FinalAnswer.OVER, False)}
+        assert scene.settled == {"a": [Settlement.DOUBTED], "b": [Settlement.DOUBTED]}
+
+    run_scene(Scene(tmp_path, kind=0), steps)
+
+
 def test_a_batch_answer_past_a_deadline_let_its_messages_go_again(tmp_path):
     """Guards against a call after `expired` or `accepted`, which is no delivery then (issue 79)."""
 
