--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -19,8 +19,9 @@
 from millweir.net.control import ControlListener
 from millweir.net.counters import Counters
 from millweir.net.desk import RelayServer
-from millweir.net.journal import Journal, OwedMessage
+from millweir.net.journal import Journal
 from millweir.net.log import Log
+from millweir.net.owed_message import OwedMessage
 from millweir.net.reload import ConfigReloader
 
 if TYPE_CHECKING:
--- a/millweir/lab/scale/journal.py
+++ b/millweir/lab/scale/journal.py
@@ -35,7 +35,8 @@
 from millweir.lab.scale.guard import Guard, LimitExceeded, get_resident_memory
 from millweir.lab.scale.measurement import Figure
 from millweir.lab.scale.timing import Spread, Subject
-from millweir.net.journal import Journal, OwedMessage, build_slot_file_name
+from millweir.net.journal import Journal, build_slot_file_name
+from millweir.net.owed_message import OwedMessage
 
 PART = "journal"
 BODY_BYTES = 200
--- a/millweir/lab/scale/network.py
+++ b/millweir/lab/scale/network.py
@@ -17,8 +17,9 @@
 from millweir.net.counters import Counters
 from millweir.net.desk import RelayServer
 from millweir.net.discovery import decode_host_list
-from millweir.net.journal import Journal, OwedMessage
+from millweir.net.journal import Journal
 from millweir.net.log import Log
+from millweir.net.owed_message import OwedMessage
 
 LIMITS = Limits(descriptors=1024, disk_bytes=64 << 20, memory_bytes=1 << 30)
 FIRST_HOST_PORT = 9  # no call is made
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -27,11 +27,12 @@
 from millweir.net.host_call import UnprovenAnswer
 from millweir.net.host_list import HostList, decode_cached_list
 from millweir.net.hosts import HostConnections
-from millweir.net.journal import Journal, OwedMessage
+from millweir.net.journal import Journal
 from millweir.net.lag import LoopLag, StallDetector
 from millweir.net.log import Log
 from millweir.net.message_ends import MessageEnds
 from millweir.net.notices import NotificationSender
+from millweir.net.owed_message import OwedMessage
 from millweir.net.replies import Reply
 from millweir.net.retry_after import RetryAfterStore
 from millweir.net.service_classes import ServiceClasses
--- a/millweir/net/host_call.py
+++ b/millweir/net/host_call.py
@@ -31,8 +31,8 @@
     read_states,
 )
 from millweir.net.heads import ResponseReader
-from millweir.net.journal import NO_TRIP, OwedMessage
 from millweir.net.links import Connection
+from millweir.net.owed_message import NO_TRIP, OwedMessage
 
 if TYPE_CHECKING:
     from millweir.net.hosts import ConnectionPool, HostConnections
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -24,9 +24,10 @@
 from millweir.net.connection_pool import ConnectionPool
 from millweir.net.counters import Counters
 from millweir.net.host_call import HostCall, UnprovenAnswer
-from millweir.net.journal import Journal, OwedMessage
+from millweir.net.journal import Journal
 from millweir.net.links import Connection
 from millweir.net.log import Log
+from millweir.net.owed_message import OwedMessage
 
 MaySend = Callable[[int, Part[OwedMessage]], bool]
 ReportOutcome = Callable[[Part[OwedMessage], Outcome, bool, int, bytes, bool], None]
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -16,32 +16,28 @@
 from millweir.answers.final import FinalAnswer
 from millweir.interface import MILLISECOND
 from millweir.net import clock
-
-FRAME_HEADER = struct.Struct("<II")  # length of the body, its checksum
-ACCEPTED_RECORD = struct.Struct("<BQqHHHHHi")  # kind, number, deadline, lengths of five texts, destination
-TRIP_RECORD = struct.Struct("<BQq")  # kind, number, when it was sent
-NEVER_RAN_RECORD = struct.Struct("<BQH")  # kind, number, index of the trip that never ran
-GIVEN_UP_RECORD = struct.Struct("<BQBq")  # kind, number, whether the client may retry, retry-after
-ENDED_RECORD = struct.Struct("<BQ")  # kind, number
-# Kind, number, wall clock minus monotonic clock, boot id.  The number is 0, so that earlier builds skip
-# the record.
-CLOCK_RECORD = struct.Struct("<BQq16s")
-# Kind, 0 (so that earlier builds skip the record), number, the final answer that is not confirmed.
-FINAL_ANSWER_RECORD = struct.Struct("<BQQB")
-ACCEPTED_KIND = 1
-TRIP_KIND = 2
-NEVER_RAN_KIND = 3
-GIVEN_UP_KIND = 4
-ENDED_KIND = 5
-CLOCK_KIND = 6
-FINAL_ANSWER_KIND = 7
-NO_TRIP = -1
-UNKNOWN_SENT_AT = 0  # wall time of a trip whose age can't be determined
-# The most that one trip takes in a file, and a message without its texts, body and trips.
-MAX_TRIP_BYTES = 2 * FRAME_HEADER.size + TRIP_RECORD.size + NEVER_RAN_RECORD.size
-MAX_FIXED_BYTES = (
-    3 * FRAME_HEADER.size + ACCEPTED_RECORD.size + GIVEN_UP_RECORD.size + FINAL_ANSWER_RECORD.size
+from millweir.net.owed_message import (
+    ACCEPTED_KIND,
+    ACCEPTED_RECORD,
+    CLOCK_KIND,
+    CLOCK_RECORD,
+    ENDED_KIND,
+    ENDED_RECORD,
+    FINAL_ANSWER_KIND,
+    FINAL_ANSWER_RECORD,
+    FRAME_HEADER,
+    GIVEN_UP_KIND,
+    GIVEN_UP_RECORD,
+    MAX_TRIP_BYTES,
+    NEVER_RAN_KIND,
+    NEVER_RAN_RECORD,
+    TRIP_KIND,
+    TRIP_RECORD,
+    UNKNOWN_SENT_AT,
+    OwedMessage,
+    encode_frames,
 )
+
 FILE_NAME = "journal"
 SLOT_COUNT = 4  # processes that may share the folder at once: normally one, and in an upgrade its replacement
 
@@ -50,88 +46,6 @@
     return (FILE_NAME if slot == 0 else f"{FILE_NAME}.{slot}") + suffix
 
 
-class OwedMessage:
-    """An accepted message, from its acceptance to its final outcome."""
-
-    __slots__ = (
-        "account",
-        "body",
-        "deadline",
-        "destination",
-        "ended_by_trip",
-        "final_answer",
-        "given_up",
-        "id",
-        "idempotency_key",
-        "key",
-        "number",
-        "profile",
-        "restored",
-        "size",
-        "trips",
-    )
-
-    def __init__(
-        self,
-        message_id: bytes,
-        profile: bytes,
-        account: bytes,
-        key: bytes,
-        idempotency_key: bytes,
-        destination: int,
-        deadline: int,
-        body: bytes,
-    ) -> None:
-        self.number = 0
-        self.id = message_id
-        self.profile = profile
-        self.account = account
-        self.key = key  # messages with the same key keep their order
-        self.idempotency_key = idempotency_key  # by which the destination recognises a repeat
-        self.destination = destination
-        self.deadline = deadline  # wall time, like all times here
-        self.body = body
-        self.trips: list[list[int]] = []  # when each was sent, and 1 once it is known that it never ran
-        self.given_up: tuple[bool, int] | None = None
-        self.final_answer: FinalAnswer | None = None  # unproven: it is not sent again, and not ended yet
-        self.ended_by_trip = NO_TRIP  # index of the trip whose answer ended it, once a silence confirmed that
-        self.restored = False  # accepted before the restart
-        # The most it takes in a file.
-        self.size = MAX_FIXED_BYTES + sum(map(len, self.text_fields)) + len(body)
-
-    @property
-    def text_fields(self) -> tuple[bytes, ...]:
-        return self.id, self.profile, self.account, self.key, self.idempotency_key
-
-    def add_trip(self, sent_at: int) -> None:
-        self.trips.append([sent_at, 0])
-        self.size += MAX_TRIP_BYTES
-
-    def encode_records(self) -> list[bytes]:
-        """All records that a file must hold for this message."""
-        head = ACCEPTED_RECORD.pack(
-            ACCEPTED_KIND, self.number, self.deadline, *map(len, self.text_fields), self.destination
-        )
-        bodies = [b"".join((head, *self.text_fields, self.body))]
-        for index, (sent_at, never_ran) in enumerate(self.trips):
-            bodies.append(TRIP_RECORD.pack(TRIP_KIND, self.number, sent_at))
-            if never_ran:
-                bodies.append(NEVER_RAN_RECORD.pack(NEVER_RAN_KIND, self.number, index))
-        if self.final_answer:
-            bodies.append(self.encode_final_answer())
-        if self.given_up:
-            bodies.append(GIVEN_UP_RECORD.pack(GIVEN_UP_KIND, self.number, *self.given_up))
-        return bodies
-
-    def encode_final_answer(self) -> bytes:
-        """The record of its final answer."""
-        return FINAL_ANSWER_RECORD.pack(FINAL_ANSWER_KIND, 0, self.number, self.final_answer.value)
-
-
-def encode_frames(bodies: list[bytes]) -> bytes:
-    return b"".join([FRAME_HEADER.pack(len(body), zlib.crc32(body)) + body for body in bodies])
-
-
 def _measure_set_back(recorded_offset: int) -> int:
     """How far the wall clock was set back since its offset to the monotonic clock was recorded in this boot.
 
--- a/millweir/net/message_ends.py
+++ b/millweir/net/message_ends.py
@@ -12,8 +12,9 @@
 from millweir.net.counters import Counters
 from millweir.net.ended import EndedIds
 from millweir.net.host_call import UnprovenAnswer
-from millweir.net.journal import NO_TRIP, Journal, OwedMessage
+from millweir.net.journal import Journal
 from millweir.net.log import Log
+from millweir.net.owed_message import NO_TRIP, OwedMessage
 from millweir.net.replies import Reply, ReplyCounts
 
 
--- a/millweir/net/notices.py
+++ b/millweir/net/notices.py
@@ -11,8 +11,8 @@
 from millweir.net.counters import Counters
 from millweir.net.exchange import Exchange
 from millweir.net.heads import ResponseReader
-from millweir.net.journal import OwedMessage
 from millweir.net.log import Log
+from millweir.net.owed_message import OwedMessage
 
 Address = tuple[str, int]
 
--- a/tests/net/test_answers.py
+++ b/tests/net/test_answers.py
@@ -18,8 +18,9 @@
 from millweir.net.address_owners import ListedHost
 from millweir.net.counters import Counters
 from millweir.net.hosts import HostConnections
-from millweir.net.journal import Journal, OwedMessage
+from millweir.net.journal import Journal
 from millweir.net.notices import NotificationSender
+from millweir.net.owed_message import OwedMessage
 from net.agent import LIMITS, Agent, Watched, encode_list, make_row
 
 DELIVERED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
--- a/tests/net/test_descriptors.py
+++ b/tests/net/test_descriptors.py
@@ -15,7 +15,8 @@
 from millweir.interface import SECOND, Limits
 from millweir.net.config import limit_descriptors
 from millweir.net.control import MAX_CONTROL_CONNECTIONS
-from millweir.net.journal import FILE_NAME, Journal, OwedMessage
+from millweir.net.journal import FILE_NAME, Journal
+from millweir.net.owed_message import OwedMessage
 from net.inside import request, run_with_relay
 
 # 17 on a running relay: loop, signals, standard streams, listeners, lock, journal and its reserve.  4 while
--- a/tests/net/test_final_answers.py
+++ b/tests/net/test_final_answers.py
@@ -10,7 +10,8 @@
 
 from millweir.answers.final import FinalAnswer
 from millweir.net import journal as journal_module
-from millweir.net.journal import NO_TRIP, Journal, OwedMessage
+from millweir.net.journal import Journal
+from millweir.net.owed_message import NO_TRIP, OwedMessage
 
 SETTLED_AFTER = 1.2  # seconds in which an unproven answer of these hosts is settled and would be acted on
 
--- a/tests/net/test_ready.py
+++ b/tests/net/test_ready.py
@@ -12,8 +12,9 @@
 from millweir.net import clock
 from millweir.net.counters import Counters
 from millweir.net.desk import RelayServer
-from millweir.net.journal import FILE_NAME, Journal, OwedMessage
+from millweir.net.journal import FILE_NAME, Journal
 from millweir.net.log import Log
+from millweir.net.owed_message import OwedMessage
 from millweir.net.service_classes import ServiceClasses
 from net.inside import request, run_with_relay
 from net.test_calls import submit_messages
--- a/tests/net/test_reloaded_file.py
+++ b/tests/net/test_reloaded_file.py
@@ -16,8 +16,8 @@
 from millweir.control import bounds
 from millweir.net.config import read_config
 from millweir.net.counters import Counters
-from millweir.net.journal import OwedMessage
 from millweir.net.notices import NotificationSender
+from millweir.net.owed_message import OwedMessage
 from millweir.net.reload import ConfigReloader
 from net.agent import LIMITS, Agent
 
--- a/tests/net/test_repeat_window.py
+++ b/tests/net/test_repeat_window.py
@@ -15,8 +15,9 @@
 from millweir.net import clock
 from millweir.net.counters import Counters
 from millweir.net.desk import RelayServer
-from millweir.net.journal import ENDED_KIND, ENDED_RECORD, FILE_NAME, FRAME_HEADER, Journal, OwedMessage
+from millweir.net.journal import FILE_NAME, Journal
 from millweir.net.log import Log
+from millweir.net.owed_message import ENDED_KIND, ENDED_RECORD, FRAME_HEADER, OwedMessage
 from millweir.net.service_classes import ServiceClasses
 from net.inside import run_with_relay
 from net.test_calls import HOLD_TIME_NS, advance_clock, submit_messages, wait_for_held_call
--- a/tests/net/test_restored.py
+++ b/tests/net/test_restored.py
@@ -14,7 +14,8 @@
 from millweir.interface import Limits
 from millweir.net import clock
 from millweir.net.discovery import decode_host_list
-from millweir.net.journal import FILE_NAME, Journal, OwedMessage, build_slot_file_name
+from millweir.net.journal import FILE_NAME, Journal, build_slot_file_name
+from millweir.net.owed_message import OwedMessage
 from millweir.settings import parse_settings
 from net.inside import run_with_relay
 
--- a/tests/net/test_slow_answers.py
+++ b/tests/net/test_slow_answers.py
@@ -13,7 +13,8 @@
 from millweir.interface import MILLISECOND, SECOND
 from millweir.net.address_owners import Endpoint
 from millweir.net.connection_pool import ConnectionPool
-from millweir.net.journal import Journal, OwedMessage
+from millweir.net.journal import Journal
+from millweir.net.owed_message import OwedMessage
 from net.test_answers import DELIVERED, NON_IDEMPOTENT, REFUSED, Scene, run_scene
 
 COPY_AFTER = 0.015  # seconds from an answer to its copy
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,16 +15,10 @@
 from millweir.net.discovery import InvalidHostList, decode_host_list
 from millweir.net.heads import RequestReader, ResponseReader, parse_duration, parse_retry_after
 from millweir.net.hosts import HostConnections
-from millweir.net.journal import (
-    FILE_NAME,
-    NEVER_RAN_KIND,
-    NEVER_RAN_RECORD,
-    Journal,
-    OwedMessage,
-    encode_frames,
-)
+from millweir.net.journal import FILE_NAME, Journal
 from millweir.net.lag import LoopLag
 from millweir.net.log import Log
+from millweir.net.owed_message import NEVER_RAN_KIND, NEVER_RAN_RECORD, OwedMessage, encode_frames
 from millweir.net.retry_after import RetryAfterStore
 
 
