A connection closed for distrust does not confirm an answer by a short silence

Trace: h2 answers its first call in 11 ms; the second one is written to the same connection, a copy of the first answer passes for its answer 57 ms later. Another connection had shown h2 to write copies meanwhile, so this one was retired, closed after the 10 ms of silence that a host of 11 ms gets, and its end confirmed the copy. The true answer (70 ms) had no connection left to come on. Cause: the end of a connection confirms what a silence has followed, without the half second that `compute_confirmation_time` asks for, also where this relay ends it, and at the very host that writes copies. Change: a distrusted connection stays open until its answers are settled, and its end confirms none (a notification, as for others). Why it works: the true answer comes unasked and puts the copy in doubt.

--- a/millweir/net/answer_checks.py
+++ b/millweir/net/answer_checks.py
@@ -87,7 +87,8 @@
         self._take_retractable(connection)
         if connection.ended_as_announced:
             self.confirm_all(connection)
-        self._report(connection.unproven.take_after_silence(), Settlement.CONFIRMED)
+        if not connection.is_distrusted:
+            self._report(connection.unproven.take_after_silence(), Settlement.CONFIRMED)
         self._leave_unconfirmed(connection.unproven.take_all(), connection, "connection lost")
 
     def _keep_retractable(self, connection: Connection, confirmed: list[UnprovenAnswer]) -> None:
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -25,7 +25,7 @@
 from millweir.net.counters import Counters
 from millweir.net.host_call import HostCall, UnprovenAnswer
 from millweir.net.journal import Journal
-from millweir.net.links import Connection
+from millweir.net.links import DISTRUSTED, Connection
 from millweir.net.log import Log
 from millweir.net.owed_message import OwedMessage
 
@@ -169,7 +169,7 @@
         elif connection.usable and call.pool.trust.is_trusted(clock.monotonic_ns()):
             call.write_request(connection)
         else:
-            self._retire(connection, "distrusted")
+            self._retire(connection, DISTRUSTED)
             self._start_connecting(call)
 
     def _start_connecting(self, call: HostCall) -> None:
@@ -291,7 +291,7 @@
         self._checks.doubt_all(connection, reason)
         self._checks.retract_all(connection, reason)
         for idle in list(pool.idle):
-            self._close_idle_connection(idle, "distrusted")
+            self._close_idle_connection(idle, DISTRUSTED)
 
     def _handle_end(self, connection: Connection) -> None:
         self._forget_idle(connection)
@@ -321,7 +321,7 @@
         """Keep one connection of a distrusted host open for a while, for bytes that were not asked for."""
         max_observed = self.bounds.max_host_connections // 4
         if pool.observed or connection.request_count > 1 or self._observed_count >= max_observed:
-            self._retire(connection, "distrusted")
+            self._retire(connection, DISTRUSTED)
             return
         pool.observed = connection
         self._observed_count += 1
@@ -333,7 +333,7 @@
     def _end_observation(self, pool: ConnectionPool, connection: Connection) -> None:
         pool.observed = None
         self._observed_count -= 1
-        self._retire(connection, "distrusted")
+        self._retire(connection, DISTRUSTED)
 
     def _trim_idle_for_calls(self) -> None:
         """Keep descriptors for calls: close idle connections, longest idle first, down to half the limit."""
--- a/millweir/net/links.py
+++ b/millweir/net/links.py
@@ -16,6 +16,9 @@
     from millweir.net.host_call import UnprovenAnswer
 
 
+DISTRUSTED = "distrusted"  # retired, as its peer writes answers that nobody asked for
+
+
 class ResponseHandler(Protocol):
     """Receives the outcome of a request on a connection."""
 
@@ -213,9 +216,18 @@
         self.retire_reason = self.retire_reason or reason
         self.close_if_settled()
 
+    @property
+    def is_distrusted(self) -> bool:
+        """Whether it was retired because of answers that nobody asked for."""
+        return self.retire_reason == DISTRUSTED
+
     def close_if_settled(self) -> None:
-        """Close a retired connection, unless a request is out or a silence awaited."""
-        if self.retire_reason and self._handler is None and not self.unproven.await_silence:
+        """Close a retired connection, unless a request is out or a silence awaited.
+
+        A distrusted one stays until its answers are settled: the true ones may still come.
+        """
+        waits = len(self.unproven) if self.is_distrusted else self.unproven.await_silence
+        if self.retire_reason and self._handler is None and not waits:
             self._close_transport(self.retire_reason)
 
     def _report_loss(self, reason: str) -> None:
--- a/tests/net/test_answers.py
+++ b/tests/net/test_answers.py
@@ -225,6 +225,31 @@
     run_scene(Scene(tmp_path), steps)
 
 
+@pytest.mark.parametrize(
+    "after_silence, settlement", [("true answer", Settlement.DOUBTED), ("end", Settlement.UNCONFIRMED)]
+)
+def test_a_connection_that_was_closed_for_distrust_confirmed_a_copy(tmp_path, after_silence, settlement):
+    """Guards messages that a short silence would end silently at a host that writes copies (issue 79)."""
+
+    async def steps(scene):
+        await scene.call("a", answer=DELIVERED)
+        scene.send("b")
+        request = await scene.agent.next_request()
+        await asyncio.sleep(0.02)
+        next(iter(scene.hosts._pools.values())).trust.distrust(clock.monotonic_ns())
+        request.write(DELIVERED)  # a copy of the first answer
+        await asyncio.sleep(0.2)  # longer than the silence of so fast a host
+        assert "b" not in scene.settled
+        if after_silence == "end":
+            request.end()
+        else:
+            request.write(REFUSED)
+        await scene.until(lambda: "b" in scene.settled)
+        assert scene.settled == {"b": [settlement]}
+
+    run_scene(Scene(tmp_path), steps)
+
+
 def test_a_batch_answer_that_names_other_messages_is_refuted(tmp_path):
     async def steps(scene):
         first = await scene.call("a", "b", answer=batch_answer("a", "b"))
