Tests: the rig's plays of copies and of the soak run two at a time

The plays of tests/lab/test_copied_answers.py and test_soak.py wait for time; each runs in a process of its own now, two at once, under the same seeds, bounds and checks.

--- a/tests/lab/test_copied_answers.py
+++ b/tests/lab/test_copied_answers.py
@@ -3,51 +3,65 @@
 millweir lab cluster examples/scenarios/copied-answers.toml --seed N
 """
 
-import asyncio
 from pathlib import Path
 
 import msgspec
 import pytest
+from side_by_side import playing
 
-from millweir.lab.cluster import Rig
-from millweir.lab.history import Copied
 from millweir.lab.scenario import SECOND, read_scenario
 from millweir.operator.units import Duration
 
 SCENARIO = Path(__file__).parent.parent.parent / "examples" / "scenarios" / "copied-answers.toml"
-SPAN = Duration(8 * SECOND)
+SPAN = Duration(10 * SECOND)
+SEED = 1
+MAX_SECONDS = 100
+COPIES = [(0.004, 0.012), (0.02, 0.12)]  # earliest and latest, seconds behind their answers
+BUNDLES = [1, 5]
+SLOW_HOSTS = "slow hosts"
 
 
-async def play(scenario, seed, folder):
-    async with asyncio.timeout(100), Rig(scenario, seed, folder) as rig:
-        played = await rig.play()
-        return played, [row.source for row in rig.history.select(Copied)]
+def copied_answers(earliest, latest, bundle):
+    scenario = read_scenario(SCENARIO)
+    fault = msgspec.structs.replace(
+        scenario.fault[0],
+        span=SPAN,
+        after=Duration(round(earliest * SECOND)),
+        wait=Duration(round(latest * SECOND)),
+    )
+    return msgspec.structs.replace(scenario, span=SPAN, bundle=bundle, fault=(fault,))
 
 
-def test_a_copied_refusal_of_a_slow_host_was_confirmed_before_its_true_answer(tmp_path):
-    """Messages that ran went again or came back (issue 71): hosts take 1.3 s, and refuse at once."""
+def slow_hosts():
     scenario = read_scenario(SCENARIO)
     fault = msgspec.structs.replace(scenario.fault[0], span=SPAN)
-    scenario = msgspec.structs.replace(
+    return msgspec.structs.replace(
         scenario, rate=100.0, span=SPAN, service_time=Duration(13 * SECOND // 10), fault=(fault,)
     )
-    played, copied = asyncio.run(play(scenario, 1, tmp_path / "rig"))
-    assert played.passed, dict(played.verdict.broken)
-    assert played.verdict.counts["delivered"] > 50 and len(copied) > 30
 
 
-@pytest.mark.parametrize("bundle", [1, 5])
-@pytest.mark.parametrize("earliest, latest", [(0.004, 0.012), (0.02, 0.12)])
-def test_a_copied_answer_passed_for_the_next_calls_answer(bundle, earliest, latest, tmp_path):
+@pytest.fixture(scope="module")
+def plays(tmp_path_factory):
+    scenarios = {SLOW_HOSTS: (slow_hosts(), SEED)} | {
+        (earliest, latest, bundle): (copied_answers(earliest, latest, bundle), SEED)
+        for earliest, latest in COPIES
+        for bundle in BUNDLES
+    }
+    with playing(scenarios, tmp_path_factory.mktemp("rigs"), MAX_SECONDS) as started:
+        yield started
+
+
+def test_a_copied_refusal_of_a_slow_host_was_confirmed_before_its_true_answer(plays):
+    """Messages that ran went again or came back (issue 71): hosts take 1.3 s, and refuse at once."""
+    played = plays[SLOW_HOSTS].result()
+    assert played.result.passed, dict(played.result.verdict.broken)
+    assert played.result.verdict.counts["delivered"] > 50 and played.copies > 30
+
+
+@pytest.mark.parametrize("bundle", BUNDLES)
+@pytest.mark.parametrize("earliest, latest", COPIES)
+def test_a_copied_answer_passed_for_the_next_calls_answer(bundle, earliest, latest, plays):
     """Messages ran twice (a copied refusal), or had no end (a copied delivery)."""
-    scenario = read_scenario(SCENARIO)
-    fault = msgspec.structs.replace(
-        scenario.fault[0],
-        span=SPAN,
-        after=Duration(round(earliest * SECOND)),
-        wait=Duration(round(latest * SECOND)),
-    )
-    scenario = msgspec.structs.replace(scenario, span=SPAN, bundle=bundle, fault=(fault,))
-    played, copied = asyncio.run(play(scenario, 1, tmp_path / "rig"))
-    assert played.passed, dict(played.verdict.broken)
-    assert played.verdict.counts["delivered"] > 1000 and len(copied) > 300
+    played = plays[earliest, latest, bundle].result()
+    assert played.result.passed, dict(played.result.verdict.broken)
+    assert played.result.verdict.counts["delivered"] > 1000 and played.copies > 300
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -6,24 +6,27 @@
 half a first line for a delivery (shown with both guards removed).
 """
 
-import asyncio
 from pathlib import Path
 
 import pytest
+from side_by_side import playing
 
-from millweir.lab.cluster import Rig
 from millweir.lab.scenario import read_scenario
 
 SCENARIOS = Path(__file__).parent.parent.parent / "examples" / "scenarios"
+PLAYS = [("soak", 1), ("soak-crowd", 2)]
+MAX_SECONDS = 150
 
 
-@pytest.mark.parametrize("name, seed", [("soak", 1), ("soak-crowd", 2)])
-def test_rules_hold_under_composed_faults(name, seed, tmp_path):
-    async def play():
-        async with asyncio.timeout(150):
-            async with Rig(read_scenario(SCENARIOS / f"{name}.toml"), seed, tmp_path / "rig") as rig:
-                return await rig.play()
+@pytest.fixture(scope="module")
+def plays(tmp_path_factory):
+    scenarios = {(name, seed): (read_scenario(SCENARIOS / f"{name}.toml"), seed) for name, seed in PLAYS}
+    with playing(scenarios, tmp_path_factory.mktemp("rigs"), MAX_SECONDS) as started:
+        yield started
 
-    played = asyncio.run(play())
+
+@pytest.mark.parametrize("name, seed", PLAYS)
+def test_rules_hold_under_composed_faults(name, seed, plays):
+    played = plays[name, seed].result().result
     assert played.passed, (played, f"millweir lab cluster examples/scenarios/{name}.toml --seed {seed}")
     assert played.verdict.counts["delivered"] > 800, played.verdict
