A call whose process was held up in the middle of it is withheld

Change: a last byte later than the drain's grace after its time (`max_release_delay_ns`) is not sent; the call never ran and its messages are decided anew. Shorter hold-ups are covered by the grace itself.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -132,6 +132,8 @@
         max_answer_bytes=body_bytes,
         answer_timeout_ns=half_second,
         last_byte_hold_ns=SECOND // 500,
+        # A drain that was received meanwhile, and not read yet, is still within its grace period.
+        max_release_delay_ns=settings.drain_grace - 2 * settings.period,
         max_list_bytes=min(16 << 20, memory_part),
         max_requests_per_turn=64,
         max_calls_per_turn=16,
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -214,6 +214,7 @@
     max_head_bytes: int  # of a client's request
     max_body_bytes: int
     last_byte_hold_ns: int  # for which the last byte of a call is held back
+    max_release_delay_ns: int  # beyond that; later than that the call is withheld
     max_answer_bytes: int
     answer_timeout_ns: int  # from the first bytes of an answer to its last
     max_list_bytes: int
--- a/millweir/net/host_call.py
+++ b/millweir/net/host_call.py
@@ -145,6 +145,10 @@
 
     def _check_may_send(self, parts: list[Part[OwedMessage]]) -> None:
         """Raise OSError unless every packet that was written may still be sent."""
+        bounds = self._hosts.bounds
+        release_due_at = self._written_at + bounds.last_byte_hold_ns
+        if clock.monotonic_ns() > release_due_at + bounds.max_release_delay_ns:
+            raise OSError("the process was held up: what came meanwhile has not been read")
         may_write = all(self._hosts.may_write(self.pool, part) for part in parts)
         if not may_write or parts != self._written_parts or self.connection.reader.started:
             raise OSError(
--- a/tests/net/test_answers.py
+++ b/tests/net/test_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -13,7 +14,7 @@
 from millweir.answers.trust import HostTrust
 from millweir.control import bounds
 from millweir.facade import DecisionEngine
-from millweir.interface import SECOND, Change, Limits, Outcome
+from millweir.interface import MILLISECOND, SECOND, Change, Limits, Outcome
 from millweir.net import clock
 from millweir.net.address_owners import ListedHost
 from millweir.net.counters import Counters
@@ -204,6 +205,28 @@
     run_scene(Scene(tmp_path, hold=0.05), steps)
 
 
+def test_a_call_went_out_after_its_process_was_held_up_in_the_middle_of_it(tmp_path):
+    """Guards a drain that was received meanwhile and not read: its grace period has passed."""
+
+    async def steps(scene):
+        record_trips, asked = scene.journal.record_trips, scene.hosts.bounds.max_release_delay_ns
+
+        def hold_up(*args):
+            record_trips(*args)
+            time.sleep((asked + 20 * MILLISECOND) / 1e9)
+
+        scene.journal.record_trips = hold_up
+        scene.send("a")
+        request = await scene.agent.next_request()
+        await scene.until(lambda: "a" in scene.outcomes)
+        assert scene.outcomes["a"] == (Outcome.MOOT, False, True)
+        await request.wait_closed()
+        (message,) = scene.journal.owed.values()
+        assert [never_ran for _, never_ran in message.trips] == [1]
+
+    run_scene(Scene(tmp_path), steps)
+
+
 @pytest.mark.parametrize("copy", [OVER, REFUSED, DELIVERED])
 @pytest.mark.parametrize("after", [0.0, 0.008, 0.015])
 def test_a_copy_right_behind_an_answer_passed_for_the_next_one(copy, after, tmp_path):
