--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -10,14 +10,14 @@
 import signal
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
 
 from millweir.lab.checker import Terms, Verdict, check_rules
-from millweir.lab.closed_connections import CloseTerms
+from millweir.lab.closed_connections import ClosedConnections, CloseTerms
 from millweir.lab.copied_answers import CopiedAnswers, CopyTerms
 from millweir.lab.destination import Destination, RecoveryTerms
 from millweir.lab.history import Ended, History, Ready, Started, Struck, monotonic_ns
@@ -406,13 +406,7 @@
             older=fault.kind == "copy-older",
             partial=fault.kind == "copy-part",
         )
-        copiers = [self._find_copier(fault.kind, who) for who in fault.who]
-        for copier in copiers:
-            copier.terms = terms
-        await asyncio.sleep(fault.span / 1e9)
-        for copier in copiers:
-            if copier.terms is terms:  # else a later fault has replaced it
-                copier.terms = None
+        await _apply_terms([self._find_copier(fault.kind, who) for who in fault.who], terms, fault)
 
     def _find_copier(self, kind: str, who: str) -> CopiedAnswers:
         if kind == "copy-list":
@@ -421,13 +415,7 @@
 
     async def _inject_closes(self, fault: Fault) -> None:
         terms = CloseTerms(fault.share, fault.after / 1e9, fault.wait / 1e9, fault.kind == "reset-links")
-        draws = [self.hosts[int(who[1:])].closes for who in fault.who]
-        for draw in draws:
-            draw.terms = terms
-        await asyncio.sleep(fault.span / 1e9)
-        for draw in draws:
-            if draw.terms is terms:  # else a later fault has replaced it
-                draw.terms = None
+        await _apply_terms([self.hosts[int(who[1:])].closes for who in fault.who], terms, fault)
 
     async def _inject_connection_fault(self, fault: Fault) -> None:
         seconds, both_directions = fault.span / 1e9, fault.kind in ("cut", "split", "flap")
@@ -542,3 +530,15 @@
             dedup_window_us * 1000,
             rules["drain-grace-us"] * 1000,
         )
+
+
+async def _apply_terms(
+    draws: Sequence[CopiedAnswers | ClosedConnections], terms: CopyTerms | CloseTerms, fault: Fault
+) -> None:
+    """Let the stand-ins draw by these terms for the fault's span, or until a later fault replaces them."""
+    for draw in draws:
+        draw.terms = terms
+    await asyncio.sleep(fault.span / 1e9)
+    for draw in draws:
+        if draw.terms is terms:
+            draw.terms = None
--- a/millweir/net/host_call.py
+++ b/millweir/net/host_call.py
@@ -348,14 +348,17 @@
         """Whether one packet was written; others of the job may have ended before that."""
         return len(self._written_parts) == 1
 
+    @property
+    def _was_sent_alone(self) -> bool:
+        """Whether the call was sent whole, with one message: a status line says all of its answer."""
+        return bool(self._journaled_trips) and self.is_single
+
     @property
     def is_delivered(self) -> bool:
         """Whether a single packet is delivered: a status line with 200 suffices, whatever follows it."""
         connection = self.connection
-        return (
-            bool(self._journaled_trips)
-            and self.is_single
-            and is_delivery_certain(connection.request_count, connection.reader.status_line_code)
+        return self._was_sent_alone and is_delivery_certain(
+            connection.request_count, connection.reader.status_line_code
         )
 
     @property
@@ -363,8 +366,7 @@
         """Whether a status line has said that a single message is over, whatever follows it."""
         connection = self.connection
         return (
-            bool(self._journaled_trips)
-            and self.is_single
+            self._was_sent_alone
             and not connection.invalid_response
             and connection.reader.status_line_code == OVER_STATUS
         )
