Checker: a process that ended before its full folder held an answer passes nothing on

Trace: the answer is read by 3.31, its record is refused (the folder takes no byte from 3.3 on, the log neither), the process is killed 2 s later, the next one restores the message with one attempt.

--- a/tests/lab/test_checker.py
+++ b/tests/lab/test_checker.py
@@ -133,6 +133,16 @@
         Copied(S + S // 10, "h", 0.5),
         call(at=2 * S, number=2),
     ),
+    "over, and the process was killed while its folder was full": (
+        accepted_message(),
+        Struck(S, "full", "r1"),
+        call(status=410),
+        Struck(2 * S, "kill", "r1"),
+        Ended(2 * S, "r1"),
+        Struck(3 * S, "full", "r1", True),
+        Ready(3 * S, "r1"),
+        call(at=4 * S, number=2, status=410),
+    ),
     "delivered again after a part of an answer": (
         accepted_message(),
         Called(S, "p", "h", 1),
@@ -164,6 +174,29 @@
             call(at=2 * S, number=2, status=410),
         ),
     ),
+    "over and sent again by the process that had a full folder": (
+        1,
+        (
+            accepted_message(),
+            Struck(S, "full", "r1"),
+            call(status=410),
+            Struck(2 * S, "full", "r1", True),
+            call(at=4 * S, number=2, status=410),
+        ),
+    ),
+    "over and sent again by the next process, long after the folder was full": (
+        1,
+        (
+            accepted_message(),
+            Struck(S, "full", "r1"),
+            call(status=410),
+            Struck(2 * S, "full", "r1", True),
+            Struck(3 * S, "kill", "r1"),
+            Ended(3 * S, "r1"),
+            Ready(4 * S, "r1"),
+            call(at=5 * S, number=2, status=410),
+        ),
+    ),
     "delivered and sent again": (1, (accepted_message(), call(), call(at=2 * S, number=2))),
     "delivered and sent again before the copy": (
         1,
