--- a/tests/net/test_final_answers.py
+++ b/tests/net/test_final_answers.py
@@ -82,24 +82,25 @@
         assert platform.notification_results("b") == ["dead"]
 
 
-@pytest.mark.parametrize("compacted", [False, True])
-def test_the_journal_forgot_an_answer_that_was_not_confirmed(tmp_path, compacted):
-    """Guards the record over a restart, also where the file is written anew."""
+@pytest.mark.parametrize("taken_over", ["as it is", "compacted", "adopted"])
+def test_the_journal_forgot_an_answer_that_was_not_confirmed(tmp_path, taken_over):
+    """Guards the record over a restart, a file that is written anew, and a process that takes it over."""
+    successor = Journal(tmp_path, 20_000, 15_000, print) if taken_over == "adopted" else None
     journal = Journal(tmp_path, 20_000, 15_000, print)
     messages = [OwedMessage(name, b"again", b"", b"", b"", 0, 9, b"body") for name in (b"a", b"b", b"c")]
     for message in messages:
         journal.record_accepted(message)
     journal.record_final_answer(messages[0], FinalAnswer.OVER)
     journal.record_final_answer(messages[1], FinalAnswer.DELIVERED)
-    if compacted:
+    if taken_over == "compacted":
         journal._compact()
     journal.close()
+    if successor:
+        successor.adopt_orphans()
+        successor.close()
     journal = Journal(tmp_path, 20_000, 15_000, print)
-    assert [owed.final_answer for owed in journal.owed.values()] == [
-        FinalAnswer.OVER,
-        FinalAnswer.DELIVERED,
-        None,
-    ]
+    found = [owed.final_answer for owed in journal.owed.values()]
+    assert found == [FinalAnswer.OVER, FinalAnswer.DELIVERED, None]
     assert {owed.ended_by_trip for owed in journal.owed.values()} == {NO_TRIP}
     journal.close()
 
