--- a/tests/lab/test_copied_answers.py
+++ b/tests/lab/test_copied_answers.py
@@ -12,13 +12,15 @@
 from millweir.lab.scenario import SECOND, read_scenario
 from millweir.operator.units import Duration
 
-SCENARIO = Path(__file__).parent.parent.parent / "examples" / "scenarios" / "copied-answers.toml"
+SCENARIOS = Path(__file__).parent.parent.parent / "examples" / "scenarios"
+SCENARIO = SCENARIOS / "copied-answers.toml"
 SPAN = Duration(10 * SECOND)
 SEED = 1
 MAX_SECONDS = 100
 COPIES = [(0.004, 0.012), (0.02, 0.12)]  # earliest and latest, seconds behind their answers
 BUNDLES = [1, 5]
 SLOW_HOSTS = "slow hosts"
+HUNG_HOSTS = "hung hosts"
 
 
 def copied_answers(earliest, latest, bundle):
@@ -47,6 +49,7 @@
         for earliest, latest in COPIES
         for bundle in BUNDLES
     }
+    scenarios[HUNG_HOSTS] = (read_scenario(SCENARIOS / "copied-answers-hang.toml"), SEED)
     with playing(scenarios, tmp_path_factory.mktemp("rigs"), MAX_SECONDS) as started:
         yield started
 
@@ -65,3 +68,10 @@
     played = plays[earliest, latest, bundle].result()
     assert played.result.passed, dict(played.result.verdict.broken)
     assert played.result.verdict.counts["delivered"] > 1000 and played.copies > 300
+
+
+def test_a_copy_from_a_host_that_hung_at_that_moment_ended_a_message_silently(plays):
+    """Messages had no end: no true answer came that could speak against the copy."""
+    played = plays[HUNG_HOSTS].result()
+    assert played.result.passed, dict(played.result.verdict.broken)
+    assert played.copies > 10
