Settings that name no grace for drains, or a short one, withheld every call

The settings reader takes a grace that is not named as 0, so that the bound was below nothing and each call was withheld: nothing was sent at all. The test failed before in its three cases (no grace, 0, 10 ms).

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -91,6 +91,9 @@
 MAX_BACK_OFF_DOUBLINGS = 2
 WATCH_BACK_OFFS = 5  # a watch lasts so many back-offs, so that watches take a fifth of discovery's time
 
+# A relay may be held up for so long between reading its clock and writing; the grace may be shorter, or none.
+MIN_RELEASE_DELAY_NS = 3 * SECOND // 20
+
 
 def bounds(settings: Settings, limits: Limits) -> Bounds:
     """Derive the limits of the network code: connections, journal, discovery, shutdown and log."""
@@ -133,7 +136,7 @@
         answer_timeout_ns=half_second,
         last_byte_hold_ns=SECOND // 500,
         # A drain that was received meanwhile, and not read yet, is still within its grace period.
-        max_release_delay_ns=settings.drain_grace - 2 * settings.period,
+        max_release_delay_ns=max(MIN_RELEASE_DELAY_NS, settings.drain_grace - 2 * settings.period),
         max_list_bytes=min(16 << 20, memory_part),
         max_requests_per_turn=64,
         max_calls_per_turn=16,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -55,6 +55,19 @@
     assert b"packets_fulfilled 1\n" in relay.ask("GET", "/counters/all")[1]
 
 
+@pytest.mark.parametrize("grace_us", [None, 0, 10_000])
+def test_no_call_went_out_where_the_settings_name_no_grace_for_drains(start, grace_us):
+    """Guards the bound on a held-up call, which follows from that grace (issue 79)."""
+    platform = Platform(hosts=1)
+    obligations = {key: value for key, value in CONFIG["obligations"].items() if key != "drain-grace-us"}
+    if grace_us is not None:
+        obligations["drain-grace-us"] = grace_us
+    relay = start(platform, settings=CONFIG | {"obligations": obligations})
+    assert relay.hand_in("a") == 202
+    until(lambda: platform.sent("a"))
+    assert "call-withheld" not in relay.log()
+
+
 def test_packets_held_for_one_host_are_sent_as_one_batch_with_an_outcome_each(start):
     platform = Platform(hosts=0)
     relay = start(platform)
