Answers that are not confirmed are reported by one function; a miscount corrected

Found by reading the whole change: doubted, retracted and unconfirmed answers were counted, logged and reported by three equal loops, whose names are those of their settlements; and an index had a default that no call needs any more.

--- a/millweir/net/answer_checks.py
+++ b/millweir/net/answer_checks.py
@@ -16,7 +16,6 @@
 MIN_CHECK_INTERVAL_NS = 5_000_000  # while bytes of another answer are coming in
 RETAINED_OVERHEAD_BYTES = 1 << 10  # of a message beside its body
 
-
 Settle = Callable[[UnprovenAnswer, Settlement], None]
 
 
@@ -54,7 +53,8 @@
         confirmed = connection.unproven.take_confirmed(now)
         self._keep_retractable(connection, confirmed)
         self._report(confirmed, Settlement.CONFIRMED)
-        self._leave_unconfirmed(connection.unproven.take_expired(now), connection, "no silence in time")
+        expired = connection.unproven.take_expired(now)
+        self._report_not_confirmed(expired, Settlement.UNCONFIRMED, connection, "no silence in time")
         connection.close_if_settled()
         self.schedule(connection)
 
@@ -65,19 +65,12 @@
 
     def doubt_all(self, connection: Connection, reason: str) -> None:
         """An answer is refuted: those before it may be as wrong."""
-        answers = connection.unproven.take_all()
-        for answer in answers:
-            self._counters.add("answers_doubted")
-            self._log_answer("answer-doubted", answer, connection, reason)
-        self._report(answers, Settlement.DOUBTED)
+        self._report_not_confirmed(connection.unproven.take_all(), Settlement.DOUBTED, connection, reason)
 
     def retract_all(self, connection: Connection, reason: str) -> None:
         """An answer is refuted: what a silence confirmed before may be as wrong."""
         retracted = self._take_retractable(connection)
-        for answer in retracted:
-            self._counters.add("answers_retracted")
-            self._log_answer("answer-retracted", answer, connection, reason)
-        self._report(retracted, Settlement.RETRACTED)
+        self._report_not_confirmed(retracted, Settlement.RETRACTED, connection, reason)
 
     def end(self, connection: Connection) -> None:
         """Settle what is left when the connection has ended."""
@@ -89,7 +82,8 @@
             self.confirm_all(connection)
         if not connection.is_distrusted:
             self._report(connection.unproven.take_after_silence(), Settlement.CONFIRMED)
-        self._leave_unconfirmed(connection.unproven.take_all(), connection, "connection lost")
+        lost = connection.unproven.take_all()
+        self._report_not_confirmed(lost, Settlement.UNCONFIRMED, connection, "connection lost")
 
     def _keep_retractable(self, connection: Connection, confirmed: list[UnprovenAnswer]) -> None:
         if confirmed:
@@ -103,15 +97,14 @@
         self._retractable_bytes -= sum(map(_count_retained_bytes, answers))
         return answers
 
-    def _leave_unconfirmed(
-        self, answers: Iterable[UnprovenAnswer], connection: Connection, reason: str
+    def _report_not_confirmed(
+        self, answers: list[UnprovenAnswer], settlement: Settlement, connection: Connection, reason: str
     ) -> None:
-        """Report answers against which nothing spoke, and which no silence can confirm any more."""
-        answers = list(answers)
+        """Count, log and report answers that are not confirmed, or no longer."""
         for answer in answers:
-            self._counters.add("answers_unconfirmed")
-            self._log_answer("answer-unconfirmed", answer, connection, reason)
-        self._report(answers, Settlement.UNCONFIRMED)
+            self._counters.add(f"answers_{settlement.value}")
+            self._log_answer(f"answer-{settlement.value}", answer, connection, reason)
+        self._report(answers, settlement)
 
     def _log_answer(self, event: str, answer: UnprovenAnswer, connection: Connection, reason: str) -> None:
         self._log.info(
--- a/millweir/net/host_call.py
+++ b/millweir/net/host_call.py
@@ -32,7 +32,7 @@
 )
 from millweir.net.heads import ResponseReader
 from millweir.net.links import Connection
-from millweir.net.owed_message import NO_TRIP, OwedMessage
+from millweir.net.owed_message import OwedMessage
 
 if TYPE_CHECKING:
     from millweir.net.hosts import ConnectionPool, HostConnections
@@ -277,7 +277,7 @@
         return part in self.pending_parts and (how.outcome.never_ran or part.forbids_second_copy)
 
     def _build_unproven(self, part: Part[OwedMessage], how: PartOutcome) -> UnprovenAnswer:
-        trip, taken = self._journaled_trips.get(part, NO_TRIP), clock.monotonic_ns() - self._written_at
+        trip, taken = self._journaled_trips[part], clock.monotonic_ns() - self._written_at
         return UnprovenAnswer(part, trip, how, self.pool.trust, self.connection.request_count, taken)
 
     def _finish_unconfirmed(self, part: Part[OwedMessage], how: PartOutcome, settlement: Settlement) -> None:
