--- a/millweir/lab/capacity/mechanisms.py
+++ b/millweir/lab/capacity/mechanisms.py
@@ -24,7 +24,15 @@
 TAKEOVER_TIME = Budget("takeover_time", is_set_by_operators=False)
 SPARE_SHARE = Budget("spare_share", is_set_by_operators=False)
 
-INTAKE = Mechanism("listener and intake", ("millweir/net/clients.py", "millweir/net/desk.py"))
+INTAKE = Mechanism(
+    "listener and intake",
+    (
+        "millweir/net/client_connection.py",
+        "millweir/net/clients.py",
+        "millweir/net/request_reader.py",
+        "millweir/net/desk.py",
+    ),
+)
 ATTEMPTS = Mechanism("calls to destinations", ("millweir/net/hosts.py",))
 DECISIONS = Mechanism("decisions", ("millweir/control.py",))
 INCREMENTAL_DECISIONS = Mechanism("turns that walk only what changed", missing_issue=44)
--- a/millweir/lab/checker.py
+++ b/millweir/lab/checker.py
@@ -29,6 +29,7 @@
     Started,
     Struck,
 )
+from millweir.lab.hostile_clients import HOSTILE_PREFIX
 
 MILLISECOND = 1_000_000
 TOLERANCE_NS = 50 * MILLISECOND  # added to every time limit
@@ -254,6 +255,8 @@
     """Rule 2: no message takes effect twice."""
     for ident, made in calls.items():
         packet = offered.get(ident)
+        if packet is None and ident.startswith(HOSTILE_PREFIX):
+            continue  # its terms are not recorded
         if packet is None:
             verdict.broken[2].append(f"{ident} was never offered")
             continue
--- a/millweir/lab/processes.py
+++ b/millweir/lab/processes.py
@@ -127,6 +127,18 @@
         except (OSError, TimeoutError, ValueError):
             return {}
 
+    def measure_usage(self) -> tuple[float, int]:
+        """Return the most memory its process has held so far, in MB, and its open descriptors now."""
+        if not self.alive:
+            return 0.0, 0
+        folder = Path("/proc") / str(self.process.pid)
+        try:
+            lines = (folder / "status").read_text().splitlines()
+            peak_kb = next((int(line.split()[1]) for line in lines if line.startswith("VmHWM:")), 0)
+            return peak_kb / 1024, len(os.listdir(folder / "fd"))
+        except OSError:  # it has just ended
+            return 0.0, 0
+
     def signal(self, number: int) -> None:
         if self.alive:
             self.process.send_signal(number)
--- a/millweir/lab/scenario.py
+++ b/millweir/lab/scenario.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from millweir.lab.hostile_clients import PATTERNS
 from millweir.operator.units import Duration, decode_unit
 
 SECOND = 1_000_000_000
@@ -28,6 +29,8 @@
 HOST_CLOSES = ("close-links", "reset-links")
 CLOSE_DELAYS_S = (0.005, 0.4)  # bounds of a drawn delay
 COPY_DELAYS_S = (0.001, 0.004, 0.012, 0.02, 0.12, 0.4, 1.0)  # bounds of a drawn delay
+# Clients that flood a relay or hold its connections, by pattern, in a process of their own for each relay.
+CLIENTS = tuple(f"clients-{pattern}" for pattern in PATTERNS)
 LINK = ("cut", "cut-one-way", "loss", "delay", "reorder", "duplicate", "bandwidth", "flap", "split")
 
 
@@ -48,9 +51,10 @@
     after: Duration = Duration(0)  # shortest delay of a copy, or of the end of a connection, behind an answer
     bytes_second: float = 20_000.0
     hours: float = 1.0  # clock skew
+    connections: int = 0  # of hostile clients at each relay; 0: as many as their pattern says
 
     def __post_init__(self) -> None:
-        if self.kind not in PROCESS + HOST + HOST_COPIES + PLATFORM_COPIES + HOST_CLOSES + LINK:
+        if self.kind not in PROCESS + HOST + HOST_COPIES + PLATFORM_COPIES + HOST_CLOSES + CLIENTS + LINK:
             raise ValueError(f"unknown fault kind: {self.kind!r}")
 
     def describe(self) -> str:
@@ -80,6 +84,10 @@
     # Of each call that a host runs, where it refuses calls at once; 0: drawn, with a median of 30 ms.
     service_time: Duration = Duration(0)
     shared_limit: bool = False  # the hosts of a destination share that rate, and recover as one
+    memory_mb: int = 192  # limits of each relay, as its settings name them
+    descriptors: int = 512
+    disk_mb: int = 16
+    max_unanswered: float = 1.0  # share of the usual clients' requests with no answer in time
     protocols: dict[str, int] = {}  # by relay: highest version of the members' protocol
     fault: tuple[Fault, ...] = ()
     compose: tuple[str, ...] = ()  # fault kinds drawn from the seed, in addition to `fault`
@@ -128,6 +136,8 @@
             wait=Duration(2 * SECOND),
             hours=rng.choice((-1.0, 1.0)),
         )
+    if kind in CLIENTS:
+        return Fault(at=Duration(at), span=span, kind=kind, who=tuple(names[: rng.randint(1, len(names))]))
     if kind in HOST_COPIES + PLATFORM_COPIES:
         return _draw_copy_fault(scenario, rng, at, kind, span)
     if kind in HOST_CLOSES:
