Timers of messages that have ended kept them in memory until their deadlines

What was seen: one connection that hands in valid messages under ever new accounts and keys drove a relay to 80 MB of 64 (45 MB of 32): each message and its calls stayed in the heap of timers until the message's deadline, long after its end.

Test: failed without the drop.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -986,8 +986,9 @@
             self._send_call(min(sampled, key=partial(self._estimate_cost, candidate)), candidate.packets)
         if self._may_cancel and self._overdue_calls:
             self._cancel_overdue_calls()
-        if self._timers and not now < self._alarm_at <= self._timers[0][0]:
-            self._alarm_at = max(self._timers[0][0], now + MILLISECOND)
+        next_at = self._timers.next_at
+        if next_at and not now < self._alarm_at <= next_at:
+            self._alarm_at = max(next_at, now + MILLISECOND)
             self._port.set_alarm(self._alarm_at - now)
 
     def _pop_best_candidate(self) -> CandidateCall | None:
@@ -1051,12 +1052,22 @@
             self._set_timer(at, destination)
 
     def _set_timer(self, at: int, subject: TimerSubject) -> None:
-        heappush(self._timers, (at, self._next_number(), subject))
+        self._timers.add(at, subject)
+        if self._timers.may_be_outdated:
+            self._timers.drop_outdated(self._is_timer_needed)
+
+    def _is_timer_needed(self, subject: TimerSubject) -> bool:
+        """Whether a timer may still find something to do."""
+        if isinstance(subject, Packet):
+            return not subject.ended
+        if isinstance(subject, OrderingKey):
+            return self._keys.get(subject.id) is subject
+        return not isinstance(subject, Call) or subject.trips_remaining > 0
 
     def _run_due_timers(self) -> None:
         """Handle each timer that is due, by the type of its subject."""
-        while self._timers and self._timers[0][0] <= self._now:
-            subject = heappop(self._timers)[2]
+        while self._timers.is_due(self._now):
+            subject = self._timers.pop()
             if subject is None:
                 self._port.request_host_list()
             elif isinstance(subject, Packet):  # its deadline, or the end of its deduplication window
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -13,6 +13,8 @@
 
 from sortedcontainers import SortedList
 
+from millweir.timers import TimerQueue
+
 if TYPE_CHECKING:
     from millweir.events import EndReason
     from millweir.interface import Entry, Outcome, Profile
@@ -436,7 +438,7 @@
         self._open_packets = 0  # packets without a final outcome
         self._in_flight = 0  # calls
         self._overdue_calls: dict[Call, None] = {}
-        self._timers: list[tuple[int, int, TimerSubject]] = []  # a heap by time, then by order of entry
+        self._timers: TimerQueue[TimerSubject] = TimerQueue()
         self._dirty: dict[Destination, None] = {}  # changed since they were evaluated
         self._candidates: list[tuple[float, int, CandidateCall]] = []  # a heap, with outdated ones
         # Destinations with a candidate call, the least recently evaluated one first.
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,6 +7,7 @@
 from rig import PROFILES, STEP, Rig, entry, succeed_after
 
 from millweir.interface import MILLISECOND, SECOND, Change, Effect, Outcome, Phase, Tenant
+from millweir.timers import MIN_QUEUE_LENGTH
 
 
 @pytest.mark.parametrize("seed", range(24))
@@ -797,3 +798,14 @@
     rig.add_packet(kind=3, key=5)
     rig.pass_time(100 * MILLISECOND)
     assert len(rig.sent) == 3
+
+
+def test_timers_of_ended_packets_kept_them_until_their_deadlines():
+    rig = Rig(entries=[entry(0, 0, rate=1000.0)], max_open=0)
+    longest = 0
+    while len(rig.sent) < MIN_QUEUE_LENGTH:
+        for _ in range(50):
+            rig.add_packet()
+        rig.pass_time(SECOND // 50, succeed_after(STEP)(rig))
+        longest = max(longest, len(rig.relay._timers))
+    assert longest <= MIN_QUEUE_LENGTH + 1 < len(rig.answers) * 2
