One client's requests took memory without a bound, and every turn before anyone else's

Cause, one class: what a peer can make the process hold, and do, had no account in bytes and no fair share. All bytes of a read, up to 256 KB, were parsed into requests before anything looked at their number; the requests of all connections stood in one queue, first come first served; a chunk of a body was an object; bounds counted things, and 102 client connections were allowed at 64 MB, so that 300 slow ones kept the usual ones out.

Now: - A connection has one request in hand. What came behind it stays as bytes, and nothing more is read until it is answered (backpressure). The queue holds at most one request of each connection, so a turn is shared over connections. - All connections read into one shared buffer; the size of a read falls with the number of connections, so that a turn of the event loop has a bound in bytes. - millweir/memory_policy.py divides what the process and its folder leave of memory_mb. Connections, with their partial requests and unread answers, are one account; over its share the largest is answered 503 and closed. Messages are refused over theirs (memory-full). - Rule 2: ids of ended messages were dropped in seconds under new ones; now a message is refused (ids-full) while as many ids are known as may be, each kept at most for the longest time of a class. - Who is closed for a new connection: one that stalls, then the slowest partial request, then the longest idle.

--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -14,7 +14,7 @@
 
 from millweir.facade import DecisionEngine
 from millweir.net import clock
-from millweir.net.clients import ClientConnection
+from millweir.net.client_connection import ClientConnection
 from millweir.net.config import Config, Misconfigured, read_config, read_file_stamp
 from millweir.net.control import ControlListener
 from millweir.net.counters import Counters
--- a/millweir/control.py
+++ b/millweir/control.py
@@ -23,6 +23,7 @@
 from millweir.answers.policy import MAX_CONFIRMATION_DELAY_NS, waits_for_proof
 from millweir.events import EndReason, HostTransition, HostView, RecoveringHost, RefusalReason
 from millweir.interface import SECOND, Bounds, Change, Effect, Entry, Limits, Outcome, Phase, Port, Settings
+from millweir.memory_policy import KNOWN_ID_BYTES, derive_memory_shares, limit_client_connections
 from millweir.order import PacketQueues, ValueCurve
 from millweir.records import (
     NEVER,
@@ -98,6 +99,7 @@
 def bounds(settings: Settings, limits: Limits) -> Bounds:
     """Derive the limits of the network code: connections, journal, discovery, shutdown and log."""
     half_second = SECOND // 2
+    memory = derive_memory_shares(limits)
     memory_part = limits.memory_bytes // 8
     head_bytes = 16 << 10
     body_bytes = 64 << 10
@@ -105,15 +107,17 @@
         20 * SECOND, max(2 * SECOND, settings.relays * DISCOVERY_BACK_OFF_PER_RELAY_NS * WATCH_BACK_OFFS)
     )
     return Bounds(
+        memory=memory,
         # An idle connection is closed before the host closes it.
         connection_idle_timeout_ns=settings.idle_close * 9 // 10,
         shutdown_linger_ns=half_second,
         max_discovery_back_off_ns=MAX_DISCOVERY_BACK_OFF_NS,
         max_host_connections=limits.descriptors // 4,
-        max_ended_ids=memory_part >> 10,
+        max_known_ids=memory.known_ids // KNOWN_ID_BYTES,
+        known_id_time_ns=max((profile.lifetime for profile in settings.profiles), default=watch),
         max_head_bytes=head_bytes,
         max_body_bytes=body_bytes,
-        max_client_connections=min(limits.descriptors // 3, memory_part // (head_bytes + body_bytes)),
+        max_client_connections=limit_client_connections(limits, memory),
         request_timeout_ns=4 * half_second,
         client_grace_ns=half_second,
         # Two files fit on the disk, as compaction writes a second one.
--- a/millweir/events.py
+++ b/millweir/events.py
@@ -66,4 +66,6 @@
     LATE = "would-end-late"  # its final outcome could come after its deadline
     NOT_LISTED = "destination-not-listed"
     NO_ROOM = "journal-full"
+    IDS_FULL = "ids-full"  # as many ids are kept as memory holds, and none may be forgotten yet
+    MEMORY_FULL = "memory-full"
     STOPPING = "stopping"  # the process is shutting down
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -188,16 +188,29 @@
     memory_bytes: int
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryShares:
+    """The most that each kind of holder may take, in bytes."""
+
+    client_connections: int  # with the bytes of requests that are not answered yet
+    messages: int  # accepted and not ended yet
+    known_ids: int  # of messages owed, and of ended ones that may come again
+    host_answers: int  # received in part
+    host_lists: int  # one list while it is decoded
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Limits and time-outs for the network code, derived from the settings and the machine in control.py."""
 
+    memory: MemoryShares
     connection_idle_timeout_ns: int  # of a connection to a host
     max_host_connections: int
     max_client_connections: int
     request_timeout_ns: int  # for a client to send a whole request
     client_grace_ns: int  # before a client connection with no whole request may be dropped
-    max_ended_ids: int  # message ids kept after their end, to recognise repeats
+    max_known_ids: int  # of messages owed and ended, by which repeats are recognised
+    known_id_time_ns: int  # for which the id of an ended message is kept at most
     max_journal_file_bytes: int
     max_journal_live_bytes: int  # of messages not ended yet
     retry_interval_ns: int  # the longest pause before a failed request is repeated; time-out of notifications
--- a/millweir/net/clients.py
+++ b/millweir/net/clients.py
@@ -1,4 +1,4 @@
-"""Client connections: read requests, queue them for the relay's next turn, write the responses."""
+"""The client connections of a relay, limited in number and in bytes, and the queue of their requests."""
 
 from __future__ import annotations
 
@@ -7,158 +7,42 @@
 from collections.abc import Callable
 
 from millweir.interface import Bounds
+from millweir.memory_policy import CONNECTION_BYTES
 from millweir.net import clock
+from millweir.net.client_connection import ClientConnection
 from millweir.net.counters import Counters
-from millweir.net.heads import Request, RequestReader, encode_response
 from millweir.net.log import Log
+from millweir.net.memory_account import MemoryAccount
+from millweir.net.request_reader import Request
 
-# Requests of one connection that may wait for their response, in turns of the relay's work loop
-# (`max_requests_per_turn` requests each); a connection with more is aborted as a flood, which bounds the
-# request queue.
-MAX_PENDING_TURNS = 4
+# Bytes read from one connection at a time, and from all of them in one iteration of the event loop.
+MAX_READ_BYTES = 16 << 10
+MIN_READ_BYTES = 1 << 10
+MAX_READ_BYTES_PER_TURN = 256 << 10
 
 
-class ClientConnection(asyncio.Protocol):
-    """One client's connection: open, then closing, then closed.
+class ClientListener:
+    """All client connections, and the queue of their requests, at most one of each connection.
 
-    While it is closing, nothing more is written and received bytes are discarded until the client closes its
-    end, or until a time limit.  Closing a socket that holds unread bytes would reset the connection, and a
-    response that is still in transit would be lost.
+    That queue shares the relay's work fairly over the connections, however many requests one of them sends.
     """
 
-    __slots__ = (
-        "_listener",
-        "_reader",
-        "_transport",
-        "_discarded_bytes",
-        "request_count",
-        "waiting_since",
-        "open",
-        "peer",
-        "pending_requests",
-        "reason",
-    )
-
-    def __init__(self, listener: ClientListener) -> None:
-        self._listener = listener
-        self._reader = RequestReader(listener.bounds.max_head_bytes, listener.bounds.max_body_bytes)
-        self._discarded_bytes = 0  # received since the connection began to close
-        self._transport: asyncio.Transport | None = None
-        self.pending_requests = 0  # read and not yet answered
-        self.request_count = 0
-        # Start of the wait for the first request, the rest of a partly read one, or the client's close
-        self.waiting_since = clock.monotonic_ns()
-        self.reason = ""  # why it is closing; empty while it is in use
-        self.open = False
-        self.peer = ""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport
-        self.open = True
-        peer = transport.get_extra_info("peername")
-        self.peer = f"{peer[0]}:{peer[1]}" if peer else "?"
-        self._listener.add_connection(self)
-
-    def data_received(self, data: bytes) -> None:
-        if self.reason:
-            self._discarded_bytes += len(data)
-            if self._discarded_bytes > self._listener.bounds.max_body_bytes:
-                self.abort()
-            return
-        was_mid_request = self._reader.mid_request
-        if not self._reader.feed(data):
-            self._transport.pause_reading()
-        if self.request_count and (self._reader.requests or not was_mid_request):
-            self.waiting_since = clock.monotonic_ns()
-        for request in self._reader.requests:
-            request.received_at = clock.monotonic_ns()
-            self.pending_requests += 1
-            self.request_count += 1
-            self._listener.queue_request(self, request)
-        self._reader.requests.clear()
-        if self.pending_requests > MAX_PENDING_TURNS * self._listener.bounds.max_requests_per_turn:
-            self.close_gracefully("flood")  # none of its requests is accepted
-            self.abort()
-
-    def eof_received(self) -> bool:
-        self.reason = self.reason or "client-closed"
-        return False
-
-    def pause_writing(self) -> None:
-        self.close_gracefully("client-stuck")
-        self.abort()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.open = False
-        self._reader.close()
-        self._listener.remove_connection(self, self.reason or ("reset" if exc else "client-closed"))
-
-    @property
-    def idle(self) -> bool:
-        return not self.pending_requests and not self._reader.mid_request
-
-    def awaits_first_request(self, since: int) -> bool:
-        """Whether it was opened after `since` and has sent no request: the first one may be in transit."""
-        return not self.request_count and self.waiting_since > since
-
-    def is_stalled(self, since: int) -> bool:
-        """Whether it waits since then for a first request, the rest of one, or the client's close."""
-        expects_bytes = not self.request_count or self._reader.mid_request or bool(self.reason)
-        return expects_bytes and not self.pending_requests and self.waiting_since <= since
-
-    def handle_timeout(self) -> None:
-        """Handle a request that was not complete in time, or a client that does not close its end."""
-        if self.reason:
-            self.abort()
-        elif self._reader.mid_request:
-            self._transport.writelines(encode_response(408, False))
-            self.close_gracefully("slow-request")
-        else:
-            self.close_gracefully("silent")
-
-    def respond(
-        self, request: Request, status: int, body: bytes = b"", retry_after: int = 0, keep_alive: bool = True
-    ) -> None:
-        """Answer the oldest unanswered request; `retry_after`: nanoseconds, 0 for no such header."""
-        self.pending_requests -= 1
-        if not self.open:
-            return
-        is_draining = self._listener.draining
-        keep_alive = keep_alive and request.keep_alive and not is_draining
-        self._transport.writelines(encode_response(status, keep_alive, body, retry_after))
-        if not keep_alive:
-            self.close_gracefully("bad-request" if request.error_status else "told-close")
-        elif self.idle:
-            self._listener.mark_idle(self)
-
-    def close_gracefully(self, reason: str) -> None:
-        """Send EOF and wait for the client's; `handle_timeout` aborts if that does not come."""
-        if not self.open or self.reason:
-            return
-        self.reason = reason
-        self.waiting_since = clock.monotonic_ns()
-        self._transport.write_eof()
-        self._transport.resume_reading()
-
-    def abort(self) -> None:
-        """Close it at once and drop unsent data; `connection_lost` follows one loop iteration later."""
-        if self.open:
-            self.open = False
-            self._transport.abort()
-
-
-class ClientListener:
-    """All client connections, limited in number, and the queue of their requests."""
-
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         bounds: Bounds,
+        account: MemoryAccount,
         wake: Callable[[], None],
         log: Log,
         counters: Counters,
     ) -> None:
+        """`account`: of the bytes that the connections hold."""
         self.bounds = bounds
+        self._account = account
+        # One buffer serves all connections: what is read into it is taken out before the next read.
+        self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))
+        self.offered_bytes = 0  # of that buffer to the last read
+        self._to_resume: list[ClientConnection] = []
         self._max_connections = bounds.max_client_connections
         self._wake = wake
         self._log = log
@@ -171,6 +55,40 @@
         self.received_requests: deque[tuple[ClientConnection, Request]] = deque()  # for the next turn
         self._close_stalled()
 
+    def offer_read_buffer(self) -> memoryview:
+        """Return the buffer for one read: the more connections there are, the smaller a part of it."""
+        share = MAX_READ_BYTES_PER_TURN // max(1, len(self._connections))
+        self.offered_bytes = max(MIN_READ_BYTES, min(MAX_READ_BYTES, share))
+        return self.read_buffer[: self.offered_bytes]
+
+    def resume_reading_later(self, connection: ClientConnection) -> None:
+        """Read from the connection again after the next poll, in which the others are read."""
+        if not self._to_resume:
+            self._loop.call_soon(self._resume_reading)
+        self._to_resume.append(connection)
+
+    def _resume_reading(self) -> None:
+        connections, self._to_resume = self._to_resume, []
+        for connection in connections:
+            connection.update_reading()
+
+    def charge(self, connection: ClientConnection, size: int) -> None:
+        """Charge a connection with what it holds now; while that is too much, the largest one is closed."""
+        growth = size - connection.charged_bytes
+        self._account.change(growth)
+        connection.charged_bytes = size
+        while growth > 0 and self._account.is_over and (largest := self._find_largest()):
+            largest.end_for("memory", 503)
+
+    def _find_largest(self) -> ClientConnection | None:
+        """Find the connection that holds most, beside what any connection takes."""
+        candidates = (
+            connection
+            for connection in self._connections
+            if connection.charged_bytes > CONNECTION_BYTES and connection.may_be_closed
+        )
+        return max(candidates, key=lambda connection: connection.charged_bytes, default=None)
+
     def _close_stalled(self) -> None:
         """Time out clients that send no request, part of one, or never close; close idle ones to drain."""
         now = clock.monotonic_ns()
@@ -195,24 +113,30 @@
     def add_connection(self, connection: ClientConnection) -> None:
         self._connections[connection] = None
         self._counters.add("clients_opened")
+        self.charge(connection, CONNECTION_BYTES)
         if len(self._connections) > self._max_connections:
             excess = self._choose_excess(connection)
-            excess.handle_timeout() if excess.reason else excess.close_gracefully("too-many")
+            excess.abort() if excess.reason else excess.end_for("too-many")
         # Closing connections hold descriptors as well: beyond a quarter more than the limit, one is aborted.
         if len(self._connections) > self._max_connections + self._max_connections // 4:
             closing = next((other for other in self._connections if other.reason and other.open), connection)
             closing.abort()
 
     def _choose_excess(self, newest: ClientConnection) -> ClientConnection:
-        """Pick the one to close: a stalled one, else the longest idle, else one with a partial request."""
-        stalled_since, idle, slow = clock.monotonic_ns() - self.bounds.client_grace_ns, None, None
+        """Pick the one to close: a stalled one, else the slowest partial request, else the longest idle."""
+        stalled_since = clock.monotonic_ns() - self.bounds.client_grace_ns
+        slowest: ClientConnection | None = None
+        idle: ClientConnection | None = None
         for connection in self._connections:
             if connection.is_stalled(stalled_since):
                 return connection
-            if connection is not newest and not connection.reason:
-                idle = idle or (connection if connection.idle else None)
-                slow = slow or (connection if not connection.pending_requests else None)
-        return idle or slow or newest
+            if connection is newest or not connection.may_be_closed:
+                continue
+            if connection.idle:
+                idle = idle or connection
+            elif slowest is None or connection.waiting_since < slowest.waiting_since:
+                slowest = connection
+        return slowest or idle or newest
 
     def mark_idle(self, connection: ClientConnection) -> None:
         del self._connections[connection]
@@ -230,6 +154,8 @@
 
     def remove_connection(self, connection: ClientConnection, reason: str) -> None:
         self._connections.pop(connection, None)
+        self.charge(connection, 0)
+        self._counters.add(f"clients_closed_{reason}")
         if self._all_closed and not self._connections and not self._all_closed.done():
             self._all_closed.set_result(None)
         self._log.info(
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -13,27 +13,32 @@
 from typing import Any
 
 from millweir.answers.final import FinalAnswer, Settlement
+from millweir.events import RefusalReason
 from millweir.facade import DecisionEngine, Part, UndeliveredPacket
 from millweir.interface import MILLISECOND, Outcome
+from millweir.memory_policy import find_shortage
 from millweir.net import clock
 from millweir.net.answer_outcomes import choose_final_answer
-from millweir.net.clients import ClientConnection, ClientListener
+from millweir.net.client_connection import ClientConnection
+from millweir.net.clients import ClientListener
 from millweir.net.cold_hosts import RecoveringHostStore
 from millweir.net.config import Config
 from millweir.net.cordons import Cordons
 from millweir.net.counters import Counters
 from millweir.net.discovery import DiscoveryWatch
-from millweir.net.heads import Request, parse_number
+from millweir.net.heads import parse_number
 from millweir.net.host_call import UnprovenAnswer
 from millweir.net.host_list import HostList, decode_cached_list
 from millweir.net.hosts import HostConnections
 from millweir.net.journal import Journal
 from millweir.net.lag import LoopLag, StallDetector
 from millweir.net.log import Log
+from millweir.net.memory_account import MemoryAccount
 from millweir.net.message_ends import MessageEnds
 from millweir.net.notices import NotificationSender
 from millweir.net.owed_message import OwedMessage
 from millweir.net.replies import Reply
+from millweir.net.request_reader import Request
 from millweir.net.retry_after import RetryAfterStore
 from millweir.net.service_classes import ServiceClasses
 
@@ -85,7 +90,14 @@
         self._loop_pulse = StallDetector(loop, bounds.client_grace_ns // 2)
         self._loop_lag = LoopLag(bounds.lag_window_ns, clock.monotonic_ns())
         self.stopped = loop.create_future()
-        self.clients = ClientListener(loop, bounds, self.request_turn, log, counters)
+        self.clients = ClientListener(
+            loop,
+            bounds,
+            MemoryAccount("client_connections", bounds.memory.client_connections),
+            self.request_turn,
+            log,
+            counters,
+        )
         self._hosts = HostConnections(
             loop,
             bounds,
@@ -302,13 +314,7 @@
 
         The bounds limit how long a due timer can wait.
         """
-        for _ in range(min(len(self.clients.received_requests), self._bounds.max_requests_per_turn)):
-            connection, request = self.clients.received_requests.popleft()
-            try:
-                self._answer_request(connection, request)
-            except Exception:
-                connection.close_gracefully("fault")
-                raise
+        self._answer_requests()
         self._submit_backlog()
         due_at = self._engine.tick(clock.monotonic_ns())
         while ending := self._engine.pop_ended():
@@ -344,11 +350,29 @@
         if self._linger_elapsed and not (self._journal.owed or self._notifications.busy):
             self.stop()
 
+    def _answer_requests(self) -> None:
+        """Answer a bounded number of requests, one of each connection, beside withdrawn ones."""
+        remaining = self._bounds.max_requests_per_turn
+        requests = self.clients.received_requests
+        while requests and remaining:
+            connection, request = requests.popleft()
+            if connection.has_client_ended():
+                self._withdraw_request(connection, request)
+                continue
+            remaining -= 1
+            try:
+                self._answer_request(connection, request)
+            except Exception:
+                connection.close_gracefully("fault")
+                raise
+
+    def _withdraw_request(self, connection: ClientConnection, request: Request) -> None:
+        """Drop a request whose client has closed the connection before its answer: it is not accepted."""
+        self._counters.add("requests_withdrawn")
+        self._log.info(f"request-withdrawn id={request.id.decode()} peer={connection.peer}")
+        connection.withdraw()
+
     def _answer_request(self, connection: ClientConnection, request: Request) -> None:
-        if connection.reason or not connection.open:  # the client closed before its answer: not accepted
-            connection.pending_requests -= 1
-            self._counters.add("requests_withdrawn")
-            return
         path = request.url.partition(b"?")[0]
         if request.error_status:
             self._counters.add("requests_malformed")
@@ -385,6 +409,7 @@
             connection.respond(request, 202)
             return
         now, deadline = clock.monotonic_ns(), request.received_at + request.remaining_time
+        self._ends.ended_ids.drop_expired(now)
         self._loop_lag.record(now, now - request.received_at)
         message = OwedMessage(
             request.id,
@@ -396,8 +421,12 @@
             clock.to_wall(deadline),
             request.body,
         )
+        shortage = find_shortage(
+            self._bounds, len(self._owed), self._journal.live_bytes + message.size, len(self._ends.ended_ids)
+        )
+        free_bytes = self._free_bytes if shortage is RefusalReason.NONE else 0
         wait = self._engine.check_admission(
-            message.destination, message.size, self._free_bytes, deadline - now, self._loop_lag.current(now)
+            message.destination, message.size, free_bytes, deadline - now, self._loop_lag.current(now)
         )
         if not wait:
             try:
@@ -406,10 +435,14 @@
                 self._log.info(f"journal-failed taken {error}")
                 wait = self._engine.check_admission(message.destination, 1, 0, deadline - now, 0)
         if wait:
+            reason = self._engine.refusal_reason
+            if reason is RefusalReason.NO_ROOM and shortage is not RefusalReason.NONE:
+                reason = shortage
             self._counters.add("packets_refused")
+            self._counters.add(f"packets_refused_{reason.value}")
             self._log.info(
                 f"message-refused id={message.id.decode()} destination={message.destination} "
-                f"reason={self._engine.refusal_reason.value}"
+                f"reason={reason.value}"
             )
             self._replies.add(message.profile, Reply.OVERLOAD)
             connection.respond(request, 503, retry_after=wait, keep_alive=not self._shutting_down)
--- a/millweir/net/ended.py
+++ b/millweir/net/ended.py
@@ -30,5 +30,11 @@
         if message_id not in self._deadlines:
             self._order.append(message_id)
         self._deadlines[message_id] = deadline
-        while self._order and (len(self._order) > self._max_ids or now > self._deadlines[self._order[0]]):
+        while len(self._order) > self._max_ids:
+            del self._deadlines[self._order.popleft()]
+        self.drop_expired(now)
+
+    def drop_expired(self, now: int) -> None:
+        """Drop ids at the front that are past their deadline."""
+        while self._order and now > self._deadlines[self._order[0]]:
             del self._deadlines[self._order.popleft()]
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -192,6 +192,11 @@
             os.close(fd)
         self._lock_fds.clear()
 
+    @property
+    def live_bytes(self) -> int:
+        """The most that the messages owed take in a file."""
+        return self._live_bytes
+
     @property
     def free_bytes(self) -> int:
         """The largest message that may be accepted."""
--- a/millweir/net/message_ends.py
+++ b/millweir/net/message_ends.py
@@ -35,7 +35,8 @@
         self._owed, self._journal, self._engine = owed, journal, engine
         self._notify = notify
         self._log, self._counters = log, counters
-        self.ended_ids = EndedIds(bounds.max_ended_ids)
+        self.ended_ids = EndedIds(bounds.max_known_ids)
+        self._known_id_time = bounds.known_id_time_ns
         self.replies = ReplyCounts()
 
     def _is_open(self, message: OwedMessage) -> bool:
@@ -112,4 +113,6 @@
         """Record that nothing more is owed for a message."""
         if self._owed.pop(message.id, None):
             self._journal.record_ended(message)
-            self.ended_ids.add(message.id, clock.from_wall(message.deadline), clock.monotonic_ns())
+            now = clock.monotonic_ns()
+            known_until = min(clock.from_wall(message.deadline), now + self._known_id_time)
+            self.ended_ids.add(message.id, known_until, now)
--- a/millweir/net/replies.py
+++ b/millweir/net/replies.py
@@ -4,6 +4,8 @@
 
 from enum import IntEnum
 
+from millweir.net.heads import MAX_ID_BYTES
+
 MAX_CLASSES = 256  # bounds the table against class names that clients make up
 
 
@@ -32,7 +34,8 @@
 
     def add_unknown(self, service_class: bytes) -> None:
         """Count an error of a class that is not in the settings; not counted beyond `MAX_CLASSES` classes."""
-        if service_class in self._counts or len(self._counts) < MAX_CLASSES:
+        is_bounded = len(service_class) <= MAX_ID_BYTES and len(self._counts) < MAX_CLASSES
+        if service_class in self._counts or is_bounded:
             self.add(service_class, Reply.ERROR)
 
     def counts_by_class(self) -> dict[str, dict[str, int]]:
