Requests of a client that had closed were accepted where its end lay behind unread bytes

Cause: the end of a connection was known only once all bytes before it were read. A request read meanwhile was accepted though nobody waited for its answer; the client may have handed the message in again under a new id.

Where the system can't tell, the end counts as before, once it is read.

Test: 600 requests and the close in the socket before the loop runs. Without the question the relay accepted some of them (the test failed); none now.

--- a/millweir/net/client_connection.py
+++ b/millweir/net/client_connection.py
@@ -9,6 +9,7 @@
 from millweir.memory_policy import CONNECTION_BYTES
 from millweir.net import clock
 from millweir.net.heads import encode_response
+from millweir.net.peer_state import has_peer_ended
 from millweir.net.request_reader import Request, RequestReader
 
 if TYPE_CHECKING:
@@ -156,8 +157,9 @@
         self._listener.remove_connection(self, self.reason or ("reset" if exc else "client-closed"))
 
     def has_client_ended(self) -> bool:
-        """Whether it closes: nobody waits for an answer."""
-        return bool(self.reason) or not self.open or self._transport.is_closing()
+        """Whether it closes, or the client's end lies in the socket: nobody waits for an answer."""
+        is_closing = bool(self.reason) or not self.open or self._transport.is_closing()
+        return is_closing or has_peer_ended(self._socket)
 
     @property
     def idle(self) -> bool:
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -447,6 +447,10 @@
             self._replies.add(message.profile, Reply.OVERLOAD)
             connection.respond(request, 503, retry_after=wait, keep_alive=not self._shutting_down)
             return
+        if connection.has_client_ended():
+            self._journal.record_ended(message)
+            self._withdraw_request(connection, request)
+            return
         self._owed[message.id] = message
         self._counters.add("packets_taken")
         connection.respond(request, 202)
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -126,6 +126,32 @@
     run_with_relay(Platform(hosts=1), tmp_path, monkeypatch, steps)
 
 
+@pytest.mark.parametrize("answered", [0, 1])
+def test_requests_of_a_client_whose_end_lay_behind_unread_bytes_were_accepted(
+    tmp_path, monkeypatch, answered
+):
+    """Nothing is accepted after the client's end has arrived, also where it can't be read yet."""
+    platform = Platform(hosts=0)
+
+    async def steps(relay):
+        client, raw = relay.client(), b"".join(request(f"p{n}") for n in range(600))
+        if answered:
+            client.send(request("first"))
+            await client.statuses(1)
+        client.send(raw)
+        client.close()
+        await relay.until(lambda: relay.server._counters.counts["requests_withdrawn"])
+        await relay.until(
+            lambda: not relay.server.clients._connections and not relay.server.clients.received_requests
+        )
+        assert len(relay.server._owed) == len(relay.server._journal.owed) == answered
+        (other,) = await relay.connect_clients()
+        other.send(request("next"))
+        assert await other.statuses(1) == [202]
+
+    run_with_relay(platform, tmp_path, monkeypatch, steps)
+
+
 def test_requests_withdrawn_before_their_turn_are_not_accepted(tmp_path, monkeypatch):
     platform = Platform(hosts=1)
 
