An id ran twice when it came again after a restart, or at the other process of an upgrade

Cause: ids by which repeats are told were in the memory of one process: a restart forgot those of messages that had ended, and of two processes that listen side by side neither knew the other's.

Before a message is accepted, the journals of the folder's other processes are looked up, each read on from where it was left; without another process that is one stat of the folder. A request that is withdrawn behind its record is written as such, so that its id may come again.

Not covered: the same id at both processes within the microseconds between the look-up and the record.

--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -19,6 +19,7 @@
 from millweir.net.control import ControlListener
 from millweir.net.counters import Counters
 from millweir.net.desk import RelayServer
+from millweir.net.ended import EndedIds
 from millweir.net.journal import Journal
 from millweir.net.log import Log
 from millweir.net.owed_message import OwedMessage
@@ -41,7 +42,11 @@
     while True:
         try:
             return Journal(
-                config.state, bounds.max_journal_file_bytes, bounds.max_journal_live_bytes, log.info
+                config.state,
+                bounds.max_journal_file_bytes,
+                bounds.max_journal_live_bytes,
+                log.info,
+                EndedIds(bounds.max_known_ids, bounds.known_id_time_ns),
             )
         except OSError as error:
             if error.errno not in TEMPORARY_ERRNOS:
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -22,6 +22,7 @@
 from millweir.net.client_connection import ClientConnection
 from millweir.net.clients import ClientListener
 from millweir.net.cold_hosts import RecoveringHostStore
+from millweir.net.concurrent_ids import ConcurrentIds
 from millweir.net.config import Config
 from millweir.net.cordons import Cordons
 from millweir.net.counters import Counters
@@ -65,13 +66,13 @@
         self._load_metrics = settings.report_fields
         self._discovery_address = config.discovery
         self._owed: dict[bytes, OwedMessage] = {}
+        self._concurrent_ids = ConcurrentIds(journal.folder, journal.list_other_file_names())
         self._backlog: deque[OwedMessage] = deque()  # owed but not submitted to the engine yet, oldest first
         self._turn_scheduled = self._shutting_down = self._linger_elapsed = self._quiesced = False
         self._ends = MessageEnds(
             self._owed,
             journal,
             engine,
-            bounds,
             lambda message: self._notifications.add(message),
             log,
             counters,
@@ -401,15 +402,25 @@
         else:
             self._accept_message(connection, request)
 
+    def _is_known(self, message_id: bytes) -> bool:
+        """Whether this process or another one of its folder has accepted the id."""
+        if message_id in self._owed or message_id in self._journal.ended_ids:
+            return True
+        try:
+            return message_id in self._concurrent_ids
+        except OSError as error:
+            self._log.info(f"journal-failed concurrent {error}")
+            return False
+
     def _accept_message(self, connection: ClientConnection, request: Request) -> None:
-        if request.id in self._owed or request.id in self._ends.ended_ids:
+        if self._is_known(request.id):
             # A repeated request, or another client's request under the same id: the id is accepted already.
             # Rule 2 (no message takes effect twice); hosts can't use a second body under one id, and it would
             # harm the packets that travel in the same batch.
             connection.respond(request, 202)
             return
         now, deadline = clock.monotonic_ns(), request.received_at + request.remaining_time
-        self._ends.ended_ids.drop_expired(now)
+        self._journal.ended_ids.drop_expired(now)
         self._loop_lag.record(now, now - request.received_at)
         message = OwedMessage(
             request.id,
@@ -422,7 +433,10 @@
             request.body,
         )
         shortage = find_shortage(
-            self._bounds, len(self._owed), self._journal.live_bytes + message.size, len(self._ends.ended_ids)
+            self._bounds,
+            len(self._owed),
+            self._journal.live_bytes + message.size,
+            len(self._journal.ended_ids),
         )
         free_bytes = self._free_bytes if shortage is RefusalReason.NONE else 0
         wait = self._engine.check_admission(
@@ -448,7 +462,7 @@
             connection.respond(request, 503, retry_after=wait, keep_alive=not self._shutting_down)
             return
         if connection.has_client_ended():
-            self._journal.record_ended(message)
+            self._journal.record_withdrawn(message)
             self._withdraw_request(connection, request)
             return
         self._owed[message.id] = message
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -9,13 +9,14 @@
 import fcntl
 import os
 import struct
-import zlib
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 from millweir.answers.final import FinalAnswer
 from millweir.interface import MILLISECOND
 from millweir.net import clock
+from millweir.net.ended import EndedIds
 from millweir.net.owed_message import (
     ACCEPTED_KIND,
     ACCEPTED_RECORD,
@@ -28,6 +29,8 @@
     FRAME_HEADER,
     GIVEN_UP_KIND,
     GIVEN_UP_RECORD,
+    KNOWN_ID_KIND,
+    KNOWN_ID_RECORD,
     MAX_TRIP_BYTES,
     NEVER_RAN_KIND,
     NEVER_RAN_RECORD,
@@ -35,10 +38,13 @@
     TRIP_RECORD,
     UNKNOWN_SENT_AT,
     OwedMessage,
+    decode_frames,
     encode_frames,
+    encode_known_id,
 )
 
 FILE_NAME = "journal"
+DEFAULT_MAX_IDS = 4096
 SLOT_COUNT = 4  # processes that may share the folder at once: normally one, and in an upgrade its replacement
 
 
@@ -65,8 +71,14 @@
     """Every message that is still owed an outcome, in memory and on disk."""
 
     def __init__(
-        self, folder: Path, max_file_bytes: int, max_live_bytes: int, log_line: Callable[[str], None]
+        self,
+        folder: Path,
+        max_file_bytes: int,
+        max_live_bytes: int,
+        log_line: Callable[[str], None],
+        ended_ids: EndedIds | None = None,
     ) -> None:
+        """`ended_ids`: to be filled with the ids that earlier processes of the folder knew."""
         self.folder, self._max_file_bytes, self._max_live_bytes, self._log_line = (
             folder,
             max_file_bytes,
@@ -74,6 +86,7 @@
             log_line,
         )
         self.owed: dict[int, OwedMessage] = {}
+        self.ended_ids = EndedIds(DEFAULT_MAX_IDS) if ended_ids is None else ended_ids
         self.torn_bytes = 0  # dropped from the end of the file at the start
         self._live_bytes = self._file_bytes = self._last_number = 0
         # Records that the disk did not take, oldest first.  No message and no trip is recorded before they
@@ -116,6 +129,10 @@
         self._lock_fds[slot] = fd
         return True
 
+    def list_other_file_names(self) -> list[str]:
+        """The files in which other processes of the folder may keep what they owe."""
+        return [build_slot_file_name(slot) for slot in range(SLOT_COUNT) if slot != self.slot]
+
     def has_concurrent_process(self) -> bool:
         """Whether another live process holds a slot of this folder."""
         for slot in range(SLOT_COUNT):
@@ -180,8 +197,14 @@
                     encode_frames([ENDED_RECORD.pack(ENDED_KIND, number) for number in removed_numbers])
                 )
             raise
+        self._write_known_ids()
         path.unlink(missing_ok=True)
 
+    def _write_known_ids(self) -> None:
+        """Write the ids that were read from another file, which is about to be removed."""
+        with suppress(OSError):
+            self._write(self._encode_known_ids((self._max_file_bytes - self._file_bytes) // 2))
+
     def close(self) -> None:
         """Release the file and the slot, as the end of the process does."""
         if self._file_fd >= 0:
@@ -240,11 +263,21 @@
         self._write_or_log("given-up", GIVEN_UP_RECORD.pack(GIVEN_UP_KIND, message.number, retryable, wait))
 
     def record_ended(self, message: OwedMessage) -> None:
-        """Record that nothing more is owed for a message."""
+        """Record that nothing more is owed for a message, and keep its id until its deadline."""
         if self.owed.pop(message.number, None):
             self._live_bytes -= message.size
+            self._keep_id(message)
             self._write_or_log("over", ENDED_RECORD.pack(ENDED_KIND, message.number))
 
+    def record_withdrawn(self, message: OwedMessage) -> None:
+        """Record that a message was not accepted after all: its id may be handed in again."""
+        self.record_ended(message)
+        self.ended_ids.forget(message.id)
+        self._write_or_log("withdrawn", encode_known_id(message.id, 0))
+
+    def _keep_id(self, message: OwedMessage) -> None:
+        self.ended_ids.add(message.id, clock.from_wall(message.deadline), clock.monotonic_ns())
+
     def write_late_records(self) -> None:
         """Write what the disk did not take before, if it takes it now."""
         if self._unwritten:
@@ -313,6 +346,7 @@
 
     def _write_compacted_file(self) -> None:
         bodies = [body for message in self.owed.values() for body in message.encode_records()]
+        bodies += self._encode_known_ids((self._max_file_bytes - self._live_bytes) // 2)
         raw = encode_frames([_encode_clock_record(), *bodies])
         new_path, path = (
             self.folder / build_slot_file_name(self.slot, ".new"),
@@ -333,14 +367,26 @@
         self._file_fd, self._file_bytes = new_fd, len(raw)
         self._unwritten.clear()  # what they tell is in the new file
 
+    def _encode_known_ids(self, max_bytes: int) -> list[bytes]:
+        """The records of the ids that are still known, the latest first where not all of them fit."""
+        now = clock.monotonic_ns()
+        bodies: list[bytes] = []
+        for message_id, known_until in self.ended_ids.latest():
+            if known_until < now:
+                continue
+            body = encode_known_id(message_id, clock.to_wall(known_until))
+            max_bytes -= FRAME_HEADER.size + len(body)
+            if max_bytes < 0:
+                break
+            bodies.append(body)
+        return bodies[::-1]
+
     def _load_records(self, raw: bytes) -> None:
         offset, self._set_back_ns, self._wall_clock_shift_ns = 0, None, 0
-        while offset + FRAME_HEADER.size <= len(raw):
-            size, checksum = FRAME_HEADER.unpack_from(raw, offset)
-            body = raw[offset + FRAME_HEADER.size : offset + FRAME_HEADER.size + size]
-            if len(body) < size or not size or zlib.crc32(body) != checksum or not self._apply_record(body):
+        for body, end in decode_frames(raw):
+            if not self._apply_record(body):
                 break
-            offset += FRAME_HEADER.size + size
+            offset = end
         self.torn_bytes = len(raw) - offset
         self._live_bytes = sum(message.size for message in self.owed.values())
 
@@ -374,10 +420,14 @@
             if body[0] == FINAL_ANSWER_KIND:
                 self._apply_final_answer(body)
                 return True
+            if body[0] == KNOWN_ID_KIND:
+                self._apply_known_id(body)
+                return True
             message = self.owed.get(struct.unpack_from("<Q", body, 1)[0])
             if body[0] == ENDED_KIND:
                 if message:
                     del self.owed[message.number]
+                    self._keep_id(message)
             elif message is None:
                 pass  # A late record of a message that has ended is no damage: the records after it are read.
             elif body[0] == TRIP_KIND:
@@ -400,3 +450,12 @@
         _, _, number, value = FINAL_ANSWER_RECORD.unpack(body)
         if message := self.owed.get(number):
             message.final_answer = FinalAnswer(value)
+
+    def _apply_known_id(self, body: bytes) -> None:
+        _, _, known_until = KNOWN_ID_RECORD.unpack_from(body)
+        message_id = body[KNOWN_ID_RECORD.size :]
+        if known_until:
+            known_until = clock.from_wall(known_until + self._wall_clock_shift_ns)
+            self.ended_ids.add(message_id, known_until, clock.monotonic_ns())
+        else:
+            self.ended_ids.forget(message_id)
--- a/millweir/net/message_ends.py
+++ b/millweir/net/message_ends.py
@@ -7,10 +7,9 @@
 from millweir.answers.final import FinalAnswer, Settlement
 from millweir.events import EndReason
 from millweir.facade import DecisionEngine
-from millweir.interface import MILLISECOND, Bounds
+from millweir.interface import MILLISECOND
 from millweir.net import clock
 from millweir.net.counters import Counters
-from millweir.net.ended import EndedIds
 from millweir.net.host_call import UnprovenAnswer
 from millweir.net.journal import Journal
 from millweir.net.log import Log
@@ -26,7 +25,6 @@
         owed: dict[bytes, OwedMessage],
         journal: Journal,
         engine: DecisionEngine[OwedMessage],
-        bounds: Bounds,
         notify: Callable[[OwedMessage], None],
         log: Log,
         counters: Counters,
@@ -35,8 +33,6 @@
         self._owed, self._journal, self._engine = owed, journal, engine
         self._notify = notify
         self._log, self._counters = log, counters
-        self.ended_ids = EndedIds(bounds.max_known_ids)
-        self._known_id_time = bounds.known_id_time_ns
         self.replies = ReplyCounts()
 
     def _is_open(self, message: OwedMessage) -> bool:
@@ -113,6 +109,3 @@
         """Record that nothing more is owed for a message."""
         if self._owed.pop(message.id, None):
             self._journal.record_ended(message)
-            now = clock.monotonic_ns()
-            known_until = min(clock.from_wall(message.deadline), now + self._known_id_time)
-            self.ended_ids.add(message.id, known_until, now)
--- a/millweir/net/owed_message.py
+++ b/millweir/net/owed_message.py
@@ -7,6 +7,7 @@
 
 import struct
 import zlib
+from collections.abc import Iterator
 
 from millweir.answers.final import FinalAnswer
 
@@ -21,6 +22,9 @@
 CLOCK_RECORD = struct.Struct("<BQq16s")
 # Kind, 0 (so that earlier builds skip the record), number, the final answer that is not confirmed.
 FINAL_ANSWER_RECORD = struct.Struct("<BQQB")
+# Kind, 0, until when the id that follows is known (wall time; 0: it is not known): of a message that has
+# ended, and may be handed in again.
+KNOWN_ID_RECORD = struct.Struct("<BQq")
 ACCEPTED_KIND = 1
 TRIP_KIND = 2
 NEVER_RAN_KIND = 3
@@ -28,6 +32,7 @@
 ENDED_KIND = 5
 CLOCK_KIND = 6
 FINAL_ANSWER_KIND = 7
+KNOWN_ID_KIND = 8
 NO_TRIP = -1
 UNKNOWN_SENT_AT = 0  # wall time of a trip whose age can't be determined
 # The most that one trip takes in a file, and a message without its texts, body and trips.
@@ -115,5 +120,23 @@
         return FINAL_ANSWER_RECORD.pack(FINAL_ANSWER_KIND, 0, self.number, self.final_answer.value)
 
 
+def encode_known_id(message_id: bytes, known_until: int) -> bytes:
+    """The record of an ended message's id; `known_until`: wall time."""
+    return KNOWN_ID_RECORD.pack(KNOWN_ID_KIND, 0, known_until) + message_id
+
+
+def decode_frames(raw: bytes) -> Iterator[tuple[bytes, int]]:
+    """Yield the body of each whole record, and where it ends; stop at the first damaged one."""
+    offset = 0
+    while offset + FRAME_HEADER.size <= len(raw):
+        size, checksum = FRAME_HEADER.unpack_from(raw, offset)
+        start = offset + FRAME_HEADER.size
+        body = raw[start : start + size]
+        if len(body) < size or not size or zlib.crc32(body) != checksum:
+            return
+        offset = start + size
+        yield body, offset
+
+
 def encode_frames(bodies: list[bytes]) -> bytes:
     return b"".join([FRAME_HEADER.pack(len(body), zlib.crc32(body)) + body for body in bodies])
--- a/tests/net/test_memory.py
+++ b/tests/net/test_memory.py
@@ -85,7 +85,7 @@
         client.send(request("new", left=left) + request("p0", left=left))
         assert (await client.statuses(7))[5:] == [503, 202]
         assert relay.server._counters.counts[f"packets_refused_{RefusalReason.IDS_FULL.value}"] == 1
-        ended_ids = relay.server._ends.ended_ids
+        ended_ids = relay.server._journal.ended_ids
         await relay.until(lambda: ended_ids.drop_expired(clock.monotonic_ns()) or not len(ended_ids))
         client.send(request("later", left=left))
         assert (await client.statuses(8))[7:] == [202]
