A client that sends hundreds of requests at once has none of them accepted, as before

The bound of 256 requests that wait had gone with the backpressure: each was accepted in its turn.

The request in hand is queued once the socket is empty or 64 KB were read ahead of it; with more than 256 requests behind it, the connection is aborted and none is accepted. Usual clients, whose read empties the socket, wait for nothing.

--- a/millweir/net/client_connection.py
+++ b/millweir/net/client_connection.py
@@ -15,11 +15,13 @@
 if TYPE_CHECKING:
     from millweir.net.clients import ClientListener
 
+MAX_WAITING_REQUESTS = 256  # behind the request in hand; with more, none of them is accepted
+
 
 class ClientConnection(asyncio.BufferedProtocol):
     """One client's connection: open, then closing, then closed.
 
-    Bytes behind the request in hand are not read, but for those that came with it (backpressure).
+    Bytes behind the request in hand are not read, but for those that came with it: backpressure.
 
     While it is closing, nothing more is written and received bytes are discarded until the client closes its
     end, or until a time limit.  Closing a socket that holds unread bytes would reset the connection, and a
@@ -32,6 +34,8 @@
         "_transport",
         "_discarded_bytes",
         "_in_hand",
+        "_is_queued",
+        "_may_have_more",
         "_socket",
         "_write_blocked",
         "charged_bytes",
@@ -49,6 +53,8 @@
         self._transport: asyncio.Transport | None = None
         self._socket: socket.socket | None = None
         self._in_hand: Request | None = None  # read and not yet answered
+        self._is_queued = False  # the request in hand waits for its turn
+        self._may_have_more = False  # the last read did not empty the socket
         self._write_blocked = False  # the client does not read its responses
         self.charged_bytes = 0  # to the account of the client connections
         self.request_count = 0
@@ -73,12 +79,13 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         buffer = self._listener.read_buffer
+        self._may_have_more = nbytes == self._listener.offered_bytes
         if self.reason:
             self._discard(nbytes)
         else:
             self._receive(bytes(buffer[:nbytes]))
-        if nbytes == self._listener.offered_bytes and self.open:
-            # More lies in the socket: other connections are read first.
+        if self._may_have_more and self.open:
+            # Other connections are read first.
             self._transport.pause_reading()
             self._listener.resume_reading_later(self)
 
@@ -106,14 +113,36 @@
     def _take_in_hand(self, request: Request) -> None:
         request.received_at = self.waiting_since = clock.monotonic_ns()
         self._in_hand = request
+        self._is_queued = False
         self.request_count += 1
-        self._listener.queue_request(self, request)
+        self._queue_request()
+
+    def _queue_request(self) -> None:
+        """Queue the request in hand once it is known that no flood of requests came with it.
+
+        A client that sends hundreds of requests at once is owed no more than the close (page LATER).
+        """
+        if self._in_hand is None or self._is_queued or not self.open or self.reason:
+            return
+        if self._may_have_more and self._reader.unparsed_bytes < self._listener.bounds.max_body_bytes:
+            self._may_have_more = False  # unless the next read says so
+            self._listener.call_after_poll(self._queue_request)
+            return
+        if self._reader.count_waiting_requests() > MAX_WAITING_REQUESTS:
+            self.reason = "flood"
+            self.abort()
+            return
+        self._is_queued = True
+        self._listener.queue_request(self, self._in_hand)
+        self.update_reading()
 
     def update_reading(self) -> None:
         """Read from the socket unless bytes that were read wait for their turn."""
         if not self.open:
             return
-        if not self.reason and (self._reader.has_unparsed_bytes or self._write_blocked):
+        is_ahead = self._reader.has_unparsed_bytes and (self._in_hand is None or self._is_queued)
+        is_ahead = is_ahead or self._reader.unparsed_bytes >= self._listener.bounds.max_body_bytes
+        if not self.reason and (is_ahead or self._write_blocked):
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
@@ -133,8 +162,8 @@
 
     @property
     def may_be_closed(self) -> bool:
-        """Whether it is in use and no request of it would go without an answer."""
-        return self.open and not self.reason and self._in_hand is None
+        """Whether it is in use and no request of it waits for its turn."""
+        return self.open and not self.reason and not (self._in_hand and self._is_queued)
 
     def eof_received(self) -> bool:
         self.reason = self.reason or "client-closed"
@@ -152,8 +181,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.open = False
-        self._reader.close()
+        if self._in_hand and not self._is_queued:
+            self._listener.record_withdrawn(1 + self._reader.count_waiting_requests())
         self._in_hand = None
+        self._reader.close()
         self._listener.remove_connection(self, self.reason or ("reset" if exc else "client-closed"))
 
     def has_client_ended(self) -> bool:
@@ -189,8 +220,9 @@
             self.reason = "client-stuck"
             self.abort()
             return
-        if self._reader.mid_request:
+        if self._reader.mid_request or self._in_hand:
             self._transport.writelines(encode_response(status, False))
+        self._in_hand = None
         self.close_gracefully(reason)
 
     def respond(
--- a/millweir/net/clients.py
+++ b/millweir/net/clients.py
@@ -61,6 +61,14 @@
         self.offered_bytes = max(MIN_READ_BYTES, min(MAX_READ_BYTES, share))
         return self.read_buffer[: self.offered_bytes]
 
+    def call_after_poll(self, callback: Callable[[], None]) -> None:
+        """Call back once each connection that has more to read has been read."""
+        clock.call_after_poll(self._loop, callback)
+
+    def record_withdrawn(self, count: int) -> None:
+        """Count requests that were read and are dropped before their turn."""
+        self._counters.add("requests_withdrawn", count)
+
     def resume_reading_later(self, connection: ClientConnection) -> None:
         """Read from the connection again after the next poll, in which the others are read."""
         if not self._to_resume:
--- a/millweir/net/request_reader.py
+++ b/millweir/net/request_reader.py
@@ -11,6 +11,7 @@
 from millweir.net.heads import parse_duration, parse_token
 
 HEAD_END = b"\r\n\r\n"  # also ends a chunked body, with or without trailer fields
+REQUEST_LINE_END = b" HTTP/1.1\r\n"
 MAX_FIELDS = 100  # of one head
 # A body in small chunks has so many bytes on the wire for each of its own.
 MAX_CHUNKED_OVERHEAD = 4
@@ -114,6 +115,15 @@
         """Whether bytes of a further request wait to be parsed."""
         return bool(self._unparsed)
 
+    @property
+    def unparsed_bytes(self) -> int:
+        """How many bytes wait to be parsed."""
+        return len(self._unparsed)
+
+    def count_waiting_requests(self) -> int:
+        """Count the requests that have begun in the bytes that wait to be parsed."""
+        return self._unparsed.count(REQUEST_LINE_END)
+
     @property
     def ended(self) -> bool:
         """Whether the last request was invalid or asks for another protocol, so that none can follow."""
