A process that came up at the address of one that had gone was taken for the old one

Cause: an endpoint was a name at an address; when its process had started (since_ms of the list) was read nowhere, so a host that restarted under its name and address kept the connections, and the calls on their way, of the process before it.

Now a later start makes another endpoint, as another address does: calls of which the last byte is not written are taken back, idle connections closed. A call that waits for a connection is taken back when its host leaves the list; on a connection that was open before it still goes out within the grace. Of hosts that one update lists at one address the one that started last has it.

Tests: three stages of a call at a restart, a connect to an address whose host has left, and five rows of the table; all nine failed before.

--- a/millweir/net/address_owners.py
+++ b/millweir/net/address_owners.py
@@ -6,16 +6,19 @@
 
     the list                                                    may a call to the old endpoint be written?
     the host is listed with this destination and address        yes
-    the host has left, and nobody has its address               yes; its drain grace is the engine's matter
+    the host has left, and nobody has its address               on a connection that was open before; one
+                                                                opened now may reach the address's next host
+    a process of the host has started there since               no: the call goes to that one, on a connection
+                                                                of its own
     another host was listed at the address later                no, whether or not the old one is still listed
     the host is listed at another address                       no
     the host is listed with another destination                 no
     the host has left and is listed again                       no: the call was decided for a host that left
 
 Of several hosts listed at one address, the one that was listed there last has it; in one update, one that
-does not drain comes after one that does.  The others count as gone until it leaves: then the address falls
-back to the one before, as a new endpoint.  Hosts that one update lists at one address share it: none took it
-from the other.
+does not drain comes after one that does, and of those alike the one that started last.  The others count as
+gone until it leaves: then the address falls back to the one before, as a new endpoint.  Hosts alike in all
+of this share the address: none took it from the other.
 
 No I/O and no clock; an update takes time in proportion to its entries and the hosts at their addresses.
 """
@@ -28,6 +31,7 @@
 from millweir.interface import Entry, Phase
 
 Address = tuple[str, int]
+Claim = tuple[int, int]  # when a host was listed at an address, by updates, and when its process started
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +40,7 @@
 
     entry: Entry
     address: Address
+    started_at_ms: int = 0  # Unix time of the last start of its process; 0: long ago
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -55,7 +60,7 @@
     def __init__(self) -> None:
         self._listed: dict[str, ListedHost] = {}
         # By address: the hosts listed there, each with when it was; a greater number is later.
-        self._claims: dict[Address, dict[str, int]] = {}
+        self._claims: dict[Address, dict[str, Claim]] = {}
         self._latest_claim = 0
         self._endpoints: dict[str, Endpoint] = {}  # of the hosts that have their address
 
@@ -71,6 +76,10 @@
             return self._endpoints.get(endpoint.name) is endpoint
         return endpoint.address not in self._claims
 
+    def has_left(self, endpoint: Endpoint) -> bool:
+        """Whether the endpoint's host is not listed any more."""
+        return endpoint.name not in self._listed
+
     def is_name_of(self, endpoint: Endpoint) -> bool:
         """Whether the endpoint's name stands for a host of the same destination still, or has left."""
         host = self._listed.get(endpoint.name)
@@ -97,10 +106,10 @@
             self._withdraw_claim(name, changed)
         for name, host in listed.items():
             old = self._listed.get(name)
-            if old is None or _is_elsewhere(old, host):
+            if old is None or _is_another_process(old, host):
                 self._withdraw_claim(name, changed)
                 is_draining = host.entry.phase is Phase.DRAINING
-                claim = draining_claim if is_draining else self._latest_claim
+                claim = draining_claim if is_draining else self._latest_claim, host.started_at_ms
                 self._claims.setdefault(host.address, {})[name] = claim
                 changed[host.address] = None
             self._listed[name] = host
@@ -127,7 +136,7 @@
     def _assign(self, address: Address) -> None:
         """Give the address to the hosts that were listed there last."""
         claims = self._claims.get(address, {})
-        latest = max(claims.values(), default=0)
+        latest = max(claims.values(), default=(0, 0))
         for name, claim in claims.items():
             if claim != latest:
                 self._endpoints.pop(name, None)
@@ -135,5 +144,6 @@
                 self._endpoints[name] = Endpoint(name, address, self._listed[name].entry.destination)
 
 
-def _is_elsewhere(old: ListedHost, new: ListedHost) -> bool:
-    return old.address != new.address or old.entry.destination != new.entry.destination
+def _is_another_process(old: ListedHost, new: ListedHost) -> bool:
+    is_elsewhere = old.address != new.address or old.entry.destination != new.entry.destination
+    return is_elsewhere or new.started_at_ms > old.started_at_ms
--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -39,6 +39,12 @@
         return (*(host.entry for host in self.hosts.values()), *self.removed.values())
 
 
+def _read_start_time(row: dict[str, Any]) -> int:
+    """The time at which a host last started, Unix time in milliseconds; 0 where it is not given."""
+    started_at = row.get("since_ms")
+    return started_at if isinstance(started_at, int) and started_at > 0 else 0
+
+
 def decode_host_list(document: Any, settings: Settings) -> HostListUpdate:
     """Decode a list in discovery's format; InvalidHostList where any part of it is invalid."""
     try:
@@ -62,7 +68,8 @@
             if phase is Phase.GONE:
                 removed[name] = entry
             else:
-                hosts[name] = ListedHost(entry, read_address(row["address"], f"address of {name}"))
+                address = read_address(row["address"], f"address of {name}")
+                hosts[name] = ListedHost(entry, address, _read_start_time(row))
         return HostListUpdate(
             int(document["index"]),
             bool(document.get("snapshot", False)),
--- a/millweir/net/host_call.py
+++ b/millweir/net/host_call.py
@@ -378,6 +378,11 @@
         else:
             self._finish_unconfirmed(part, PartOutcome(Outcome.MOOT, True), Settlement.UNCONFIRMED)
 
+    @property
+    def is_connecting(self) -> bool:
+        """Whether it waits for a connection of its own."""
+        return self.connection is None and not self.is_resting
+
     @property
     def needs_proof(self) -> bool:
         """Whether a message of the call would have to wait until an unproven answer is confirmed."""
--- a/millweir/net/hosts.py
+++ b/millweir/net/hosts.py
@@ -96,7 +96,8 @@
 
     def _withdraw_calls(self) -> None:
         for call in list(self._calls.values()):
-            if not self._may_receive_all(call.pool, call.pending_parts):
+            may_connect = not (call.is_connecting and self._owners.has_left(call.pool.endpoint))
+            if not may_connect or not self._may_receive_all(call.pool, call.pending_parts):
                 call.withdraw()
 
     def _replace_pool(self, name: str) -> None:
--- a/tests/net/test_address_owners.py
+++ b/tests/net/test_address_owners.py
@@ -13,8 +13,8 @@
 A, B = ("10.0.0.1", 80), ("10.0.0.2", 80)
 
 
-def listed(name, address=A, destination=0, phase=Phase.READY):
-    return {name: ListedHost(Entry(name.encode(), 0, 0, destination, phase, 1.0), address)}
+def listed(name, address=A, destination=0, phase=Phase.READY, started=0):
+    return {name: ListedHost(Entry(name.encode(), 0, 0, destination, phase, 1.0), address, started)}
 
 
 def gone(name):
@@ -50,6 +50,11 @@
         ([gone("old"), listed("old", destination=1)], False, "old"),
         ([gone("old"), listed("old")], False, "old"),
         ([listed("new"), gone("new")], False, "old"),
+        ([listed("old", started=5)], False, "old"),  # a new process at its address
+        ([listed("old", started=5), listed("old", phase=Phase.DRAINING, started=5)], False, "old"),
+        ([listed("new"), listed("old", started=5)], False, "old"),
+        ([listed("old", destination=1) | listed("new", started=5)], False, "new"),
+        ([listed("old", started=5) | listed("new")], False, "old"),
     ],
 )
 def test_bytes_went_to_an_address_that_had_become_another_hosts(steps, may_receive, owner):
--- a/tests/net/test_reassigned_addresses.py
+++ b/tests/net/test_reassigned_addresses.py
@@ -202,6 +202,46 @@
     run_with_relay(platform, tmp_path, monkeypatch, steps, last_byte_hold_ns=HOLD_TIME_NS)
 
 
+def test_a_call_connected_to_an_address_whose_host_had_left_the_list(tmp_path, monkeypatch):
+    """Guards the time until the list names the address's next host: a connection opened now may reach it."""
+    platform = Platform(hosts=1)
+
+    async def steps(relay):
+        gate = await begin_connecting(relay, platform, ["late"], "once")
+        change_together(platform, {"name": "h0", "status": "DELETED"}, {"name": "own", "group": OLD})
+        await relay.until(lambda: platform.sent("late"), AT_ONCE_SECONDS)
+        gate.open.set()
+        await asyncio.sleep(0.05)
+        assert [call.who for call in platform.calls] == ["own"] and not platform.notifications
+
+    run_with_relay(platform, tmp_path, monkeypatch, steps)
+
+
+@pytest.mark.parametrize("begin", STAGES)
+def test_a_call_went_out_on_a_connection_to_the_process_before_a_hosts_restart(tmp_path, monkeypatch, begin):
+    """Guards the list's time of start: what is open leads to a process that has gone, or to nobody."""
+    platform = Platform(hosts=1)
+
+    async def steps(relay):
+        hosts = relay.server._hosts
+        await begin(relay, platform, ["late"], "once")
+        relay.patch.undo()
+        hosts.loop = relay.server._loop
+        hosts.bounds = replace(hosts.bounds, last_byte_hold_ns=2 * MILLISECOND)
+        (call,) = hosts._calls.values()
+        earlier = call.connection or next(iter(hosts._resting), None)
+        request_count = earlier and earlier.request_count
+        with platform.changed:
+            platform.add("h0")
+            platform.rows["h0"]["since_ms"] = 1
+        await relay.until(lambda: platform.sent("late"), AT_ONCE_SECONDS)
+        assert earlier is None or earlier.request_count == request_count
+        assert earlier not in hosts._idle and hosts._idle
+        assert len(platform.sent("late")) == 1 and not platform.notifications
+
+    run_with_relay(platform, tmp_path, monkeypatch, steps, last_byte_hold_ns=HOLD_TIME_NS)
+
+
 def test_a_call_by_the_cached_list_went_to_the_host_that_has_the_address_now(tmp_path, monkeypatch):
     """Guards the start: the first list from discovery contradicts the one of the last run."""
     platform = GatedDiscovery(hosts=1)
