--- a/millweir/net/discovery.py
+++ b/millweir/net/discovery.py
@@ -17,6 +17,7 @@
 from millweir.net.heads import ResponseReader, parse_number
 from millweir.net.log import Log
 
+MAX_HASTY_ANSWERS = 2  # such as a short first request to an address, and a copy of an answer
 PHASE_BY_STATUS = {"SERVING": Phase.READY, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
 
 
@@ -161,6 +162,7 @@
         "_back_off",
         "_exchange",
         "_failures",
+        "_hasty_answers",
         "_loop",
         "_server_wait",
         "_watch",
@@ -195,6 +197,7 @@
         self.address = address
         self.proven = self.closed = False
         self._failures, self._asked_at = 0, loop.time()
+        self._hasty_answers = 0  # in a row, with nothing new
         self._asked_since, self._server_wait = -1, 0  # of the pending request
         self._back_off: int | None = None  # before the pending request, where the last one was turned away
 
@@ -231,7 +234,7 @@
     def _on_response(self, reader: ResponseReader | None) -> None:
         if self._watch.handle_response(self, reader):
             self._failures = 0
-            self.poll()
+            self._poll_after_answer()
         else:
             # Turned away, the poller backs off as the engine draws it and then asks with a longer wait, as
             # discovery is overloaded.  Else it retries soon: what discovery learns meanwhile binds at once.
@@ -243,6 +246,17 @@
             self._back_off = pause if self.proven else None
             self._loop.call_later(pause / 1e9, self.poll)
 
+    def _poll_after_answer(self) -> None:
+        """Ask again at once, unless discovery answers without news and without a wait, again and again."""
+        reconnect_delay = self._watch.bounds.reconnect_delay_ns / 1e9
+        is_new = self._watch.version != self._asked_since
+        is_hasty = not is_new and self._loop.time() - self._asked_at < reconnect_delay
+        self._hasty_answers = self._hasty_answers + 1 if is_hasty else 0
+        if self._hasty_answers > MAX_HASTY_ANSWERS:
+            self._loop.call_later(reconnect_delay, self.poll)
+        else:
+            self.poll()
+
     def close(self) -> None:
         self.closed = True
         self._exchange.close("moved")
@@ -313,6 +327,11 @@
             poller.drop_connection("out-of-step")
             return True
         poller.proven = True
+        if update.version < self.version and not update.is_full:
+            # An agent that started again counts anew: its changes say nothing of the list known here.
+            self._log.info(f"list-older version={update.version} known={self.version}")
+            self.version = -1
+            return True
         while self._pollers[0] is not poller and poller in self._pollers:
             self._pollers.pop(0).close()
         self.version = update.version
--- a/tests/net/test_watch.py
+++ b/tests/net/test_watch.py
@@ -9,7 +9,7 @@
 from rig import settings
 
 from millweir.control import bounds
-from millweir.interface import SECOND, Change, Limits
+from millweir.interface import MILLISECOND, SECOND, Change, Limits
 from net.agent import Agent, Watched, encode_list, make_row
 from net.inside import GatedLoop
 
@@ -315,3 +315,41 @@
             ), turns
 
     run_with_agent(steps)
+
+
+def test_discovery_that_answers_at_once_was_asked_without_a_pause():
+    """Guards against a loop of requests: lists without news, one on each connection, and never a wait."""
+
+    async def steps(agent):
+        watched = Watched(agent, watch=60_000, silence=60_100, reconnect_delay_ns=50 * MILLISECOND)
+        began, answered = asyncio.get_running_loop().time(), 0
+        while asyncio.get_running_loop().time() < began + 0.5:
+            (await agent.next_request()).answer(encode_list(7))
+            answered += 1
+        assert answered <= 2 + 0.5 / 0.05 * 2
+        (await agent.next_request()).answer(encode_list(8, make_row("h1")))
+        (await agent.next_request()).answer(encode_list(9, make_row("h2")))
+        assert (await agent.next_request()).wait_ms == 60_000
+        assert watched.names == [(8, ["h1"]), (9, ["h2"])]
+        watched.watch.close()
+
+    run_with_agent(steps)
+
+
+def test_changes_of_an_agent_that_counts_anew_were_applied_to_the_list_before():
+    """Guards a restart of discovery's agent, whose versions begin again: the whole list is asked for."""
+
+    async def steps(agent):
+        watched = Watched(agent)
+        (await agent.next_request()).answer(encode_list(8, make_row("h1")))
+        agent.connections[0].close()
+        (await agent.next_request()).end()
+        while (request := await agent.next_request()).wait_ms is not None:
+            request.answer(encode_list(2, make_row("h2")))
+        request.answer(encode_list(2, make_row("h2"), make_row("h3"), full=True))
+        await agent.next_request()
+        assert watched.names == [(8, ["h1"]), (2, ["h2", "h3"])]
+        assert watched.updates[-1][0] is Change.FULL
+        watched.watch.close()
+
+    run_with_agent(steps)
