A log that nobody reads stopped the relay

A pipe or socket takes lines without waiting now; lines that it does not take are counted as dropped. The test, a pipe of 4 KB that nobody reads, failed before (no answer to GET /ready).

--- a/millweir/__main__.py
+++ b/millweir/__main__.py
@@ -21,7 +21,7 @@
 from millweir.net.desk import RelayServer
 from millweir.net.ended import EndedIds
 from millweir.net.journal import Journal
-from millweir.net.log import Log
+from millweir.net.log import Log, make_log_nonblocking
 from millweir.net.owed_message import OwedMessage
 from millweir.net.reload import ConfigReloader
 
@@ -116,6 +116,7 @@
 def main() -> None:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is handled: the file is read below anyway
     gc.disable()  # until the journal is read: all objects stay alive, so there is nothing to collect
+    make_log_nonblocking()
     operator = None
     try:
         if len(sys.argv) > 1:  # without arguments only the code of the platform's protocol is loaded
--- a/millweir/net/log.py
+++ b/millweir/net/log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import stat
 import sys
 
 from millweir.interface import SECOND
@@ -40,3 +42,13 @@
             print(f"{clock.to_wall(clock.monotonic_ns()) / 1e9:.3f} {text}", file=sys.stderr, flush=True)
         except OSError:
             self._dropped += 1
+
+
+def make_log_nonblocking() -> None:
+    """Let lines be dropped, not waited for, where standard error is a pipe that nobody reads."""
+    try:
+        mode = os.fstat(sys.stderr.fileno()).st_mode
+        if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
+            os.set_blocking(sys.stderr.fileno(), False)
+    except (OSError, ValueError):  # closed, or replaced by something without a descriptor
+        return
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,6 +1,7 @@
 """The relay as a process on sockets: what clients, hosts and discovery observe, restarts included."""
 
 import base64
+import fcntl
 import http.client
 import itertools
 import json
@@ -841,3 +842,22 @@
     relay.hand_in("b")
     until(lambda: platform.sent("b"))
     assert time.monotonic() - handed_in_at > 1.0
+
+
+def test_a_log_that_nobody_read_stopped_the_relay(tmp_path):
+    """Guards standard error that is a pipe: lines that it does not take are dropped."""
+    os.mkfifo(tmp_path / "log")
+    reader = os.open(tmp_path / "log", os.O_RDONLY | os.O_NONBLOCK)
+    fcntl.fcntl(reader, fcntl.F_SETPIPE_SZ, 4096)
+    platform = Platform(hosts=1)
+    relay = Program(platform, tmp_path)
+    try:
+        for _ in range(100):  # a line each
+            assert relay.get("/ready") == 200
+        assert relay.hand_in("late") == 202
+        until(lambda: platform.sent("late"))
+        relay.send_signal(signal.SIGTERM)
+        assert relay.process.wait(4) == 0
+    finally:
+        relay.end()
+        os.close(reader)
