A long host list took ten times its bytes, beyond the memory limit

Lists have a share of the memory as the other holders have, and the longest one is a tenth of it: 0.8 MB at 64 MB (over 6,000 hosts), 4 MB at 192 MB, 51 KB at 32 MB (390 hosts; a fleet of thousands of hosts does not fit into 32 MB). A finished control connection keeps no bytes.

Shares: connections 3/8, messages 1/4, host lists 1/4, known ids 1/8 of what process and folder leave.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -23,7 +23,12 @@
 from millweir.answers.policy import MAX_CONFIRMATION_DELAY_NS, waits_for_proof
 from millweir.events import EndReason, HostTransition, HostView, RecoveringHost, RefusalReason
 from millweir.interface import SECOND, Bounds, Change, Effect, Entry, Limits, Outcome, Phase, Port, Settings
-from millweir.memory_policy import KNOWN_ID_BYTES, derive_memory_shares, limit_client_connections
+from millweir.memory_policy import (
+    KNOWN_ID_BYTES,
+    derive_memory_shares,
+    limit_client_connections,
+    limit_list_bytes,
+)
 from millweir.order import PacketQueues, ValueCurve
 from millweir.records import (
     NEVER,
@@ -100,7 +105,6 @@
     """Derive the limits of the network code: connections, journal, discovery, shutdown and log."""
     half_second = SECOND // 2
     memory = derive_memory_shares(limits)
-    memory_part = limits.memory_bytes // 8
     head_bytes = 16 << 10
     body_bytes = 64 << 10
     watch = min(
@@ -141,7 +145,7 @@
         last_byte_hold_ns=SECOND // 500,
         # A drain that was received meanwhile, and not read yet, is still within its grace period.
         max_release_delay_ns=max(MIN_RELEASE_DELAY_NS, settings.drain_grace - 2 * settings.period),
-        max_list_bytes=min(16 << 20, memory_part),
+        max_list_bytes=limit_list_bytes(memory),
         max_requests_per_turn=64,
         max_calls_per_turn=16,
     )
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -195,7 +195,6 @@
     client_connections: int  # with the bytes of requests that are not answered yet
     messages: int  # accepted and not ended yet
     known_ids: int  # of messages owed, and of ended ones that may come again
-    host_answers: int  # received in part
     host_lists: int  # one list while it is decoded
 
 
--- a/millweir/memory_policy.py
+++ b/millweir/memory_policy.py
@@ -11,6 +11,8 @@
 CONNECTION_BYTES = 4 << 10  # of a client connection, beside the bytes of its requests
 MESSAGE_BYTES = 4 << 10  # of an owed message, beside what it takes in the journal
 KNOWN_ID_BYTES = 256
+LIST_EXPANSION = 10  # of a host list while it is decoded, its own bytes included
+MAX_LIST_BYTES = 16 << 20
 
 
 def derive_memory_shares(limits: Limits) -> MemoryShares:
@@ -19,14 +21,18 @@
         limits.memory_bytes - PROCESS_BYTES - limits.disk_bytes, limits.memory_bytes // MIN_CAPACITY_DIVISOR
     )
     return MemoryShares(
-        client_connections=capacity // 2,
+        client_connections=capacity * 3 // 8,
         messages=capacity // 4,
         known_ids=capacity // 8,
-        host_answers=capacity // 16,
-        host_lists=capacity // 16,
+        host_lists=capacity // 4,
     )
 
 
+def limit_list_bytes(memory: MemoryShares) -> int:
+    """Return how long an answer of discovery may be."""
+    return min(MAX_LIST_BYTES, memory.host_lists // LIST_EXPANSION)
+
+
 def limit_client_connections(limits: Limits, memory: MemoryShares) -> int:
     """Return how many connections clients may hold; a quarter of their memory is left to requests."""
     return min(limits.descriptors // 3, memory.client_connections * 3 // 4 // CONNECTION_BYTES)
--- a/millweir/net/control.py
+++ b/millweir/net/control.py
@@ -120,6 +120,7 @@
             return
         answer = answer.replace(b"\n", b"\r\n")  # the protocol's text lines end with CR LF
         self._finished = True
+        self._buffer = b""
         if self._timer:
             self._timer.cancel()
             self._timer = None
--- a/tests/net/test_memory.py
+++ b/tests/net/test_memory.py
@@ -1,14 +1,19 @@
 """What peers can make a relay hold, in the relay's own process."""
 
+import json
+import tracemalloc
+
 import pytest
 from rig import Platform
 
 from millweir.events import RefusalReason
 from millweir.interface import Limits
-from millweir.memory_policy import PROCESS_BYTES, derive_memory_shares
+from millweir.memory_policy import PROCESS_BYTES, derive_memory_shares, limit_list_bytes
 from millweir.net import clock
+from millweir.net.discovery import decode_host_list
 from millweir.net.replies import ReplyCounts
 from millweir.net.request_reader import MAX_FIELDS, RequestReader
+from net.agent import SETTINGS, encode_list, make_row
 from net.inside import request, run_with_relay
 
 MEGABYTE = 1 << 20
@@ -19,8 +24,8 @@
 def test_shares_of_memory_fit_into_the_limit(memory_mb):
     limits = Limits(descriptors=1024, disk_bytes=MEGABYTE, memory_bytes=memory_mb * MEGABYTE)
     shares = derive_memory_shares(limits)
-    total = shares.client_connections + shares.messages + shares.known_ids + shares.host_answers
-    assert PROCESS_BYTES + limits.disk_bytes + total + shares.host_lists <= limits.memory_bytes
+    total = shares.client_connections + shares.messages + shares.known_ids + shares.host_lists
+    assert PROCESS_BYTES + limits.disk_bytes + total <= limits.memory_bytes
 
 
 def test_requests_behind_the_one_in_hand_took_ten_times_their_bytes():
@@ -112,3 +117,18 @@
         assert len(closed) >= 3 and all(client.answers == [503] for client in closed)
 
     run_with_relay(Platform(hosts=1), tmp_path, monkeypatch, steps)
+
+
+@pytest.mark.parametrize("indent", [None, 2])
+def test_a_host_list_took_ten_times_its_bytes_beyond_the_memory_limit(indent):
+    """Guards the length of a list that is decoded: what it takes meanwhile stays in its share."""
+    shares = derive_memory_shares(Limits(1024, MEGABYTE, 64 * MEGABYTE))
+    rows = [make_row(f"s-{n:08x}") for n in range(500)]
+    raw = encode_list(1, *rows, full=True, indent=indent)
+    tracemalloc.start()
+    try:
+        decode_host_list(json.loads(raw), SETTINGS)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert limit_list_bytes(shares) * (1 + peak / len(raw)) <= shares.host_lists
