A turn of the event loop reads 64 KB in all from connections that have more

Seen with 300 clients that send bodies in chunks of two bytes at 32 MB: an iteration of the loop parsed up to 256 KB and took tens of milliseconds. The size of a read now falls with the number of connections that filled their last one, and a turn is 64 KB.

Left, traced with strace: libuv accepts one connection an iteration, so a usual client's new connection waits behind those of hostile clients in the accept queue. With more hostile connections than may be open (144 at 32 MB) and costly bodies that is 0.5 to 0.7 s: 476 of 953 usual requests without an answer (1.6 s the longest wait of a hostile client; peak 28 MB). At 64 MB: 11 of 958.

--- a/millweir/lab/checker.py
+++ b/millweir/lab/checker.py
@@ -29,7 +29,7 @@
     Started,
     Struck,
 )
-from millweir.lab.hostile_clients import HOSTILE_PREFIX
+from millweir.lab.hostile_clients import HOSTILE_PREFIX, read_relay
 
 MILLISECOND = 1_000_000
 TOLERANCE_NS = 50 * MILLISECOND  # added to every time limit
@@ -353,12 +353,13 @@
             down.add(row.relay)
             until = {key: wait for key, wait in until.items() if key[1] != row.relay}
         elif isinstance(row, Returned) and row.wait:
-            call, relay = made[row.call], relays.get(row.id, "")
+            call, relay = made[row.call], relays.get(row.id) or read_relay(row.id)
             if relay not in down and call.at >= started.get(relay, 0):
                 key = call.host, relay
                 until[key] = max(until.get(key, (0, 0)), (row.at + row.wait, row.at + terms.wait_grace))
         elif isinstance(row, Called):
             made[row.call] = row
-            wait_ends, binding_from = until.get((row.host, relays.get(row.id, "")), (0, 0))
+            relay = relays.get(row.id) or read_relay(row.id)
+            wait_ends, binding_from = until.get((row.host, relay), (0, 0))
             if binding_from < row.at < wait_ends - MILLISECOND:
                 verdict.broken[6].append(f"{row.id} went to {row.host} within its wait")
--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -443,7 +443,8 @@
             sys.executable,
             *("-m", "millweir.lab.hostile_clients", f"{host}:{port}"),
             *(fault.kind.removeprefix("clients-"), str(fault.span / 1e9)),
-            *("--connections", str(fault.connections), "--seed", str(self.seed)),
+            *("--connections", str(fault.connections), "--relay", name),
+            *("--seed", str(self.rng.getrandbits(40))),
             cwd=ROOT,
             stdout=asyncio.subprocess.PIPE,
         )
--- a/millweir/lab/hostile_clients.py
+++ b/millweir/lab/hostile_clients.py
@@ -43,14 +43,20 @@
 class Names:
     """Draws ids, accounts and keys that were never used before."""
 
-    def __init__(self, rng: random.Random) -> None:
-        self._prefix = f"{HOSTILE_PREFIX}{rng.getrandbits(48):012x}"
+    def __init__(self, relay: str, rng: random.Random) -> None:
+        self._prefix = f"{HOSTILE_PREFIX}-{relay}-{rng.getrandbits(48):012x}"
         self._next = count().__next__
 
     def draw(self) -> str:
         return f"{self._prefix}{self._next():x}"
 
 
+def read_relay(message_id: str) -> str:
+    """Return the relay to which a hostile client sent a message; empty for other messages."""
+    prefix, _, rest = message_id.partition("-")
+    return rest.partition("-")[0] if prefix == HOSTILE_PREFIX else ""
+
+
 def encode_message(
     names: Names, body: bytes, service_class: str = "status", dest: int = 0, more: str = ""
 ) -> bytes:
@@ -204,10 +210,12 @@
         self._waits = False
 
 
-async def run_pattern(pattern: Pattern, address: tuple[str, int], seconds: float, seed: int) -> Statistics:
+async def run_pattern(
+    pattern: Pattern, address: tuple[str, int], relay: str, seconds: float, seed: int
+) -> Statistics:
     """Keep the pattern's connections open, each replaced as it ends, for so many seconds."""
     loop, statistics = asyncio.get_running_loop(), Statistics()
-    names = Names(random.Random(seed))
+    names = Names(relay, random.Random(seed))
     end = loop.time() + seconds
 
     async def keep_one_open() -> None:
@@ -236,6 +244,7 @@
     parser.add_argument("pattern", choices=PATTERNS)
     parser.add_argument("seconds", type=float)
     parser.add_argument("--connections", type=int, default=0)
+    parser.add_argument("--relay", default="", help="its name, for the ids of the messages")
     parser.add_argument("--seed", type=int, default=1)
     given = parser.parse_args()
     pattern = PATTERNS[given.pattern]
@@ -246,7 +255,7 @@
     if most == resource.RLIM_INFINITY or wanted <= most:
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, most))
     host, _, port = given.address.rpartition(":")
-    statistics = uvloop.run(run_pattern(pattern, (host, int(port)), given.seconds, given.seed))
+    statistics = uvloop.run(run_pattern(pattern, (host, int(port)), given.relay, given.seconds, given.seed))
     json.dump({"opened": statistics.opened, "longest_wait": round(statistics.longest_wait, 3)}, sys.stdout)
 
 
--- a/millweir/net/clients.py
+++ b/millweir/net/clients.py
@@ -17,8 +17,8 @@
 
 # Bytes read from one connection at a time, and from all of them in one iteration of the event loop.
 MAX_READ_BYTES = 16 << 10
-MIN_READ_BYTES = 1 << 10
-MAX_READ_BYTES_PER_TURN = 256 << 10
+MIN_READ_BYTES = 1 << 9
+MAX_READ_BYTES_PER_TURN = 64 << 10
 
 
 class ClientListener:
@@ -43,6 +43,7 @@
         self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))
         self.offered_bytes = 0  # of that buffer to the last read
         self._to_resume: list[ClientConnection] = []
+        self._busy_connections = 0  # that filled what a read offered in the last iteration of the loop
         self._max_connections = bounds.max_client_connections
         self._wake = wake
         self._log = log
@@ -56,8 +57,8 @@
         self._close_stalled()
 
     def offer_read_buffer(self) -> memoryview:
-        """Return the buffer for one read: the more connections there are, the smaller a part of it."""
-        share = MAX_READ_BYTES_PER_TURN // max(1, len(self._connections))
+        """Return the buffer for one read: the more connections have more to read, the smaller a part."""
+        share = MAX_READ_BYTES_PER_TURN // max(1, self._busy_connections)
         self.offered_bytes = max(MIN_READ_BYTES, min(MAX_READ_BYTES, share))
         return self.read_buffer[: self.offered_bytes]
 
@@ -77,6 +78,7 @@
 
     def _resume_reading(self) -> None:
         connections, self._to_resume = self._to_resume, []
+        self._busy_connections = len(connections)
         for connection in connections:
             connection.update_reading()
 
