--- a/millweir/net/client_connection.py
+++ b/millweir/net/client_connection.py
@@ -36,6 +36,7 @@
         "_in_hand",
         "_is_queued",
         "_may_have_more",
+        "_read_at",
         "_socket",
         "_write_blocked",
         "charged_bytes",
@@ -55,6 +56,7 @@
         self._in_hand: Request | None = None  # read and not yet answered
         self._is_queued = False  # the request in hand waits for its turn
         self._may_have_more = False  # the last read did not empty the socket
+        self._read_at = 0  # when bytes were read last: the time of a request counts from its last byte
         self._write_blocked = False  # the client does not read its responses
         self.charged_bytes = 0  # to the account of the client connections
         self.request_count = 0
@@ -97,8 +99,9 @@
     def _receive(self, data: bytes) -> None:
         was_mid_request = self._reader.mid_request
         self._reader.feed(data)
+        self._read_at = clock.monotonic_ns()
         if self.request_count and not was_mid_request:
-            self.waiting_since = clock.monotonic_ns()
+            self.waiting_since = self._read_at
         self._read_next_request()
 
     def _read_next_request(self) -> None:
@@ -111,7 +114,8 @@
         self.update_reading()
 
     def _take_in_hand(self, request: Request) -> None:
-        request.received_at = self.waiting_since = clock.monotonic_ns()
+        request.received_at = self._read_at
+        self.waiting_since = clock.monotonic_ns()
         self._in_hand = request
         self._is_queued = False
         self.request_count += 1
@@ -155,11 +159,6 @@
             held_bytes += self._transport.get_write_buffer_size()
         self._listener.charge(self, held_bytes)
 
-    @property
-    def holds_partial_request(self) -> bool:
-        """Whether it waits for the rest of a request."""
-        return self._reader.mid_request and self._in_hand is None
-
     @property
     def may_be_closed(self) -> bool:
         """Whether it is in use and no request of it waits for its turn."""
