--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; TROUBLE=0: no disruption.
+cd "$(dirname "$0")/../.." && exec .venv/bin/python review/10/play.py
