--- a/review/10/play.py
+++ b/review/10/play.py
@@ -1,4 +1,4 @@
-"""A process that owes large messages is replaced; does the folder stay within its limit?"""
+"""Two messages of one key come to one relay while its process is replaced; do they go one at a time?"""
 
 from __future__ import annotations
 
@@ -11,43 +11,46 @@
 
 import rig_2 as rig  # noqa: E402
 
-DISK_MB = 3
-BODY = bytes(range(256)) * 200  # 50 KiB of at most 64 KiB
-RATE = 2
+KEYS = 16
+WORK = 0.2  # at a partner of usual pace: 120 to 210 ms (listing-update)
 
 
-def make_limit():
-    """Return a decision: so many calls in each span of 1 s, the others are told to wait for its end."""
-    taken: dict[int, int] = {}
-
-    def decide(call: dict) -> tuple[str, float, str]:
-        span = int(call["whole"])
-        taken[span] = taken.get(span, 0) + 1
-        if taken[span] <= RATE:
-            return "200 OK", 0.15, ""
-        return "429 Too Many Requests", 0.0, f"Retry-After: {span + 1 - call['whole'] + 0.001:.3f}\r\n"
-
-    return decide
-
-
-def measure(folder: Path) -> int:
-    """Return what the folder holds: each file counts in whole 512 bytes."""
-    total = 0
-    for path in folder.iterdir():
-        try:
-            total += -(-path.stat().st_size // 512) * 512
-        except OSError:
-            continue
-    return total
+async def hand_in_pair(case: rig.Case, kept: rig.Client, port: int, number: int) -> list[dict]:
+    """One program sends on the connection it keeps, another one on a new connection, a moment later."""
+    pair = [
+        {
+            "id": f"{letter}{number:03d}",
+            "class": "listing-update",
+            "left_ms": 24_000,
+            "dest": 1,
+            "key": f"k{number}",
+        }
+        for letter in "ab"
+    ]
+    await kept.hand_in(pair[0])
+    await asyncio.sleep(0.02)
+    other = rig.Client(case, port)
+    await other.hand_in(pair[1])
+    other.close()
+    return pair
 
 
 async def play(case: rig.Case) -> list[str]:
-    host = rig.Host(case, "h1", 1, rate=float(RATE))
-    host.decide = make_limit()
+    host = rig.Host(case, "h1", 1, work=WORK)
     agent = rig.Agent(case, [host])
     await case.serve(host, agent)
     port, state = rig.free_port(), case.make_state()
-    settings = rig.build_settings([rig.build_grade("status-update", "pure")])
+    settings = rig.build_settings(
+        [
+            rig.build_grade(
+                "listing-update",
+                "token",
+                **{"give-up-us": 24_000_000, "dedup-window-us": 6_000_000},
+                **{"key-scope": "all", "one-at-a-time": True},
+            )
+        ]
+    )
+    settings["obligations"]["key-quiet-us"] = 300_000
     controls = [f"{rig.LOOPBACK}:{rig.free_port()}" for _ in range(2)]
 
     def configure(control: str) -> dict:
@@ -57,49 +60,51 @@
             "control": control,
             "discovery": agent.address,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": DISK_MB},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
             "known": {"index": 41, "snapshot": True, "endpoints": [host.row]},
             "settings": settings,
         }
 
-    peak = (0, 0.0)
-
-    async def watch_folder() -> None:
-        nonlocal peak
-        while True:
-            peak = max(peak, (measure(state), asyncio.get_running_loop().time()))
-            await asyncio.sleep(0.002)
-
-    watch = asyncio.create_task(watch_folder())
     old = rig.Relay(case, "old", state, configure(controls[0]))
     await case.wait_control(controls[0], 30.0)
-    await asyncio.sleep(1.0)
-
-    async def hand_in(letter: str, client: rig.Client, count: int) -> None:
-        for number in range(count):
-            message = {"id": f"{letter}{number:03d}", "class": "status-update", "left_ms": 14_000, "dest": 1}
-            message["body"] = BODY
-            await client.hand_in(message)
-            await asyncio.sleep(0.03)
-
-    kept = await rig.Client(case, port).connect()
-    await hand_in("a", kept, 20)
+    kept = [await rig.Client(case, port).connect() for _ in range(KEYS)]
+    for number, client in enumerate(kept):  # each program is in use before
+        await client.hand_in(
+            {"id": f"w{number:03d}", "class": "listing-update", "left_ms": 24_000, "dest": 1}
+        )
+    await asyncio.sleep(1.5)
     if case.trouble:
         rig.Relay(case, "new", state, configure(controls[1]))
         await case.wait_control(controls[1])
-    others = [await rig.Client(case, port).connect() for _ in range(16)]
-    for number, client in enumerate(others):
-        await hand_in(f"b{number}", client, 3)
-    if case.trouble:
-        old.send(rig.signal.SIGTERM)
-        if not await old.wait_ended(3.7):
-            old.send(rig.signal.SIGKILL)
-    await asyncio.sleep(4.0)
-    watch.cancel()
-    case.record(f"most bytes in the folder: {peak[0]} of {DISK_MB << 20} at {case.at(peak[1])}")
-    if peak[0] > DISK_MB << 20:
-        return [f"the folder held {peak[0]} bytes at {case.at(peak[1])}, over its {DISK_MB << 20}"]
-    return []
+    pairs = []
+    for number, client in enumerate(kept):
+        if number == KEYS // 2 and case.trouble:
+            old.send(rig.signal.SIGTERM)  # at the new process's yes; the other programs go on
+        pairs.append(await hand_in_pair(case, client, port, number))
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(8.0)
+
+    broken = []
+    calls = {}
+    for call in host.calls:
+        calls.setdefault(call["id"], []).append(call)
+    for first, second in pairs:
+        if first["status"] not in (200, 202) or second["status"] not in (200, 202):
+            continue
+        for later in calls.get(second["id"], ()):
+            out = [
+                c for c in calls.get(first["id"], ()) if c["first"] < later["whole"] < (c["answered"] or 1e9)
+            ]
+            unsent = not any(c["answered"] for c in calls.get(first["id"], ()) if c["first"] < later["whole"])
+            if out and later["whole"] + rig.SLACK < (out[0]["answered"] or 1e9):
+                broken.append(
+                    f"key {first['key']}: {second['id']} was sent at {case.at(later['whole'])} while "
+                    f"{first['id']}, taken at {case.at(first['answered'])}, was out "
+                    f"(from {case.at(out[0]['first'])} to {case.at(out[0]['answered'])})"
+                )
+            elif unsent and not out:
+                broken.append(f"key {first['key']}: {second['id']} was sent before {first['id']}")
+    return broken
 
 
 rig.run_case(FOLDER, play)
