--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -480,8 +480,8 @@
         code = BROKEN if lines else HELD
         if case.max_lag > MAX_LAG:
             code, lines = NOT_RUN, [*lines, f"the stand-ins were late by {case.max_lag:.3f} s"]
-    except (CannotRun, TimeoutError, OSError) as error:
-        lines = [f"could not run: {error!r}"]
+    except Exception as error:  # a fault of the case itself is no broken rule
+        code, lines = NOT_RUN, [f"could not run: {error!r}"]
     finally:
         case.clean_up()
     verdict = "\n".join([*lines, f"result: {('held', 'BROKEN', 'could not run')[code]}"])
