Two messages of one key were out at once at the two processes of a replacement

Cause: the queues of keys lived in one process.

Change: `millweir/net/concurrent/`, the one place that looks at the other processes of the folder. So of two messages, the one recorded later knows of the earlier one, and the times order all of them. The decision engine lets only those go that are older than what is open elsewhere, with the quiet time behind a trip that may still run; messages taken over go to their place. A lock rather than the order "write, then read": with times taken before the write, a process that is stopped between the two would take itself for the older one although the other had sent. The lock is waited for 50 ms at most, then the message is refused, which is harmless.

A message's time is a record before it, so that a file cut between the two holds neither.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -124,6 +124,11 @@
         max_client_connections=limit_client_connections(limits, memory),
         request_timeout_ns=4 * half_second,
         client_grace_ns=half_second,
+        concurrent_poll_ns=SECOND // 200,
+        concurrent_search_ns=SECOND // 10,
+        folder_lock_wait_ns=SECOND // 20,
+        # A trip that is out as its message ends may last until the deadline.
+        concurrent_key_quiet_ns=settings.key_quiet_period + 2 * settings.period + SECOND // 20,
         # Two files fit on the disk, as compaction writes a second one.
         max_journal_file_bytes=limits.disk_bytes // 2,
         max_journal_live_bytes=limits.disk_bytes * 3 // 8,
@@ -492,10 +497,12 @@
         destination_id: int,
         earlier: tuple[tuple[int, bool], ...] = (),
         restored: bool = False,
+        taken_at: int = 0,
     ) -> None:
         """Hold a packet that a client handed in or that was accepted before the restart.
 
-        `end_round` sends it.  `earlier`: its trips before the restart, as (sent at, never ran).
+        `end_round` sends it.  `earlier`: its trips before the restart, as (sent at, never ran).  `taken_at`:
+        by which packets of one key are ordered; those of the same time in the order in which they are added.
         """
         self._now = now
         destination = self._destinations[destination_id]
@@ -504,8 +511,10 @@
         packet.restored = restored
         if packet.profile.in_order and key:
             packet.key = self._keys.get(key) or self._keys.setdefault(key, OrderingKey(key))
-            packet.key.queue.append(packet)
-            self._update_order(packet.key.queue[0])
+            packet.taken_at = taken_at
+            packet.key.add(packet)
+            for first in islice(packet.key.queue, 2):  # the packet may have displaced the first one
+                self._update_order(first)
         packet.trips = [
             Trip(Call(None, sent_at, False), has_ended=True, never_ran=never_ran)
             for sent_at, never_ran in earlier
@@ -562,7 +571,8 @@
                 self._set_timer(key.quiet_until, key)
             # The packets behind it wait too, which makes it worth more: in powers of two, so that a long
             # queue seldom changes the weight.
-            weight *= 0 if quiet or key.queue[0] is not packet else 1 << len(key.queue).bit_length() - 1
+            has_turn = key.queue[0] is packet and packet.taken_at < key.taken_before
+            weight *= 0 if quiet or not has_turn else 1 << len(key.queue).bit_length() - 1
         if weight != packet.weight:
             if packet.weight:
                 packet.destination.order.remove(packet, packet.weight)
@@ -752,6 +762,14 @@
         if key.queue:
             self._update_order(key.queue[0])
 
+    def limit_key(self, now: int, key_id: int, taken_before: int) -> None:
+        """Let only packets of a key go that were taken before a time: another process holds an older one."""
+        self._now = now
+        if key := self._keys.get(key_id):
+            key.taken_before = taken_before
+            if key.queue:
+                self._update_order(key.queue[0])
+
     def _retry_or_answer(self, packet: Packet, outcome: Outcome, call: Call) -> None:
         """Hold a packet whose trip has ended, to be sent again, or answer it."""
         if self._may_retry(packet) and (outcome is not Outcome.UNREADABLE or call.shared):
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -124,15 +124,19 @@
         destination: int,
         earlier: tuple[tuple[int, bool], ...] = (),
         restored: bool = False,
+        taken_at: int = 0,
     ) -> None:
         """Add a packet.
 
         `earlier`: its trips before the restart, each with its time and whether it never ran.
         `restored`: it was accepted before the restart.
+        `taken_at`: by which the packets of a key are ordered.
         """
         ident = self._next_packet_id()
         self._now, self._items[ident] = now, item
-        self._relay.add_packet(now, ident, profile, tenant, key, deadline, destination, earlier, restored)
+        self._relay.add_packet(
+            now, ident, profile, tenant, key, deadline, destination, earlier, restored, taken_at
+        )
 
     def update_hosts(
         self, now: int, change: Change, entries: tuple[Entry, ...], received_at: int = 0
@@ -191,6 +195,11 @@
         self._now = now
         self._relay.hold_key(now, profile, key)
 
+    def limit_key(self, now: int, key: int, taken_before: int) -> None:
+        """Let only packets of a key go that were taken before a time: another process holds an older one."""
+        self._now = now
+        self._relay.limit_key(now, key, taken_before)
+
     def settle_outcome(self, now: int, part: Part[Item], never_ran: bool) -> None:
         """Report whether an outcome that was unproven is a confirmed refusal: the trip never ran."""
         self._now = now
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -10,6 +10,7 @@
 import json
 import traceback
 from collections import deque
+from collections.abc import Iterable
 from typing import Any
 
 from millweir.answers.final import FinalAnswer, Settlement
@@ -22,7 +23,7 @@
 from millweir.net.client_connection import ClientConnection
 from millweir.net.clients import ClientListener
 from millweir.net.cold_hosts import RecoveringHostStore
-from millweir.net.concurrent_ids import ConcurrentIds
+from millweir.net.concurrent.monitor import ConcurrentProcesses
 from millweir.net.config import Config
 from millweir.net.cordons import Cordons
 from millweir.net.counters import Counters
@@ -66,7 +67,9 @@
         self._load_metrics = settings.report_fields
         self._discovery_address = config.discovery
         self._owed: dict[bytes, OwedMessage] = {}
-        self._concurrent_ids = ConcurrentIds(journal.folder, journal.list_other_file_names())
+        self._concurrent = ConcurrentProcesses(
+            loop, journal, bounds, self._service_classes.keeps_order, self, log
+        )
         self._backlog: deque[OwedMessage] = deque()  # owed but not submitted to the engine yet, oldest first
         self._turn_scheduled = self._shutting_down = self._linger_elapsed = self._quiesced = False
         self._ends = MessageEnds(
@@ -135,9 +138,8 @@
         self._cordons.read_file()
         # Before the retry-after waits: the restored state decides how calls spread once a wait has ended.
         self._recovering_hosts.read_file()
-        for message in list(journal.owed.values()):
-            self._restore_message(message)
-        self._schedule_adoption()
+        self._concurrent.start()
+        self._restore_messages(journal.owed.values())
         self._retry_after_waits.start()
         self._watch = DiscoveryWatch(
             loop,
@@ -152,28 +154,24 @@
         )
         self.request_turn()
 
-    def _schedule_adoption(self) -> None:
-        self._loop.call_later(self._bounds.client_grace_ns / 1e9, self._adopt_orphans)
+    def adopt_messages(self, messages: list[OwedMessage]) -> None:
+        """Take over what an ended process of the same folder still owed, as in an upgrade."""
+        self._restore_messages(messages)
+        clock.call_after_poll(self._loop, self.request_turn)
 
-    def _adopt_orphans(self) -> None:
-        """Take over what an ended process of the same folder still owed, as in an upgrade.
+    def update_keys(self, keys: set[int]) -> None:
+        """Apply what other processes of the folder hold of these keys now."""
+        for key in keys:
+            self._limit_key(key)
+        self.request_turn()
 
-        Rule 1 (every accepted message gets a final outcome).
-        """
-        try:
-            orphaned = self._journal.adopt_orphans()
-        except OSError as error:
-            self._log.info(f"journal-failed adopt {error}")
-            orphaned = []
-        for message in orphaned:
-            self._restore_message(message)
-        if orphaned:
-            self._log.always(f"adopted owed={len(orphaned)}")
-            clock.call_after_poll(self._loop, self.request_turn)
-        self._journal.write_late_records()
+    def _limit_key(self, key: int) -> None:
+        self._engine.limit_key(clock.monotonic_ns(), key, self._concurrent.turns.find_limit(key))
+
+    def read_shared_files(self) -> None:
+        """Read what concurrent processes have written of cordons and recovering hosts."""
         self._cordons.read_file(only_if_changed=True)
         self._recovering_hosts.read_file()
-        self._schedule_adoption()
 
     def is_ready(self) -> bool:
         """Whether a host list is present and the relay is neither shutting down nor quiesced."""
@@ -216,6 +214,11 @@
         self._quiesced = False
         self.clients.draining = self._shutting_down
 
+    def _restore_messages(self, messages: Iterable[OwedMessage]) -> None:
+        """Register messages of earlier processes, in the order in which they were taken."""
+        for message in sorted(messages, key=lambda message: message.taken_at):
+            self._restore_message(message)
+
     def _restore_message(self, message: OwedMessage) -> None:
         """Register a message accepted before the restart; later turns submit it to the engine."""
         message.restored = True
@@ -225,17 +228,23 @@
             f"message-restored id={message.id.decode()} attempts={len(message.trips)} "
             f"ended={message.given_up is not None}"
         )
+        if not (message.given_up or message.final_answer):
+            self._backlog.append(message)
+            return
         if message.given_up:
             self._notifications.add(message)
-        elif message.final_answer:
-            self._ends.end_unconfirmed(message)
-            self._engine.hold_key(
-                clock.monotonic_ns(),
-                self._service_classes.get_number(message.profile),
-                int.from_bytes(message.key),
-            )
         else:
-            self._backlog.append(message)
+            self._ends.end_unconfirmed(message)
+        if message.may_have_run:
+            self._hold_key(message)
+
+    def _hold_key(self, message: OwedMessage) -> None:
+        """Hold back the messages behind one that has ended, of which a trip may still run."""
+        key = int.from_bytes(message.key)
+        number = self._service_classes.get_number(message.profile)
+        self._engine.hold_key(clock.monotonic_ns(), number, key)
+        self._concurrent.turns.submit(key, message.id)
+        self._limit_key(key)
 
     def _submit_backlog(self) -> None:
         """Submit a bounded number of messages of the backlog to the engine.
@@ -265,17 +274,23 @@
             (clock.from_wall(sent_at if sent_at <= now else 0), bool(never_ran))
             for sent_at, never_ran in message.trips
         )
+        key = int.from_bytes(message.key)
+        limited = bool(self._concurrent.turns)
+        self._concurrent.turns.submit(key, message.id)
         self._engine.add_packet(
             clock.monotonic_ns(),
             message,
             self._service_classes.get_number(message.profile),
             tenant,
-            int.from_bytes(message.key),
+            key,
             clock.from_wall(message.deadline),
             message.destination,
             trips,
             message.restored,
+            message.taken_at,
         )
+        if limited:
+            self._limit_key(key)
         failed_at = (
             max((sent_at for sent_at, never_ran in trips if never_ran), default=0) if message.restored else 0
         )
@@ -406,11 +421,7 @@
         """Whether this process or another one of its folder has accepted the id."""
         if message_id in self._owed or message_id in self._journal.ended_ids:
             return True
-        try:
-            return message_id in self._concurrent_ids
-        except OSError as error:
-            self._log.info(f"journal-failed concurrent {error}")
-            return False
+        return self._concurrent.knows_id(message_id)
 
     def _accept_message(self, connection: ClientConnection, request: Request) -> None:
         if self._is_known(request.id):
@@ -444,7 +455,7 @@
         )
         if not wait:
             try:
-                self._journal.record_accepted(message)
+                self._concurrent.record_accepted(message)
             except OSError as error:
                 self._log.info(f"journal-failed taken {error}")
                 wait = self._engine.check_admission(message.destination, 1, 0, deadline - now, 0)
@@ -597,6 +608,7 @@
 
     def close(self) -> None:
         """Close all connections at the end of the process; the journal holds the calls still in flight."""
+        self._concurrent.close()
         self._journal.write_late_records()
         self._recovering_hosts.close()
         self._watch.close()
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -34,6 +34,8 @@
     MAX_TRIP_BYTES,
     NEVER_RAN_KIND,
     NEVER_RAN_RECORD,
+    TAKEN_KIND,
+    TAKEN_RECORD,
     TRIP_KIND,
     TRIP_RECORD,
     UNKNOWN_SENT_AT,
@@ -97,6 +99,7 @@
         # (None where that is unknown), and how far it was moved in either direction.
         self._set_back_ns: int | None = None
         self._wall_clock_shift_ns = 0
+        self._taken = (0, 0)  # of the message that comes next: its number, and when it was taken
         self._lock_fds: dict[int, int] = {}
         self._file_fd = -1
         try:
@@ -129,9 +132,9 @@
         self._lock_fds[slot] = fd
         return True
 
-    def list_other_file_names(self) -> list[str]:
-        """The files in which other processes of the folder may keep what they owe."""
-        return [build_slot_file_name(slot) for slot in range(SLOT_COUNT) if slot != self.slot]
+    def list_other_file_names(self) -> dict[int, str]:
+        """By slot, the files in which other processes of the folder may keep what they owe."""
+        return {slot: build_slot_file_name(slot) for slot in range(SLOT_COUNT) if slot != self.slot}
 
     def has_concurrent_process(self) -> bool:
         """Whether another live process holds a slot of this folder."""
@@ -383,10 +386,12 @@
 
     def _load_records(self, raw: bytes) -> None:
         offset, self._set_back_ns, self._wall_clock_shift_ns = 0, None, 0
+        self._taken = (0, 0)
         for body, end in decode_frames(raw):
             if not self._apply_record(body):
                 break
-            offset = end
+            if body[0] != TAKEN_KIND:  # whole only with the accepted message behind it
+                offset = end
         self.torn_bytes = len(raw) - offset
         self._live_bytes = sum(message.size for message in self.owed.values())
 
@@ -405,6 +410,8 @@
                     *texts, destination, deadline + self._wall_clock_shift_ns, body[offset:]
                 )
                 message.number = self._last_number = number
+                if self._taken[0] == number:
+                    message.taken_at = self._taken[1]
                 self.owed[number] = message
                 return True
             if body[0] == CLOCK_KIND:
@@ -423,6 +430,10 @@
             if body[0] == KNOWN_ID_KIND:
                 self._apply_known_id(body)
                 return True
+            if body[0] == TAKEN_KIND:
+                _, _, *taken = TAKEN_RECORD.unpack(body)
+                self._taken = tuple(taken) if self._set_back_ns is not None else (0, 0)
+                return True
             message = self.owed.get(struct.unpack_from("<Q", body, 1)[0])
             if body[0] == ENDED_KIND:
                 if message:
--- a/millweir/net/owed_message.py
+++ b/millweir/net/owed_message.py
@@ -25,6 +25,9 @@
 # Kind, 0, until when the id that follows is known (wall time; 0: it is not known): of a message that has
 # ended, and may be handed in again.
 KNOWN_ID_RECORD = struct.Struct("<BQq")
+# Kind, 0, number, when the message with a key that the next record holds was taken (monotonic time in the
+# boot of the clock record).
+TAKEN_RECORD = struct.Struct("<BQQq")
 ACCEPTED_KIND = 1
 TRIP_KIND = 2
 NEVER_RAN_KIND = 3
@@ -33,6 +36,7 @@
 CLOCK_KIND = 6
 FINAL_ANSWER_KIND = 7
 KNOWN_ID_KIND = 8
+TAKEN_KIND = 9
 NO_TRIP = -1
 UNKNOWN_SENT_AT = 0  # wall time of a trip whose age can't be determined
 # The most that one trip takes in a file, and a message without its texts, body and trips.
@@ -60,6 +64,7 @@
         "profile",
         "restored",
         "size",
+        "taken_at",
         "trips",
     )
 
@@ -88,13 +93,22 @@
         self.final_answer: FinalAnswer | None = None  # unproven: it is not sent again, and not ended yet
         self.ended_by_trip = NO_TRIP  # index of the trip whose answer ended it, once a silence confirmed that
         self.restored = False  # accepted before the restart
+        # Monotonic time, by which messages with one key are ordered; 0: not recorded, or in another boot.
+        self.taken_at = 0
         # The most it takes in a file.
         self.size = MAX_FIXED_BYTES + sum(map(len, self.text_fields)) + len(body)
+        if key:
+            self.size += FRAME_HEADER.size + TAKEN_RECORD.size
 
     @property
     def text_fields(self) -> tuple[bytes, ...]:
         return self.id, self.profile, self.account, self.key, self.idempotency_key
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a trip may have run, and may still."""
+        return any(not never_ran for _, never_ran in self.trips)
+
     def add_trip(self, sent_at: int) -> None:
         self.trips.append([sent_at, 0])
         self.size += MAX_TRIP_BYTES
@@ -104,7 +118,8 @@
         head = ACCEPTED_RECORD.pack(
             ACCEPTED_KIND, self.number, self.deadline, *map(len, self.text_fields), self.destination
         )
-        bodies = [b"".join((head, *self.text_fields, self.body))]
+        bodies = [TAKEN_RECORD.pack(TAKEN_KIND, 0, self.number, self.taken_at)] if self.key else []
+        bodies.append(b"".join((head, *self.text_fields, self.body)))
         for index, (sent_at, never_ran) in enumerate(self.trips):
             bodies.append(TRIP_RECORD.pack(TRIP_KIND, self.number, sent_at))
             if never_ran:
--- a/millweir/net/service_classes.py
+++ b/millweir/net/service_classes.py
@@ -44,6 +44,11 @@
             self._fallback_number = number
         return number
 
+    def keeps_order(self, name: bytes) -> bool:
+        """Whether messages of a class keep the order of their key; so do those of an unlisted class."""
+        number = self._by_name.get(name)
+        return number is None or self._by_number[number].in_order
+
     def reload(self, settings: Settings) -> int:
         """Use these settings from now on; returns how many classes are new or changed."""
         self.settings = settings
--- a/millweir/records.py
+++ b/millweir/records.py
@@ -205,12 +205,22 @@
 class OrderingKey:
     """The queue of the packets of one key, in the order accepted."""
 
-    __slots__ = ("id", "queue", "quiet_until")
+    __slots__ = ("id", "queue", "quiet_until", "taken_before")
 
     def __init__(self, ident: int) -> None:
         self.id = ident
         self.queue: deque[Packet] = deque()
         self.quiet_until = 0  # after a trip that may still run, the next packet waits until then
+        self.taken_before = NEVER  # only packets taken before it may go: another process holds an older one
+
+    def add(self, packet: Packet) -> None:
+        """Put a packet into its place by when it was taken; those that are out keep theirs."""
+        place = len(self.queue)
+        while (
+            place and self.queue[place - 1].taken_at > packet.taken_at and not self.queue[place - 1].in_flight
+        ):
+            place -= 1
+        self.queue.insert(place, packet)
 
 
 class Call:
@@ -289,6 +299,7 @@
         "in_flight",
         "profile",
         "restored",
+        "taken_at",
         "trips",
         "unproven_outcome",
         "weight",
@@ -314,6 +325,7 @@
         )  # the deadline for its full value
         self.value = 0.0
         self.restored = False  # accepted before the restart
+        self.taken_at = 0  # by which the packets of a key are ordered, also over two processes
         self.key: OrderingKey | None = None
         self.trips: list[Trip] = []
         self.in_flight = 0  # trips
--- a/tests/net/test_known_ids.py
+++ b/tests/net/test_known_ids.py
@@ -6,7 +6,7 @@
 from rig import Platform, Program, reply, until
 
 from millweir.net import clock
-from millweir.net.concurrent_ids import ConcurrentIds
+from millweir.net.concurrent.journal_files import ConcurrentJournals
 from millweir.net.ended import EndedIds
 from millweir.net.journal import Journal
 from millweir.net.owed_message import OwedMessage
@@ -81,7 +81,7 @@
 
 def test_ids_of_another_process_are_found_through_all_changes_of_its_file(tmp_path):
     journal = open_journal(tmp_path)
-    ids = ConcurrentIds(tmp_path, journal.list_other_file_names())
+    ids = ConcurrentJournals(tmp_path, journal.list_other_file_names())
     assert b"a" not in ids
     other = open_journal(tmp_path)
     numbers = [message(b"m%d" % n) for n in range(60)]
--- a/tests/net/test_ready.py
+++ b/tests/net/test_ready.py
@@ -3,6 +3,7 @@
 import sys
 import threading
 from collections import deque
+from types import SimpleNamespace
 
 import pytest
 from rig import CONFIG, Platform, Program, entry, reply, settings, until
@@ -10,6 +11,7 @@
 from millweir.facade import DecisionEngine
 from millweir.interface import SECOND, Change, Limits
 from millweir.net import clock
+from millweir.net.concurrent.key_turns import KeyTurns
 from millweir.net.counters import Counters
 from millweir.net.desk import RelayServer
 from millweir.net.journal import FILE_NAME, Journal
@@ -49,6 +51,7 @@
     server._log = Log(engine.bounds.max_log_lines_per_second)
     server._service_classes, server._tenant_numbers = ServiceClasses(chosen, engine), {}
     server._service_classes._by_name = {b"again": 0}
+    server._concurrent = SimpleNamespace(turns=KeyTurns(0, 0, server._service_classes.keeps_order))
     for message in journal.owed.values():
         server._restore_message(message)
     return server
--- a/tests/net/test_repeat_window.py
+++ b/tests/net/test_repeat_window.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from rig import CONFIG, PROFILES, STEP, Platform, entry, settings
@@ -13,6 +14,7 @@
 from millweir.facade import DecisionEngine
 from millweir.interface import MILLISECOND, SECOND, Change, Effect, Limits
 from millweir.net import clock
+from millweir.net.concurrent.key_turns import KeyTurns
 from millweir.net.counters import Counters
 from millweir.net.desk import RelayServer
 from millweir.net.journal import FILE_NAME, Journal
@@ -71,6 +73,7 @@
         server._log = Log(200)
         server._service_classes, server._tenant_numbers = ServiceClasses(SETTINGS, engine), {}
         server._service_classes._by_name = {b"marked": REFERENCED}
+        server._concurrent = SimpleNamespace(turns=KeyTurns(0, 0, server._service_classes.keeps_order))
         for message in journal.owed.values():
             server._restore_message(message)
         server._submit_backlog()
