A good file was turned down because a new class lacked a key that the pages call optional

Cause: which keys a reloaded file must have was learned from the files before it alone: what all earlier classes had (`one-at-a-time`), a new class had to have. The pages call it optional.

Change: `millweir/settings_table.py` holds the pages' keys once, typed: which may be absent (WIRE: `grades[].one-at-a-time` "optional", `grades[].aim-stretch` "may be absent", `obligations.key-quiet-us` "if present", `key-scope` and `dedup-window-us` "for `token`"), types and bounds. What a file may leave out is no longer required; everything else that earlier files had still is. Nothing is looser: values are now also checked where no earlier file had the key. A relay that was started with a value that is not as the pages say is held to the earlier files alone, so that its own file may come again. A longer `key-quiet-us` of a new file is in force at once; a file without it keeps the one in force.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -128,7 +128,7 @@
         concurrent_search_ns=SECOND // 10,
         folder_lock_wait_ns=SECOND // 20,
         # A trip that is out as its message ends may last until the deadline.
-        concurrent_key_quiet_ns=settings.key_quiet_period + 2 * settings.period + SECOND // 20,
+        concurrent_key_margin_ns=2 * settings.period + SECOND // 20,
         # Two files fit on the disk, as compaction writes a second one.
         max_journal_file_bytes=limits.disk_bytes // 2,
         max_journal_live_bytes=limits.disk_bytes * 3 // 8,
@@ -375,12 +375,14 @@
     def update_settings(self, settings: Settings) -> None:
         """Apply settings that were reloaded at SIGHUP.
 
-        New profiles are appended, so packets in flight keep theirs; a lower limit of trips holds at once.
+        New profiles are appended, so packets in flight keep theirs; a lower limit of trips and a longer quiet
+        time of keys hold at once.
         """
         self._profiles += [
             (p, ValueCurve(p, self._target_latency, settings.value_halves)) for p in settings.profiles
         ]
         self._max_trips = settings.max_trips
+        self._key_quiet_time = max(self._key_quiet_time, settings.key_quiet_period)
 
     def apply_retry_after(self, now: int, ident: bytes, until: int) -> None:
         """Apply a retry-after that a process beside this one received: both are the same relay."""
--- a/millweir/interface.py
+++ b/millweir/interface.py
@@ -211,7 +211,7 @@
     concurrent_poll_ns: int  # between two looks at the other processes of the folder
     concurrent_search_ns: int  # between two looks whether there is one
     folder_lock_wait_ns: int  # for the lock of the folder, while a message is taken
-    concurrent_key_quiet_ns: int  # behind a message that ended at another process and may still run
+    concurrent_key_margin_ns: int  # added to the quiet time of a key whose message ended at another process
     max_known_ids: int  # of messages owed and ended, by which repeats are recognised
     known_id_time_ns: int  # for which the id of an ended message is kept at most
     max_journal_file_bytes: int
--- a/millweir/net/concurrent/key_turns.py
+++ b/millweir/net/concurrent/key_turns.py
@@ -28,11 +28,12 @@
 class KeyTurns:
     """The messages of other processes that hold back those of this one."""
 
-    __slots__ = ("_by_key", "_is_ordered", "_quiet_time", "_own_slot", "adopted_ids")
+    __slots__ = ("_by_key", "_is_ordered", "_own_slot", "adopted_ids", "quiet_time")
 
-    def __init__(self, own_slot: int, quiet_time: int, is_ordered: Callable[[bytes], bool]) -> None:
+    def __init__(self, own_slot: int, is_ordered: Callable[[bytes], bool], quiet_time: int = 0) -> None:
         """`is_ordered`: whether messages of a service class, by its name, keep their order."""
-        self._own_slot, self._quiet_time, self._is_ordered = own_slot, quiet_time, is_ordered
+        self._own_slot, self._is_ordered = own_slot, is_ordered
+        self.quiet_time = quiet_time  # behind a message that has ended and of which a trip may still run
         self._by_key: dict[int, dict[bytes, _OlderMessage]] = {}
         self.adopted_ids: set[bytes] = set()  # taken over, and not in the decision engine's queues yet
 
@@ -54,7 +55,7 @@
         if older is None or older.message is not message or message.id in self.adopted_ids:
             return
         if message.may_run_on:
-            older.free_at = now + self._quiet_time
+            older.free_at = now + self.quiet_time
         else:
             self._remove(message.key, message.id)
 
--- a/millweir/net/concurrent/monitor.py
+++ b/millweir/net/concurrent/monitor.py
@@ -7,10 +7,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import Protocol
 
-from millweir.interface import Bounds
+from millweir.interface import Bounds, Settings
 from millweir.net import clock
 from millweir.net.concurrent.folder_lock import hold_folder_lock
 from millweir.net.concurrent.journal_files import ConcurrentJournals
@@ -18,6 +17,7 @@
 from millweir.net.journal import Journal
 from millweir.net.log import Log
 from millweir.net.owed_message import OwedMessage
+from millweir.net.service_classes import ServiceClasses
 
 
 class ConcurrencyHandler(Protocol):
@@ -54,15 +54,15 @@
         loop: asyncio.AbstractEventLoop,
         journal: Journal,
         bounds: Bounds,
-        is_ordered: Callable[[bytes], bool],
+        service_classes: ServiceClasses,
         handler: ConcurrencyHandler,
         log: Log,
     ) -> None:
-        """`is_ordered`: whether messages of a service class, by its name, keep their order."""
         self._loop, self._journal, self._bounds = loop, journal, bounds
         self._handler, self._log = handler, log
         self._journals = ConcurrentJournals(journal.folder, journal.list_other_file_names())
-        self.turns = KeyTurns(journal.slot, bounds.concurrent_key_quiet_ns, is_ordered)
+        self.turns = KeyTurns(journal.slot, service_classes.keeps_order)
+        self.set_key_quiet_time(service_classes.settings)
         self._adopt_at = self._late_records_at = 0
         self._is_closed = False
 
@@ -78,6 +78,11 @@
     def close(self) -> None:
         self._is_closed = True
 
+    def set_key_quiet_time(self, settings: Settings) -> None:
+        """Use the quiet time of these settings; one that is in force already is not shortened."""
+        quiet_time = settings.key_quiet_period + self._bounds.concurrent_key_margin_ns
+        self.turns.quiet_time = max(self.turns.quiet_time, quiet_time)
+
     def knows_id(self, message_id: bytes) -> bool:
         """Whether another process has accepted an id, as of now."""
         try:
--- a/millweir/net/config.py
+++ b/millweir/net/config.py
@@ -13,6 +13,7 @@
 from millweir.interface import Limits, Settings
 from millweir.required_keys import Kind, ObjectShape, check_shape, extend_shape, read_shape
 from millweir.settings import parse_settings, validate_reloaded_settings
+from millweir.settings_table import InvalidValue, check_types
 
 BYTES_PER_MEGABYTE = 1 << 20
 ADDRESS_KEYS = ("listen", "control", "discovery")
@@ -36,6 +37,7 @@
     cached_list: dict[str, Any]
     settings: Settings
     required_shape: ObjectShape = ObjectShape({})  # what a reloaded file must have
+    checks_types: bool = False  # whether a reloaded file must also have the types and bounds of the pages
     path: Path = Path()  # the file that it was read from
     file_stamp: tuple[int, int, int] = (0, 0, 0)  # identifies the file's version, see `read_file_stamp`
 
@@ -81,8 +83,10 @@
         raise Misconfigured(f"RELAY_STATE {state} is no folder that can be written to")
     try:
         shape = _read_document_shape(document)
+        # A start's file is used although a value is not as the pages say; a reload may then repeat it.
+        checks_types = in_force.checks_types if in_force else _has_valid_types(document)
         if in_force:
-            _validate_reload(document, in_force.required_shape)
+            _validate_reload(document, in_force)
             shape = extend_shape(in_force.required_shape, shape)
         limits, cached_list = document.get("limits") or {}, document.get("known") or {}
         return Config(
@@ -106,6 +110,7 @@
             cached_list=cached_list,
             settings=parse_settings(document["settings"]),
             required_shape=shape,
+            checks_types=checks_types,
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise Misconfigured(f"RELAY_CONFIG {path} can't be used: {error!r}") from error
@@ -129,9 +134,20 @@
     return ObjectShape(read_shape(document | cached_list).keys)
 
 
-def _validate_reload(document: dict[str, Any], required: ObjectShape) -> None:
+def _has_valid_types(document: dict[str, Any]) -> bool:
+    try:
+        check_types(document)
+    except InvalidValue:
+        return False
+    return True
+
+
+def _validate_reload(document: dict[str, Any], in_force: Config) -> None:
     """Raise ValueError or Misconfigured unless a file read at SIGHUP can be applied whole."""
+    required = in_force.required_shape
     check_shape(document, required)
+    if in_force.checks_types:
+        check_types(document)
     validate_reloaded_settings(document.get("settings"), required.keys.get("settings", Kind.ANY))
     for key in ADDRESS_KEYS:
         if document.get(key):
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -67,9 +67,7 @@
         self._load_metrics = settings.report_fields
         self._discovery_address = config.discovery
         self._owed: dict[bytes, OwedMessage] = {}
-        self._concurrent = ConcurrentProcesses(
-            loop, journal, bounds, self._service_classes.keeps_order, self, log
-        )
+        self._concurrent = ConcurrentProcesses(loop, journal, bounds, self._service_classes, self, log)
         self._backlog: deque[OwedMessage] = deque()  # owed but not submitted to the engine yet, oldest first
         self._turn_scheduled = self._shutting_down = self._linger_elapsed = self._quiesced = False
         self._ends = MessageEnds(
@@ -577,6 +575,7 @@
         binds at once.
         """
         changed_count = self._service_classes.reload(config.settings)
+        self._concurrent.set_key_quiet_time(config.settings)
         self._log.always(f"settings profiles={len(self._service_classes)} new-or-changed={changed_count}")
         if config.discovery != self._discovery_address:
             self._discovery_address = config.discovery
--- a/millweir/required_keys.py
+++ b/millweir/required_keys.py
@@ -3,16 +3,23 @@
 The rule: a file read at SIGHUP must have each key that a file applied before it had, with a value of the same
 JSON type; in a list of objects, each object must have the keys that all earlier objects of the list had.
 
+Not required are the keys that the platform's pages let a file leave out (`settings_table.py`).
+
 A file without such a key is rejected whole.  Nothing is filled in from defaults, from the environment or from
 the values at the start, which may be out of date.  A key that was null or empty needs no value later.
 """
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
+from millweir.settings_table import may_be_absent
+
+LIST_NUMBER = re.compile(r"\[\d+\]")  # in the name of a key
+
 
 class MissingKey(ValueError):
     """A reloaded file lacks a key, or the key's value has another type; the text names the key."""
@@ -61,13 +68,16 @@
 
 
 def extend_shape(required: Shape, applied: Shape) -> Shape:
-    """Return what is required after a file of the shape `applied`, which has all that was required before."""
+    """Return what is required after a file of the shape `applied`, which has all that was required before.
+
+    A key that the file was allowed to leave out keeps the type that it had.
+    """
     if isinstance(required, ObjectShape) and isinstance(applied, ObjectShape):
         extended = {
             key: extend_shape(required.keys[key], shape) if key in required.keys else shape
             for key, shape in applied.keys.items()
         }
-        return ObjectShape(extended)
+        return ObjectShape(required.keys | extended)
     return _find_common(required, applied)
 
 
@@ -90,9 +100,10 @@
         raise MissingKey(f"{name or 'the file'} is not an object")
     for key, shape in required.keys.items():
         inner_name = f"{name}.{key}" if name else key
-        if key not in value:
+        if key in value:
+            check_shape(value[key], shape, inner_name)
+        elif not may_be_absent(LIST_NUMBER.sub("[]", inner_name), value):
             raise MissingKey(f"missing key {inner_name}")
-        check_shape(value[key], shape, inner_name)
 
 
 def _find_common(first: Shape | None, second: Shape) -> Shape:
