A cordoned host was used again for good, as two processes overwrote each other's table

Cause: each process wrote `cordons.json` whole from a copy that was up to half a second old, and read a host's absence as the end of its cordon.

Change: the file is the one table. A command takes the folder's lock, reads the file, changes what it holds, writes it, and only then says yes; so of two commands the one answered later decides, everywhere and after a restart, and a command is answered by what the folder holds. On a full disk a cordon was answered SUCCESS without a record; it is FAILURE now, in force at that process all the same and written as soon as the folder takes it. The same shape: recovering hosts are read under the lock before their file is replaced (what the other process had written since the last read was dropped until it wrote again). A file's version is told by inode and size too: two versions within a few milliseconds carry one modification time (waits as well).

--- a/millweir/net/cold_hosts.py
+++ b/millweir/net/cold_hosts.py
@@ -20,12 +20,14 @@
 from millweir.events import RecoveringHost
 from millweir.facade import DecisionEngine
 from millweir.net import clock
+from millweir.net.concurrent.folder_lock import LockHeld, hold_folder_lock
 from millweir.net.log import Log
-from millweir.net.times import replace_unflushed
+from millweir.net.times import NO_FILE, read_stamp, replace_unflushed
 
 FILE_NAME = "cold_hosts.json"
 WRITE_DELAY_SECONDS = 0.05  # from a change to its record
 WRITE_RETRY_SECONDS = 0.5  # where the folder takes no writes
+CLOSE_LOCK_WAIT_SECONDS = 0.05  # for the folder's lock at the end of the process
 MAX_UNLISTED_HOSTS = 8192  # kept of those that no list has named yet
 
 
@@ -84,7 +86,7 @@
     __slots__ = (
         "_boot",
         "_engine",
-        "_last_mtime_ns",
+        "_last_stamp",
         "_log",
         "_loop",
         "_path",
@@ -115,17 +117,17 @@
         self._boot = clock.read_boot_id().hex()
         self._unlisted: dict[str, RecoveringHost] = {}  # hosts of the file that no list has named yet
         self._written_at = 0  # when the file that was read last had been written
-        self._last_mtime_ns = 0  # modification time of the file when it was read or written last
+        self._last_stamp = NO_FILE  # of the file when it was read or written last
         self._written_changes = engine.recovering_changes
         self._timer: asyncio.TimerHandle | None = None
 
     def read_file(self) -> None:
         """Apply what was written before the restart, or by a concurrent process, since the last read."""
         try:
-            changed_at = self._path.stat().st_mtime_ns
-            if changed_at == self._last_mtime_ns:
+            stamp = read_stamp(self._path)
+            if stamp == self._last_stamp:
                 return
-            self._last_mtime_ns = changed_at
+            self._last_stamp = stamp
             content = decode_recovering_hosts(self._path.read_bytes(), self._boot, clock.monotonic_ns())
         except FileNotFoundError:
             return
@@ -172,22 +174,32 @@
         """Write what is not written yet, at the end of the process."""
         if self._timer:
             self._timer.cancel()
-            self._write()
+            self._write(CLOSE_LOCK_WAIT_SECONDS)
 
     def _schedule_write(self, delay: float) -> None:
         if not self._timer:
             self._timer = self._loop.call_later(delay, self._write)
 
-    def _write(self) -> None:
+    def _write(self, lock_wait_seconds: float = 0.0) -> None:
         self._timer = None
         changes = self._engine.recovering_changes
-        hosts = [*self._unlisted.values(), *self._engine.list_recovering_hosts()]
         try:
-            self._temporary_path.write_bytes(encode_recovering_hosts(hosts, self._boot, clock.monotonic_ns()))
-            replace_unflushed(self._temporary_path, self._path)
-            self._last_mtime_ns = self._path.stat().st_mtime_ns
+            with hold_folder_lock(self._path.parent, lock_wait_seconds):
+                self.read_file()  # a concurrent process may have written more hosts since the last read
+                self._replace_file()
+        except LockHeld:
+            self._schedule_write(WRITE_DELAY_SECONDS)
         except OSError as error:
             self._log.info(f"cold-hosts-unwritten {error}")
             self._schedule_write(WRITE_RETRY_SECONDS)
-            return
-        self._written_changes = changes
+        else:
+            self._written_changes = changes
+            if self._timer:  # for what was read before the write
+                self._timer.cancel()
+                self._timer = None
+
+    def _replace_file(self) -> None:
+        hosts = [*self._unlisted.values(), *self._engine.list_recovering_hosts()]
+        self._temporary_path.write_bytes(encode_recovering_hosts(hosts, self._boot, clock.monotonic_ns()))
+        replace_unflushed(self._temporary_path, self._path)
+        self._last_stamp = read_stamp(self._path)
--- a/millweir/net/config.py
+++ b/millweir/net/config.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from millweir.interface import Limits, Settings
+from millweir.net.times import NO_FILE, FileStamp, read_stamp
 from millweir.required_keys import Kind, ObjectShape, check_shape, extend_shape, read_shape
 from millweir.settings import parse_settings, validate_reloaded_settings
 from millweir.settings_table import InvalidValue, check_types
@@ -39,7 +40,7 @@
     required_shape: ObjectShape = ObjectShape({})  # what a reloaded file must have
     checks_types: bool = False  # whether a reloaded file must also have the types and bounds of the pages
     path: Path = Path()  # the file that it was read from
-    file_stamp: tuple[int, int, int] = (0, 0, 0)  # identifies the file's version, see `read_file_stamp`
+    file_stamp: FileStamp = NO_FILE
 
 
 def read_address(text: object, what: str) -> tuple[str, int]:
@@ -56,13 +57,12 @@
     return configured if system_limit == resource.RLIM_INFINITY else min(configured, system_limit)
 
 
-def read_file_stamp(path: Path) -> tuple[int, int, int]:
-    """The inode, size and modification time of the file, which show a change; zeros where it is missing."""
+def read_file_stamp(path: Path) -> FileStamp:
+    """Identify the file's version; NO_FILE where it is missing."""
     try:
-        status = path.stat()
+        return read_stamp(path)
     except OSError:
-        return 0, 0, 0
-    return status.st_ino, status.st_size, status.st_mtime_ns
+        return NO_FILE
 
 
 def read_config(environ: Mapping[str, str], in_force: Config | None = None) -> Config:
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -169,6 +169,7 @@
     def read_shared_files(self) -> None:
         """Read what concurrent processes have written of cordons and recovering hosts."""
         self._cordons.read_file(only_if_changed=True)
+        self._cordons.write_late_records()
         self._recovering_hosts.read_file()
 
     def is_ready(self) -> bool:
--- a/millweir/net/retry_after.py
+++ b/millweir/net/retry_after.py
@@ -17,7 +17,14 @@
 from millweir.net.heads import MAX_RETRY_AFTER_NS
 from millweir.net.journal import SLOT_COUNT, build_slot_file_name
 from millweir.net.log import Log
-from millweir.net.times import Unreadable, read_host_times, replace_unflushed, write_host_times
+from millweir.net.times import (
+    FileStamp,
+    Unreadable,
+    read_host_times,
+    read_stamp,
+    replace_unflushed,
+    write_host_times,
+)
 
 READ_INTERVAL_SECONDS = 0.05
 MIN_EXTENSION_NS = 10_000_000  # a wait that ends later than the known one by no more than this is not written
@@ -29,7 +36,7 @@
     __slots__ = (
         "_engine",
         "_folder",
-        "_last_mtimes_ns",
+        "_last_stamps",
         "_log",
         "_loop",
         "_request_turn",
@@ -50,7 +57,7 @@
         self._loop, self._folder, self._slot = loop, folder, slot
         self._engine, self._request_turn, self._log = engine, request_turn, log
         self._wait_ends: dict[str, int] = {}
-        self._last_mtimes_ns: dict[int, int] = {}  # by slot: modification time of its file when it was read
+        self._last_stamps: dict[int, FileStamp] = {}  # by slot, of its file when it was read
 
     def start(self) -> None:
         """Read all files, that of this slot's previous process included, and keep reading the others'."""
@@ -96,10 +103,10 @@
         """Read a slot's file if it has changed; returns whether it held a wait that was not known."""
         path = self._build_path(slot)
         try:
-            changed_at = path.stat().st_mtime_ns
-            if changed_at == self._last_mtimes_ns.get(slot):
+            stamp = read_stamp(path)
+            if stamp == self._last_stamps.get(slot):
                 return False
-            self._last_mtimes_ns[slot] = changed_at
+            self._last_stamps[slot] = stamp
             return self._merge(read_host_times(path))
         except FileNotFoundError:
             return False
--- a/millweir/net/times.py
+++ b/millweir/net/times.py
@@ -1,4 +1,4 @@
-"""Files in the state folder that hold a time for each host, read and written atomically."""
+"""Files in the state folder that hold a time for each host: read and written atomically, told by version."""
 
 from __future__ import annotations
 
@@ -7,6 +7,18 @@
 from collections.abc import Callable
 from pathlib import Path
 
+FileStamp = tuple[int, int, int]  # inode, size and modification time, which show that a file was replaced
+NO_FILE: FileStamp = (0, 0, 0)
+
+
+def read_stamp(path: Path) -> FileStamp:
+    """Identify a file's version; raises OSError.
+
+    The modification time alone does not tell two versions apart that were written within a few milliseconds.
+    """
+    status = path.stat()
+    return status.st_ino, status.st_size, status.st_mtime_ns
+
 
 class Unreadable(Exception):
     """The file is not a JSON object of times; the text says why."""
--- a/tests/net/test_replacement.py
+++ b/tests/net/test_replacement.py
@@ -1,13 +1,21 @@
 """Two processes of one relay while one replaces the other: to rules and limits they are one."""
 
 import contextlib
+import errno
+import json
+import random
 import signal
 import socket
+import time
+from types import SimpleNamespace
 
 import pytest
 from rig import Platform, Program, reply, until
 
+from millweir.net.cordons import Cordons
+
 CALL_SECONDS = 0.25
+GRACE_SECONDS = 0.5  # of CONFIG, for a host that is taken out
 SLACK_SECONDS = 0.05  # every time limit is longer by it on sockets
 
 
@@ -107,3 +115,129 @@
         assert last_calls == sorted(last_calls)
         first_calls = [platform.sent(name)[0].at for name in names]
         assert first_calls == sorted(first_calls)
+
+
+def play_commands(replacement, commands):
+    """Give commands at the processes; returns the hosts that are cordoned then, each with when it was."""
+    cordoned = {}
+    for which, command in commands:
+        assert replacement.command(which, command).startswith("SUCCESS"), command
+        name, host = command.split()
+        if name == "cordon":
+            cordoned.setdefault(host, time.monotonic())
+        else:
+            cordoned.pop(host, None)
+    return cordoned
+
+
+def assert_not_called(platform, cordoned):
+    late = [
+        (call.who, call.at - cordoned[call.who])
+        for call in platform.calls
+        if call.at > cordoned.get(call.who, call.at) + GRACE_SECONDS + SLACK_SECONDS
+    ]
+    assert not late, late
+
+
+COMMANDS = {
+    "old-then-new": [(0, "cordon h0"), (1, "cordon h1")],
+    "new-then-old": [(1, "cordon h0"), (0, "cordon h1")],
+    "undone-elsewhere": [(0, "cordon h0"), (0, "cordon h1"), (1, "uncordon h0")],
+    "undone-and-redone": [(0, "cordon h0"), (1, "uncordon h0"), (0, "cordon h0"), (1, "cordon h2")],
+}
+
+
+@pytest.mark.parametrize("commands", COMMANDS.values(), ids=COMMANDS)
+def test_a_cordoned_host_was_used_again_after_a_command_at_the_other_process(commands, tmp_path):
+    """Guards rule 3 in a replacement: the later yes holds at both processes, at once and after a restart."""
+    platform = Platform(hosts=4)
+    with replacing(platform, tmp_path) as replacement:
+        cordoned = play_commands(replacement, commands)
+        stored = json.loads((tmp_path / "state" / "cordons.json").read_bytes())
+        assert stored.keys() == cordoned.keys()
+        time.sleep(GRACE_SECONDS)
+        for number in range(12):
+            for which in (0, 1):
+                assert replacement.hand_in(which, f"m{number}-{which}") == 202
+        replacement.end(0)
+        for number in range(12):
+            assert replacement.hand_in(1, f"n{number}") == 202
+        replacement.end(1)
+        replacement.program.start()  # the next process
+        for number in range(12):
+            assert replacement.program.hand_in(f"r{number}") == 202
+        until(lambda: all(platform.sent(f"r{number}") for number in range(12)))
+        replacement.program.end()
+    assert_not_called(platform, cordoned)
+    assert {"h3"} <= {call.who for call in platform.calls}
+
+
+class RecordedEngine:
+    """Notes the cordons that are in force; the hosts h0 to h3 are listed."""
+
+    def __init__(self):
+        self.cordoned = set()
+
+    def set_cordon(self, now, host, cordoned, since=0):
+        if host not in {b"h0", b"h1", b"h2", b"h3"}:
+            return False
+        (self.cordoned.add if cordoned else self.cordoned.discard)(host)
+        return True
+
+
+def make_cordons(folder):
+    engine = RecordedEngine()
+    log = SimpleNamespace(always=print, info=print)
+    cordons = Cordons(folder, engine, lambda: None, log)
+    cordons.read_file()
+    return cordons, engine
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_cordons_of_two_processes_were_overwritten(seed, tmp_path):
+    """Guards rule 3: commands at two processes, in any order, with reads at any moment and restarts."""
+    rng = random.Random(seed)
+    processes, expected = [make_cordons(tmp_path), make_cordons(tmp_path)], set()
+    for _ in range(300):
+        which, host = rng.randrange(2), rng.choice([b"h0", b"h1", b"h2", b"h3"])
+        step = rng.choice(["cordon", "uncordon", "read", "restart"])
+        if step == "read":
+            cordons, engine = processes[which]
+            cordons.read_file(only_if_changed=True)
+            assert engine.cordoned == expected
+        elif step == "restart":
+            processes[which] = make_cordons(tmp_path)
+        else:
+            assert processes[which][0].set_cordon(host, step == "cordon") == ""
+            (expected.add if step == "cordon" else expected.discard)(host)
+            assert processes[which][1].cordoned == expected
+
+
+def test_a_cordon_on_a_full_disk_was_answered_yes(tmp_path, monkeypatch):
+    """Guards what a yes says: the record is there.  The cordon is in force all the same, and written soon."""
+    (cordons, engine), (others, _) = make_cordons(tmp_path), make_cordons(tmp_path)
+    assert others.set_cordon(b"h1", True) == ""
+
+    def fail(*given):
+        raise OSError(errno.ENOSPC, "full")
+
+    with monkeypatch.context() as patch:
+        patch.setattr("millweir.net.cordons.write_host_times", fail)
+        assert cordons.set_cordon(b"h0", True) and cordons.set_cordon(b"h1", False)
+        cordons.write_late_records()
+        assert engine.cordoned == {b"h0", b"h1"}
+    assert others.set_cordon(b"h2", True) == ""
+    cordons.read_file(only_if_changed=True)
+    assert engine.cordoned == {b"h0", b"h1", b"h2"}
+    cordons.write_late_records()
+    assert make_cordons(tmp_path)[1].cordoned == {b"h0", b"h1", b"h2"}
+    assert cordons.set_cordon(b"h0", False) == "" and make_cordons(tmp_path)[1].cordoned == {b"h1", b"h2"}
+
+
+def test_a_host_that_this_process_has_not_listed_could_not_be_uncordoned(tmp_path):
+    """Guards a command at a process whose list lacks a host that the other one has cordoned."""
+    (tmp_path / "cordons.json").write_text(json.dumps({"gone": time.time_ns()}))
+    cordons, _ = make_cordons(tmp_path)
+    assert cordons.set_cordon(b"gone", False) == ""
+    assert json.loads((tmp_path / "cordons.json").read_bytes()) == {}
+    assert "was ever listed" in cordons.set_cordon(b"gone", True)
