Messages that a replaced process still owed were notified up to half a second late

Cause: the new process looked every 0.5 s whether the old one's lock is free (`_adopt_orphans`), the old one kept its lock through the end of its interpreter, and what was taken over was submitted in the order in which it lay in the file.

Change: what an ended process owed is taken over at the next look, 5 ms later at most while there is another process; a take-over that the folder refused is tried again after 0.5 s. Whether a process that stops is replaced is asked at each look, not once at SIGTERM: its successor may be killed, or come later.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -461,12 +461,12 @@
         return 0 if self.refusal_reason is RefusalReason.NONE else AIMD_INTERVAL_NS
 
     def begin_shutdown(self, stop_at: int, replaced: bool = False) -> None:
-        """Accept no more packets and make no call that may outlast the process, which stops at `stop_at`.
-
-        `replaced`: a process beside this one has taken over, and with it this relay's part of the slow-start
-        budgets.
-        """
+        """Accept no more packets and make no call that may outlast the process, which stops at `stop_at`."""
         self._stop_at = stop_at
+        self.set_replaced(replaced)
+
+    def set_replaced(self, replaced: bool) -> None:
+        """Note whether a concurrent process has taken over this relay's part of the slow-start budgets."""
         self._slow_start.replaced = replaced
 
     def may_write(self, now: int, host: Host, packet: Packet) -> bool:
--- a/millweir/facade.py
+++ b/millweir/facade.py
@@ -262,6 +262,10 @@
         """The process is to stop at that time; `replaced`: its successor is running already."""
         self._relay.begin_shutdown(leave_at, replaced)
 
+    def set_replaced(self, replaced: bool) -> None:
+        """Note whether the successor of this process, which is stopping, is running."""
+        self._relay.set_replaced(replaced)
+
     # Actions for the caller.
 
     def tick(self, now: int) -> int:
--- a/millweir/net/concurrent/monitor.py
+++ b/millweir/net/concurrent/monitor.py
@@ -162,7 +162,8 @@
         except OSError as error:
             self._log.info(f"journal-failed adopt {error}")
             return
-        self._adopt_at = now + self._bounds.client_grace_ns
+        if self._journal.adoption_failed:
+            self._adopt_at = now + self._bounds.client_grace_ns
         if adopted:
             self.turns.adopt(message.id for message in adopted)
             self._log.always(f"adopted owed={len(adopted)}")
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -70,6 +70,7 @@
         self._concurrent = ConcurrentProcesses(loop, journal, bounds, self._service_classes, self, log)
         self._backlog: deque[OwedMessage] = deque()  # owed but not submitted to the engine yet, oldest first
         self._turn_scheduled = self._shutting_down = self._linger_elapsed = self._quiesced = False
+        self._is_closed = False
         self._ends = MessageEnds(
             self._owed,
             journal,
@@ -170,6 +171,8 @@
         """Read what concurrent processes have written of cordons and recovering hosts."""
         self._cordons.read_file(only_if_changed=True)
         self._cordons.write_late_records()
+        if self._shutting_down:
+            self._engine.set_replaced(self._journal.has_concurrent_process())
         self._recovering_hosts.read_file()
 
     def is_ready(self) -> bool:
@@ -214,8 +217,9 @@
         self.clients.draining = self._shutting_down
 
     def _restore_messages(self, messages: Iterable[OwedMessage]) -> None:
-        """Register messages of earlier processes, in the order in which they were taken."""
-        for message in sorted(messages, key=lambda message: message.taken_at):
+        """Register messages of an earlier process: first those whose time is up, which end at once."""
+        now = clock.to_wall(clock.monotonic_ns())
+        for message in sorted(messages, key=lambda message: (message.deadline > now, message.taken_at)):
             self._restore_message(message)
 
     def _restore_message(self, message: OwedMessage) -> None:
@@ -302,12 +306,14 @@
 
     def request_turn(self) -> None:
         """Schedule a turn after all input that is already readable has been read."""
-        if not self._turn_scheduled:
+        if not self._turn_scheduled and not self._is_closed:
             self._turn_scheduled = True
             self._loop.call_soon(self._run_turn)
 
     def _run_turn(self) -> None:
         self._turn_scheduled = False
+        if self._is_closed:
+            return
         began_at = clock.monotonic_ns()
         try:
             self._run_turn_steps()
@@ -607,10 +613,16 @@
             self.stopped.set_result(None)
 
     def close(self) -> None:
-        """Close all connections at the end of the process; the journal holds the calls still in flight."""
+        """Close all connections at the end of the process; the journal holds the calls still in flight.
+
+        The journal is released last: from then on another process may take over what it holds, and this one
+        decides nothing more.
+        """
+        self._is_closed = True
         self._concurrent.close()
         self._journal.write_late_records()
         self._recovering_hosts.close()
         self._watch.close()
         self._notifications.close()
         self._hosts.close()
+        self._journal.close()
--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
 import struct
@@ -102,6 +103,8 @@
         self._taken = (0, 0)  # of the message that comes next: its number, and when it was taken
         self._lock_fds: dict[int, int] = {}
         self._file_fd = -1
+        self._is_closed = False
+        self.adoption_failed = False  # of what an ended process owed, when it was tried last
         try:
             self._open_file()
         except OSError:
@@ -152,6 +155,7 @@
     def adopt_orphans(self) -> list[OwedMessage]:
         """Take over what ended processes of this folder still owed; the messages are written to this file."""
         adopted: list[OwedMessage] = []
+        self.adoption_failed = False
         for slot in range(SLOT_COUNT):
             path = self.folder / build_slot_file_name(slot)
             if slot == self.slot or not path.exists() or not self._try_lock(slot):
@@ -171,6 +175,7 @@
                 self.owed, self._last_number, self.torn_bytes = own_owed, last_number, torn_bytes
                 self._live_bytes = sum(message.size for message in own_owed.values())
                 self._log_line(f"journal-failed adopt slot={slot} {error}")
+                self.adoption_failed = True
             os.close(self._lock_fds.pop(slot))
         return adopted
 
@@ -209,7 +214,8 @@
             self._write(self._encode_known_ids((self._max_file_bytes - self._file_bytes) // 2))
 
     def close(self) -> None:
-        """Release the file and the slot, as the end of the process does."""
+        """Release the file and the slot, as the end of the process does; nothing is written from then on."""
+        self._is_closed = True
         if self._file_fd >= 0:
             os.close(self._file_fd)
             self._file_fd = -1
@@ -301,6 +307,8 @@
             self._log_line(f"journal-failed {what} {error}")
 
     def _write(self, bodies: list[bytes]) -> None:
+        if self._is_closed:  # another process may have taken over what was owed
+            raise OSError(errno.EBADF, "the journal is closed")
         raw = encode_frames([*self._unwritten, *bodies])
         if self._file_bytes + len(raw) > self._max_file_bytes:
             self._compact()
--- a/tests/net/test_ready.py
+++ b/tests/net/test_ready.py
@@ -47,6 +47,7 @@
     engine.update_hosts(clock.monotonic_ns(), Change.CACHED, tuple(entry(group, 0) for group in range(10)))
     server = RelayServer.__new__(RelayServer)
     server._engine, server._bounds, server._counters = engine, engine.bounds, Counters()
+    server._is_closed = False
     server._owed, server._backlog, server._turn_scheduled = {}, deque(), True
     server._log = Log(engine.bounds.max_log_lines_per_second)
     server._service_classes, server._tenant_numbers = ServiceClasses(chosen, engine), {}
--- a/tests/net/test_repeat_window.py
+++ b/tests/net/test_repeat_window.py
@@ -69,6 +69,7 @@
             engine.update_hosts(self.steady, Change.CACHED, (host,))
         server = RelayServer.__new__(RelayServer)
         server._engine, server._bounds, server._counters = engine, engine.bounds, Counters()
+        server._is_closed = False
         server._owed, server._backlog = {}, deque()
         server._log = Log(200)
         server._service_classes, server._tenant_numbers = ServiceClasses(SETTINGS, engine), {}
