Rig: replaced processes, cordons and good files that differ are drawn by the soak

New faults: `replace` starts a second process beside the running one and ends the first after the yes. Meanwhile pairs of messages with one key come on a kept and on a new connection in either order, messages that no host takes fall due around the old process's end, and two hosts are cordoned at the two processes at the same moment. The checker holds a relay to its yes to a cordon, and has no downtime for a replacement.

--- a/millweir/lab/checker.py
+++ b/millweir/lab/checker.py
@@ -17,6 +17,7 @@
     Answered,
     Called,
     Copied,
+    Cordoned,
     Ended,
     Fallen,
     History,
@@ -25,6 +26,7 @@
     Noticed,
     Offered,
     Ready,
+    Replaced,
     Returned,
     Started,
     Struck,
@@ -80,6 +82,7 @@
     _check_calls_after_end(history, offered, calls, returns, verdict)
     _check_effects(terms, offered, calls, returns, verdict)
     _check_draining(history, terms, verdict)
+    _check_cordons(history, terms, verdict)
     for row in history.select(Fallen):
         verdict.broken[4].append(f"{row.host} fell at {row.calls} calls")
     _check_key_order(history, terms, offered, calls, returns, verdict)
@@ -296,6 +299,23 @@
             )
 
 
+def _check_cordons(history: History, terms: Terms, verdict: Verdict) -> None:
+    """Rule 3: a relay that said yes to a cordon makes no new calls to the host after the grace period."""
+    relays = {row.id: row.relay for row in history.select(Offered)}
+    cordoned: dict[tuple[str, str], int] = {}
+    for row in history.rows:
+        if isinstance(row, Cordoned) and row.over:
+            cordoned.pop((row.relay, row.host), None)
+        elif isinstance(row, Cordoned):
+            cordoned.setdefault((row.relay, row.host), row.at)
+        elif isinstance(row, Called):
+            since = cordoned.get((relays.get(row.id) or read_relay(row.id), row.host), NEVER)
+            if row.at > since + terms.drain_grace + TOLERANCE_NS:
+                verdict.broken[3].append(
+                    f"{row.id} went to {row.host}, cordoned {(row.at - since) / 1e6:.0f} ms before"
+                )
+
+
 def _check_key_order(
     history: History,
     terms: Terms,
@@ -349,6 +369,10 @@
             down.discard(row.relay)
         elif isinstance(row, Struck) and row.kind in PROCESS_ENDING_FAULTS:
             until = {key: wait for key, wait in until.items() if key[1] != row.who}
+        elif isinstance(row, Replaced):
+            # A wait that came as the old process ended was read by nobody.
+            unread_from = row.at - READ_MARGIN_NS + terms.wait_grace
+            until = {key: wait for key, wait in until.items() if key[1] != row.relay or wait[1] < unread_from}
         elif isinstance(row, Ended):
             down.add(row.relay)
             until = {key: wait for key, wait in until.items() if key[1] != row.relay}
--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -24,6 +24,7 @@
 from millweir.lab.destination import Destination, RecoveryTerms
 from millweir.lab.history import Answered, Ended, History, Offered, Ready, Started, Struck, monotonic_ns
 from millweir.lab.processes import ROOT, Address, Relay, WaitTimeout
+from millweir.lab.replacement import cordon_hosts, replace_process
 from millweir.lab.scenario import (
     CLIENTS,
     HOST,
@@ -34,7 +35,7 @@
     Scenario,
     list_faults,
 )
-from millweir.lab.standins import SETTINGS, Clients, Host, Platform
+from millweir.lab.standins import SETTINGS, Clients, Host, Platform, draw_setting_changes
 from millweir.lab.views import FaultRecord, MembershipFinding, PolledViews, evaluate_views
 from millweir.lab.wire import Faults, Wire
 
@@ -151,6 +152,14 @@
         count = self.scenario.groups if self.scenario.shared_limit else self.scenario.hosts
         return [Destination(self.scenario.host_rate, terms, monotonic_ns()) for _ in range(count)]
 
+    def _build_parked_host(self) -> Host:
+        """A host that is never used, so that messages for its destination wait until their time is up."""
+        terms = RecoveryTerms.from_settings(SETTINGS["obligations"])
+        destination = Destination(self.scenario.host_rate, terms, 0)
+        address = self.host, 8000 + self.scenario.hosts
+        rng = random.Random(self.seed)
+        return Host("parked", self.scenario.groups, destination, address, self.history, rng, [0])
+
     def _is_over(self, ident: str) -> bool:
         """Whether the hosts say of a message that it is over; the same for every call."""
         share = self.scenario.over_share
@@ -222,6 +231,8 @@
         for host in self.hosts:
             await host.open()
             await self.platform.update_host(host)
+        if self.scenario.replaces_processes:
+            await self.platform.update_host(self._build_parked_host(), "DRAINING")
         for start in self.scenario.names if self.scenario.members else ():
             for end in self.scenario.names:
                 if start != end:
@@ -237,6 +248,7 @@
                 (self.host, 7000 + number),
                 lambda name=name: self.build_config(name),
                 self.build_operator_file(name) if self.scenario.members else "",
+                ((self.host, 7200 + 2 * number), (self.host, 7201 + 2 * number)),
             )
             self._spawn(relay)
         await asyncio.gather(*(relay.ready() for relay in self.relays.values()))
@@ -365,8 +377,16 @@
             relay.set_clock_skew(0)
         elif fault.kind == "reload":
             for _ in range(RELOAD_SIGNALS):
+                relay.write_config(draw_setting_changes(self.rng))
                 relay.signal(signal.SIGHUP)
                 await asyncio.sleep(seconds / RELOAD_SIGNALS)
+            if (rejected := await relay.count_rejected_files()) and relay.up:
+                self.failures.append(f"{relay.name} turned {rejected} good files down")
+        elif fault.kind == "replace":
+            parked_group, hosts = self.scenario.groups, self._draw_host_pair()
+            await replace_process(relay, self._clients, parked_group, hosts, self.history, self.rng)
+        elif fault.kind == "cordon":
+            await cordon_hosts(relay, self._draw_host_pair(), seconds, self.history, self.rng)
         elif relay.alive:
             if fault.kind == "term":
                 await relay.terminate()
@@ -389,6 +409,9 @@
             if fault.span and not relay.alive:
                 await self.restart(relay, fault.wait / 1e9 if fault.kind == "slow" else 0.0)
 
+    def _draw_host_pair(self) -> list[str]:
+        return [host.name for host in self.rng.sample(self.hosts, 2)]
+
     def _record_and_kill(self, relay: Relay) -> None:
         """Kill the current process and record it: another fault may have restarted it meanwhile."""
         self.history.add(Struck(monotonic_ns(), "kill", relay.name))
--- a/millweir/lab/history.py
+++ b/millweir/lab/history.py
@@ -119,6 +119,20 @@
     relay: str
 
 
+class Replaced(Event, frozen=True, tag="replaced"):
+    """A relay's old process has ended, while the one that replaces it runs."""
+
+    relay: str
+
+
+class Cordoned(Event, frozen=True, tag="cordoned"):
+    """A relay said yes to a cordon of a host, or was asked to lift it (`over`)."""
+
+    relay: str
+    host: str
+    over: bool = False
+
+
 KINDS = (
     Offered
     | Answered
@@ -133,6 +147,8 @@
     | Ready
     | Ended
     | Started
+    | Replaced
+    | Cordoned
 )
 
 
--- a/millweir/lab/scenario.py
+++ b/millweir/lab/scenario.py
@@ -14,8 +14,10 @@
 SECOND = 1_000_000_000
 # Faults of relay processes. "roll" is a planned restart: SIGTERM, then SIGKILL at the earliest time at which
 # the platform sends it; "kill-twice" also kills the next process while it starts; "reload" sends SIGHUP
-# several times in a row.
+# several times in a row, each time with a good file that differs. "replace": a second process is started
+# beside the first one, which then gets SIGTERM; "cordon": a host is taken out by command and put back.
 PROCESS = ("stop", "kill", "lose", "term", "starve", "full", "slow", "skew", "roll", "kill-twice", "reload")
+PROCESS += ("replace", "cordon")
 # Faults of hosts. "drain": listed as draining; "hang": accepts calls and answers none; "refuse": resets its
 # connections and refuses new ones; "mute": runs calls and writes no response; "short": truncates its
 # responses; "shut": refuses every call, a share of them with a retry-after until the end of the outage.
@@ -93,6 +95,10 @@
     compose: tuple[str, ...] = ()  # fault kinds drawn from the seed, in addition to `fault`
     every: Duration = Duration(15 * SECOND)  # mean time between drawn faults
 
+    @property
+    def replaces_processes(self) -> bool:
+        return "replace" in self.compose or any(fault.kind == "replace" for fault in self.fault)
+
     @property
     def names(self) -> tuple[str, ...]:
         return tuple(f"r{n}" for n in range(1, self.relays + 1))
