A take-over that a full disk cut short lost messages; a module reads journals

The test failed on (two of five messages were missing) and passes. Otherwise no change of behaviour.

--- a/millweir/net/journal.py
+++ b/millweir/net/journal.py
@@ -9,39 +9,28 @@
 import errno
 import fcntl
 import os
-import struct
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 
 from millweir.answers.final import FinalAnswer
-from millweir.interface import MILLISECOND
 from millweir.net import clock
 from millweir.net.ended import EndedIds
+from millweir.net.journal_reader import JournalReader
 from millweir.net.owed_message import (
-    ACCEPTED_KIND,
-    ACCEPTED_RECORD,
     CLOCK_KIND,
     CLOCK_RECORD,
     ENDED_KIND,
     ENDED_RECORD,
-    FINAL_ANSWER_KIND,
-    FINAL_ANSWER_RECORD,
     FRAME_HEADER,
     GIVEN_UP_KIND,
     GIVEN_UP_RECORD,
-    KNOWN_ID_KIND,
-    KNOWN_ID_RECORD,
     MAX_TRIP_BYTES,
     NEVER_RAN_KIND,
     NEVER_RAN_RECORD,
-    TAKEN_KIND,
-    TAKEN_RECORD,
     TRIP_KIND,
     TRIP_RECORD,
-    UNKNOWN_SENT_AT,
     OwedMessage,
-    decode_frames,
     encode_frames,
     encode_known_id,
 )
@@ -55,16 +44,6 @@
     return (FILE_NAME if slot == 0 else f"{FILE_NAME}.{slot}") + suffix
 
 
-def _measure_set_back(recorded_offset: int) -> int:
-    """How far the wall clock was set back since its offset to the monotonic clock was recorded in this boot.
-
-    Rule 2 (no message takes effect twice): a trip must not seem younger than it is by the monotonic clock,
-    which runs on between two processes of one boot.  A wall clock that was set ahead makes trips seem
-    older; that is safe and is not corrected.
-    """
-    return max(0, recorded_offset - clock.wall_offset())
-
-
 def _encode_clock_record() -> bytes:
     """The record of the clocks that the times in the records after it refer to."""
     return CLOCK_RECORD.pack(CLOCK_KIND, 0, clock.wall_offset(), clock.read_boot_id())
@@ -96,11 +75,6 @@
         # are, so there are at most a few for each message that was owed then.
         self._unwritten: list[bytes] = []
         self._reserve_fd = -1  # kept open, and closed to make room for the descriptor of the next file
-        # Both are of the file that is being read: how far the wall clock was set back since it was written
-        # (None where that is unknown), and how far it was moved in either direction.
-        self._set_back_ns: int | None = None
-        self._wall_clock_shift_ns = 0
-        self._taken = (0, 0)  # of the message that comes next: its number, and when it was taken
         self._lock_fds: dict[int, int] = {}
         self._file_fd = -1
         self._is_closed = False
@@ -117,11 +91,22 @@
         self.slot = next((slot for slot in range(SLOT_COUNT) if self._try_lock(slot)), SLOT_COUNT - 1)
         path = self.folder / build_slot_file_name(self.slot)
         if path.exists():
-            self._load_records(path.read_bytes())
+            content = self._read_file(path)
+            self.owed, self._last_number, self.torn_bytes = (
+                content.owed,
+                content.last_number,
+                content.torn_bytes,
+            )
+            self._live_bytes = sum(message.size for message in self.owed.values())
         if not self._reuse_file():
             self._compact()
         self.adopt_orphans()
 
+    def _read_file(self, path: Path) -> JournalReader:
+        reader = JournalReader(self.ended_ids, self._log_line)
+        reader.read(path.read_bytes())
+        return reader
+
     def _try_lock(self, slot: int) -> bool:
         """Whether this process holds the slot now; on a file system without locks it always does."""
         fd = os.open(self.folder / build_slot_file_name(slot, ".lock"), os.O_RDWR | os.O_CREAT, 0o600)
@@ -160,20 +145,9 @@
             path = self.folder / build_slot_file_name(slot)
             if slot == self.slot or not path.exists() or not self._try_lock(slot):
                 continue
-            own_owed, last_number, torn_bytes = self.owed, self._last_number, self.torn_bytes
-            self.owed = {}
             try:
-                self._load_records(path.read_bytes())
-                orphaned, self.owed = self.owed, own_owed
-                self._last_number, self.torn_bytes, self._live_bytes = (
-                    last_number,
-                    torn_bytes,
-                    sum(message.size for message in own_owed.values()),
-                )
-                self._adopt_messages(path, orphaned, adopted)
+                self._adopt_messages(path, self._read_file(path).owed, adopted)
             except OSError as error:  # out of descriptors or disk: the file is kept and tried again later
-                self.owed, self._last_number, self.torn_bytes = own_owed, last_number, torn_bytes
-                self._live_bytes = sum(message.size for message in own_owed.values())
                 self._log_line(f"journal-failed adopt slot={slot} {error}")
                 self.adoption_failed = True
             os.close(self._lock_fds.pop(slot))
@@ -391,90 +365,3 @@
                 break
             bodies.append(body)
         return bodies[::-1]
-
-    def _load_records(self, raw: bytes) -> None:
-        offset, self._set_back_ns, self._wall_clock_shift_ns = 0, None, 0
-        self._taken = (0, 0)
-        for body, end in decode_frames(raw):
-            if not self._apply_record(body):
-                break
-            if body[0] != TAKEN_KIND:  # whole only with the accepted message behind it
-                offset = end
-        self.torn_bytes = len(raw) - offset
-        self._live_bytes = sum(message.size for message in self.owed.values())
-
-    def _apply_record(self, body: bytes) -> bool:
-        """Apply one record to the messages in memory; False where it can't be decoded."""
-        try:
-            if body[0] == ACCEPTED_KIND:
-                _, number, deadline, *lengths, destination = ACCEPTED_RECORD.unpack_from(body)
-                texts, offset = [], ACCEPTED_RECORD.size
-                for length in lengths:
-                    texts.append(body[offset : offset + length])
-                    offset += length
-                # Rule 1 (an outcome in time), where the wall clock was set while no process ran: a
-                # deadline is a span of time and moves with the clock.
-                message = OwedMessage(
-                    *texts, destination, deadline + self._wall_clock_shift_ns, body[offset:]
-                )
-                message.number = self._last_number = number
-                if self._taken[0] == number:
-                    message.taken_at = self._taken[1]
-                self.owed[number] = message
-                return True
-            if body[0] == CLOCK_KIND:
-                _, _, recorded_offset, boot_id = CLOCK_RECORD.unpack(body)
-                same_boot = boot_id == clock.read_boot_id()
-                self._set_back_ns = _measure_set_back(recorded_offset) if same_boot else None
-                self._wall_clock_shift_ns = clock.wall_offset() - recorded_offset if same_boot else 0
-                if self._set_back_ns is None or self._set_back_ns >= MILLISECOND:
-                    self._log_line(
-                        f"clock-set-back ns={'unknown' if self._set_back_ns is None else self._set_back_ns}"
-                    )
-                return True
-            if body[0] == FINAL_ANSWER_KIND:
-                self._apply_final_answer(body)
-                return True
-            if body[0] == KNOWN_ID_KIND:
-                self._apply_known_id(body)
-                return True
-            if body[0] == TAKEN_KIND:
-                _, _, *taken = TAKEN_RECORD.unpack(body)
-                self._taken = tuple(taken) if self._set_back_ns is not None else (0, 0)
-                return True
-            message = self.owed.get(struct.unpack_from("<Q", body, 1)[0])
-            if body[0] == ENDED_KIND:
-                if message:
-                    del self.owed[message.number]
-                    self._keep_id(message)
-            elif message is None:
-                pass  # A late record of a message that has ended is no damage: the records after it are read.
-            elif body[0] == TRIP_KIND:
-                sent_at = TRIP_RECORD.unpack(body)[2]
-                message.add_trip(
-                    UNKNOWN_SENT_AT if self._set_back_ns is None else sent_at - self._set_back_ns
-                )
-            elif body[0] == NEVER_RAN_KIND:
-                message.trips[NEVER_RAN_RECORD.unpack(body)[2]][1] = 1
-            elif body[0] == GIVEN_UP_KIND:
-                _, _, retryable, wait = GIVEN_UP_RECORD.unpack(body)
-                message.given_up = (bool(retryable), wait)
-            else:
-                return False
-        except (struct.error, IndexError, ValueError):
-            return False
-        return True
-
-    def _apply_final_answer(self, body: bytes) -> None:
-        _, _, number, value = FINAL_ANSWER_RECORD.unpack(body)
-        if message := self.owed.get(number):
-            message.final_answer = FinalAnswer(value)
-
-    def _apply_known_id(self, body: bytes) -> None:
-        _, _, known_until = KNOWN_ID_RECORD.unpack_from(body)
-        message_id = body[KNOWN_ID_RECORD.size :]
-        if known_until:
-            known_until = clock.from_wall(known_until + self._wall_clock_shift_ns)
-            self.ended_ids.add(message_id, known_until, clock.monotonic_ns())
-        else:
-            self.ended_ids.forget(message_id)
--- a/tests/net/test_adoption.py
+++ b/tests/net/test_adoption.py
@@ -1,6 +1,7 @@
 """What a process that ends still owes, while another process of its folder runs."""
 
 import asyncio
+import errno
 import signal
 import time
 from itertools import count
@@ -82,3 +83,28 @@
         old.record_accepted(make_message(b"n", clock.monotonic_ns() + SECOND))
     old.record_ended(message)
     assert not new.adopt_orphans() and [owed.id for owed in new.owed.values()] == [b"m"]
+
+
+def test_a_take_over_that_a_full_disk_cut_short_lost_messages(tmp_path, monkeypatch):
+    """Guards rule 1: what was taken over before the disk was full keeps its number."""
+    old, new = open_journal(tmp_path), open_journal(tmp_path)
+    due_at = clock.monotonic_ns() + 60 * SECOND
+    for number in range(4):
+        old.record_accepted(make_message(b"old%d" % number, due_at))
+    old.close()
+    write, writes = new._write, count()
+
+    def write_two(bodies):
+        if next(writes) >= 2:
+            raise OSError(errno.ENOSPC, "full")
+        write(bodies)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(new, "_write", write_two)
+        assert len(new.adopt_orphans()) == 2 and new.adoption_failed
+    new.record_accepted(make_message(b"new", due_at))
+    assert len(new.adopt_orphans()) == 2 and not new.adoption_failed
+    expected = {b"new", *(b"old%d" % number for number in range(4))}
+    assert {message.id for message in new.owed.values()} == expected
+    new.close()
+    assert {message.id for message in open_journal(tmp_path).owed.values()} == expected
