Messages of an earlier build keep their place in a key; a key was not freed

What is read at the first look is older than all own messages; what is read later was taken when it was seen.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -515,8 +515,10 @@
             packet.key = self._keys.get(key) or self._keys.setdefault(key, OrderingKey(key))
             packet.taken_at = taken_at
             packet.key.add(packet)
-            for first in islice(packet.key.queue, 2):  # the packet may have displaced the first one
-                self._update_order(first)
+            self._update_order(packet.key.queue[0])
+            if packet is packet.key.queue[0]:
+                for displaced in islice(packet.key.queue, 1, 2):
+                    self._update_order(displaced)
         packet.trips = [
             Trip(Call(None, sent_at, False), has_ended=True, never_ran=never_ran)
             for sent_at, never_ran in earlier
--- a/millweir/net/concurrent/journal_files.py
+++ b/millweir/net/concurrent/journal_files.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from millweir.net import clock
 from millweir.net.concurrent.journal_view import JournalView
 from millweir.net.owed_message import decode_frames
 
@@ -39,13 +40,15 @@
             inode = os.fstat(file.fileno()).st_ino  # it may have been replaced since
             is_replaced = is_replaced or inode != self.inode
             start = 0 if is_replaced else self.offset
+            # What the first look finds was taken before this process takes any.
+            seen_at = clock.monotonic_ns() if self.inode else 0
             file.seek(start)
             raw = file.read()
         if is_replaced:
             self.view.begin_rebuild()
             self.inode, self.offset = inode, 0
         for body, end in decode_frames(raw):
-            self.view.apply_record(body)
+            self.view.apply_record(body, seen_at)
             self.offset = start + end
         if is_replaced:
             self.view.end_rebuild()
--- a/millweir/net/concurrent/journal_view.py
+++ b/millweir/net/concurrent/journal_view.py
@@ -34,7 +34,7 @@
     id: bytes
     profile: bytes
     key: int
-    taken_at: int = 0  # monotonic time; 0: by a build that does not record it, or before this process started
+    taken_at: int = 0  # monotonic time; 0: not recorded, and before the journal was first read
     uncertain_trips: int = 0  # trips that may have run
     given_up: bool = False
 
@@ -89,11 +89,14 @@
         self._open = {}
         self.ids = set()
 
-    def apply_record(self, body: bytes) -> None:
-        """Apply one whole record; kinds that this view does not need are skipped."""
+    def apply_record(self, body: bytes, seen_at: int = 0) -> None:
+        """Apply one whole record; kinds that this view does not need are skipped.
+
+        `seen_at`: taken for the time of a message where an earlier build, which does not record it, took it.
+        """
         kind = body[0]
         if kind == ACCEPTED_KIND:
-            self._apply_accepted(body)
+            self._apply_accepted(body, seen_at)
         elif kind == KNOWN_ID_KIND:
             _, _, known_until = KNOWN_ID_RECORD.unpack_from(body)
             change = self.ids.add if known_until else self.ids.discard
@@ -104,7 +107,7 @@
         elif len(body) > NUMBER.size and (number := NUMBER.unpack_from(body, 1)[0]) in self._open:
             self._apply_progress(kind, number)
 
-    def _apply_accepted(self, body: bytes) -> None:
+    def _apply_accepted(self, body: bytes, seen_at: int) -> None:
         _, number, _, id_length, profile_length, account_length, key_length, *_ = ACCEPTED_RECORD.unpack_from(
             body
         )
@@ -119,9 +122,10 @@
         if message := self._before_rebuild.pop(message_id, None):
             message.uncertain_trips = 0  # the new file holds its trips again
         else:
-            message = KeyedMessage(message_id, body[id_end:profile_end], key)
+            message = KeyedMessage(message_id, body[id_end:profile_end], key, seen_at)
             self.changes.opened.append(message)
-        message.taken_at = self._taken[1] if self._taken[0] == number else 0
+        if self._taken[0] == number:
+            message.taken_at = self._taken[1]
         self._open[number] = message
 
     def _apply_progress(self, kind: int, number: int) -> None:
--- a/millweir/net/concurrent/key_turns.py
+++ b/millweir/net/concurrent/key_turns.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from millweir.net.concurrent.journal_view import KeyedChanges, KeyedMessage
+from millweir.net.owed_message import OwedMessage
 from millweir.records import NEVER
 
 
@@ -65,9 +66,15 @@
         if not older:
             del self._by_key[key]
 
-    def adopt(self, message_ids: Iterable[bytes]) -> None:
-        """Keep holding back others for messages that this process has taken over, until `submit`."""
-        self.adopted_ids.update(message_ids)
+    def adopt(self, messages: Iterable[OwedMessage], now: int) -> None:
+        """Keep holding back others for messages that this process has taken over, until `submit`.
+
+        A message whose time is not recorded gets that at which it was seen.
+        """
+        for message in messages:
+            self.adopted_ids.add(message.id)
+            older = self._by_key.get(int.from_bytes(message.key), {}).get(message.id)
+            message.taken_at = message.taken_at or (older.message.taken_at if older else now)
 
     def submit(self, key: int, message_id: bytes) -> None:
         """Note that the decision engine has a message in its own queue of the key."""
--- a/millweir/net/concurrent/monitor.py
+++ b/millweir/net/concurrent/monitor.py
@@ -165,7 +165,7 @@
         if self._journal.adoption_failed:
             self._adopt_at = now + self._bounds.client_grace_ns
         if adopted:
-            self.turns.adopt(message.id for message in adopted)
+            self.turns.adopt(adopted, now)
             self._log.always(f"adopted owed={len(adopted)}")
             self._handler.adopt_messages(adopted)
         self._read_journals()  # the files that were taken over are gone
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -238,14 +238,14 @@
             self._notifications.add(message)
         else:
             self._ends.end_unconfirmed(message)
-        if message.may_have_run:
-            self._hold_key(message)
+        self._release_key(message)
 
-    def _hold_key(self, message: OwedMessage) -> None:
-        """Hold back the messages behind one that has ended, of which a trip may still run."""
+    def _release_key(self, message: OwedMessage) -> None:
+        """Let the messages behind one that has ended go, after the quiet time if a trip may still run."""
         key = int.from_bytes(message.key)
-        number = self._service_classes.get_number(message.profile)
-        self._engine.hold_key(clock.monotonic_ns(), number, key)
+        if message.may_have_run:
+            number = self._service_classes.get_number(message.profile)
+            self._engine.hold_key(clock.monotonic_ns(), number, key)
         self._concurrent.turns.submit(key, message.id)
         self._limit_key(key)
 
--- a/tests/net/inside.py
+++ b/tests/net/inside.py
@@ -12,7 +12,7 @@
 from dataclasses import replace
 
 import uvloop
-from rig import CONFIG
+from rig import CONFIG, free_port
 
 from millweir import __main__ as main
 from millweir.net.config import read_config
@@ -130,8 +130,7 @@
         self.bounds = bounds
         self.server = None
         self.clients = []
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.port = free.getsockname()[1]
+        self.port = free_port()
 
     async def open(self):
         path = self.folder.parent / "config.json"
--- a/tests/net/test_adoption.py
+++ b/tests/net/test_adoption.py
@@ -11,9 +11,10 @@
 
 from millweir.interface import SECOND
 from millweir.net import clock
+from millweir.net.concurrent.journal_files import ConcurrentJournals
 from millweir.net.journal import Journal
 from millweir.net.owed_message import OwedMessage
-from net.inside import run_with_relay
+from net.inside import request, run_with_relay
 from net.test_replacement import replacing
 
 OVERDUE_SECONDS = 0.3  # from a message's time to its notification
@@ -108,3 +109,27 @@
     assert {message.id for message in new.owed.values()} == expected
     new.close()
     assert {message.id for message in open_journal(tmp_path).owed.values()} == expected
+
+
+def test_a_key_was_held_for_good_by_a_message_that_had_been_given_up(tmp_path, monkeypatch):
+    """Guards rule 1 where a process ends just after it has given a message up, before that was read."""
+    platform = Platform(hosts=1)
+
+    async def steps(relay):
+        old = open_journal(relay.folder)
+        message = make_message(b"given-up", clock.monotonic_ns() + 60 * SECOND, key=b"k")
+        message.profile = b"marked"
+        old.record_accepted(message)
+        concurrent = relay.server._concurrent
+        await relay.until(lambda: concurrent.turns)
+        with monkeypatch.context() as patch:
+            patch.setattr(ConcurrentJournals, "read", lambda journals: None)
+            old.record_given_up(message, retryable=False, wait=0)
+            old.close()
+            await relay.until(lambda: platform.notified_at.get("given-up"))
+        client = relay.client()
+        client.send(request("next", "marked", Cookie="about=k"))
+        assert await client.statuses(1) == [202]
+        await relay.until(lambda: platform.sent("next"))
+
+    run_with_relay(platform, tmp_path, monkeypatch, steps)
--- a/tests/net/test_key_turns.py
+++ b/tests/net/test_key_turns.py
@@ -79,7 +79,7 @@
         """End a process; the other one takes over what it owes."""
         other = self.processes[1 - process.slot]
         self.read(other)
-        other.turns.adopt(message.id for message in process.queue)
+        other.turns.adopt(process.queue, self.now)
         for message in sorted(process.queue, key=lambda message: message.taken_at):
             message.number = len(other.journal) + 1
             other.write(*message.encode_records())
@@ -204,3 +204,21 @@
         turns.apply_changes(other_slot, view.take_changes(), 0)
         limits.append(turns.find_limit(KEY))
     assert limits == [1, 0]
+
+
+def test_messages_of_an_earlier_build_went_before_all_others_of_their_key():
+    """Guards an upgrade from a build that records no times: what is seen later was taken later."""
+    view, turns = JournalView(), KeyTurns(1, lambda profile: True, QUIET)
+    owed = []
+    for number, seen_at in ((1, 0), (2, 50)):
+        message = OwedMessage(b"m%d" % number, b"c", b"", bytes([KEY]), b"", 0, 0, b"")
+        message.number = number
+        view.apply_record(message.encode_records()[-1], seen_at)  # without the record of the time
+        owed.append(message)
+    turns.apply_changes(0, view.take_changes(), 60)
+    assert turns.find_limit(KEY) == 0  # the own message of time 20 waits for the first alone
+    view.apply_record(ENDED_RECORD.pack(ENDED_KIND, 1), 70)
+    turns.apply_changes(0, view.take_changes(), 70)
+    assert turns.find_limit(KEY) == 50
+    turns.adopt(owed, 80)
+    assert [message.taken_at for message in owed] == [80, 50]
--- a/tests/net/test_known_ids.py
+++ b/tests/net/test_known_ids.py
@@ -3,7 +3,7 @@
 import signal
 
 import pytest
-from rig import Platform, Program, reply, until
+from rig import Platform, Program, free_port, reply, until
 
 from millweir.net import clock
 from millweir.net.concurrent.journal_files import ConcurrentJournals
@@ -46,11 +46,11 @@
     until(lambda: platform.sent("old"))
     old = relay.process
     try:
-        relay.port += 1  # to reach each process for sure; both use the folder
+        old_port, relay.port = relay.port, free_port()  # to reach each process for sure; both use the folder
         relay.start()
         assert relay.hand_in("old", "once") == relay.hand_in("new", "once") == 202
         until(lambda: platform.sent("new"))
-        relay.port -= 1
+        relay.port = old_port
         assert relay.hand_in("new", "once") == relay.hand_in("last", "once") == 202
         until(lambda: platform.sent("last"))
     finally:
--- a/tests/net/test_replacement.py
+++ b/tests/net/test_replacement.py
@@ -10,7 +10,7 @@
 from types import SimpleNamespace
 
 import pytest
-from rig import Platform, Program, reply, until
+from rig import Platform, Program, free_port, reply, until
 
 from millweir.net.cordons import Cordons
 
@@ -29,13 +29,11 @@
         self.ports, self.processes = [self.program.port], [self.program.process]
 
     def _choose_control(self):
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.controls.append(free.getsockname()[1])
+        self.controls.append(free_port())
         return f"127.0.0.1:{self.controls[-1]}"
 
     def start_new(self):
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.program.port = free.getsockname()[1]
+        self.program.port = free_port()
         self.program.config["control"] = self._choose_control()
         self.program.start()
         self.ports.append(self.program.port)
@@ -101,15 +99,18 @@
             assert_one_at_a_time(platform, handed_in)
 
 
-@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGKILL])
-def test_a_message_went_before_an_older_one_of_its_key_that_was_taken_over(number, tmp_path):
-    """Guards rule 5 where the old process ends: what it owed keeps its place in the new one's queue."""
+@pytest.mark.parametrize(
+    "ended, number", [(0, signal.SIGTERM), (0, signal.SIGKILL), (1, signal.SIGKILL)], ids=str
+)
+def test_a_message_went_before_an_older_one_of_its_key_that_was_taken_over(ended, number, tmp_path):
+    """Guards rule 5 where a process ends: what it owed keeps its place in the queue of the other one."""
     platform = Platform(hosts=2)
     platform.decide = lambda call: [CALL_SECONDS, reply(200)]
     with replacing(platform, tmp_path) as replacement:
-        names = take_turns(replacement, platform, (0, 0, 1, 0, 1), "k")
+        places = [ended, ended, 1 - ended, ended, 1 - ended]
+        names = take_turns(replacement, platform, places, "k")
         until(lambda: platform.sent(names[0]))
-        replacement.end(0, number)
+        replacement.end(ended, number)
         until(lambda: all(platform.sent(name) for name in names))
         last_calls = [platform.sent(name)[-1].at for name in names]
         assert last_calls == sorted(last_calls)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -343,6 +343,12 @@
     return value
 
 
+def free_port():
+    """A port that nothing uses now."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        return free.getsockname()[1]
+
+
 def reply(status, body=b"", **fields):
     head = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in fields.items())
     return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{head}\r\n".encode() + body
@@ -514,8 +520,7 @@
             "limits": {"memory_mb": 192, "sockets": 256, "disk_mb": 1},
             "settings": CONFIG,
         } | given
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.port = free.getsockname()[1]
+        self.port = free_port()
         (folder / "state").mkdir(exist_ok=True)
         self.start(max_file_bytes)
 
