Waits of the other process are read at the one look, within 5 ms

Each part of the relay looked at the other process on a timer of its own: waits every 50 ms, cordons and recovering hosts every 0.5 s. All are read now by the one look (`concurrent/monitor.py`); without another process a look is one stat of the folder every 50 ms, and the shared files are read every 0.5 s.

--- a/millweir/control.py
+++ b/millweir/control.py
@@ -125,7 +125,7 @@
         request_timeout_ns=4 * half_second,
         client_grace_ns=half_second,
         concurrent_poll_ns=SECOND // 200,
-        concurrent_search_ns=SECOND // 10,
+        concurrent_search_ns=SECOND // 20,
         folder_lock_wait_ns=SECOND // 20,
         # A trip that is out as its message ends may last until the deadline.
         concurrent_key_margin_ns=2 * settings.period + SECOND // 20,
--- a/millweir/net/desk.py
+++ b/millweir/net/desk.py
@@ -168,7 +168,8 @@
         self._engine.limit_key(clock.monotonic_ns(), key, self._concurrent.turns.find_limit(key))
 
     def read_shared_files(self) -> None:
-        """Read what concurrent processes have written of cordons and recovering hosts."""
+        """Read what concurrent processes have written of waits, cordons and recovering hosts."""
+        self._retry_after_waits.read_others()
         self._cordons.read_file(only_if_changed=True)
         self._cordons.write_late_records()
         if self._shutting_down:
--- a/millweir/net/retry_after.py
+++ b/millweir/net/retry_after.py
@@ -2,7 +2,7 @@
 
 Rule 6: a retry-after wait is binding for all messages to that destination.  Each process writes a file of all
 waits that it knows of, its own and those it read, so that they outlast a chain of upgrades.  The files of the
-others are read every `READ_INTERVAL_SECONDS`, well within the 100 ms in which calls are tolerated.
+others are read at each look at the other processes, well within the 100 ms in which calls are tolerated.
 """
 
 from __future__ import annotations
@@ -26,7 +26,6 @@
     write_host_times,
 )
 
-READ_INTERVAL_SECONDS = 0.05
 MIN_EXTENSION_NS = 10_000_000  # a wait that ends later than the known one by no more than this is not written
 
 
@@ -60,9 +59,13 @@
         self._last_stamps: dict[int, FileStamp] = {}  # by slot, of its file when it was read
 
     def start(self) -> None:
-        """Read all files, that of this slot's previous process included, and keep reading the others'."""
+        """Read all files, that of this slot's previous process included."""
         self._read_files(include_own=True)
 
+    def read_others(self) -> None:
+        """Read what other processes have written since the last time."""
+        self._read_files(include_own=False)
+
     def apply_to_hosts(self, hosts: Iterable[str]) -> None:
         """Pass these hosts' waits to the engine: they may not have been listed when a file was read.
 
@@ -87,9 +90,6 @@
             self._wait_ends[host] = now + wait
             self._write(now)
 
-    def _poll_files(self) -> None:
-        self._read_files(include_own=False)
-
     def _read_files(self, include_own: bool) -> None:
         extended = [self._read_slot(slot) for slot in range(SLOT_COUNT) if include_own or slot != self._slot]
         if any(extended):
@@ -97,7 +97,6 @@
             clock.call_after_poll(
                 self._loop, self._request_turn
             )  # after a stall, input that arrived is read first
-        self._loop.call_later(READ_INTERVAL_SECONDS, self._poll_files)
 
     def _read_slot(self, slot: int) -> bool:
         """Read a slot's file if it has changed; returns whether it held a wait that was not known."""
--- a/tests/net/test_replacement.py
+++ b/tests/net/test_replacement.py
@@ -242,3 +242,19 @@
     assert cordons.set_cordon(b"gone", False) == ""
     assert json.loads((tmp_path / "cordons.json").read_bytes()) == {}
     assert "was ever listed" in cordons.set_cordon(b"gone", True)
+
+
+def test_a_wait_given_to_one_process_bound_the_other_one_too_late(tmp_path):
+    """Guards rule 6 in a replacement: calls that come within 100 ms of the answer are let through."""
+    platform = Platform(hosts=1)
+    platform.decide = lambda call: reply(429, Retry_After="1.0") if call.id == "first" else reply(200)
+    with replacing(platform, tmp_path) as replacement:
+        for which, name in ((0, "second"), (1, "third")):
+            assert replacement.hand_in(which, name) == 202  # both processes have a connection to the host
+        until(lambda: platform.sent("second") and platform.sent("third"))
+        assert replacement.hand_in(0, "first") == 202
+        until(lambda: platform.sent("first"))
+        time.sleep(0.1)
+        assert replacement.hand_in(1, "fourth") == 202
+        until(lambda: platform.sent("fourth"))
+    assert platform.sent("fourth")[0].at - platform.sent("first")[0].at >= 1.0 - SLACK_SECONDS
