The table of the file's keys doesn't load msgspec into a relay without an operator's file

The first form of `settings_table.py` was written with msgspec, which a process without an operator's file doesn't load (memory, start): tests/operator/test_file.py::test_without_a_file_no_component_is_imported failed in a whole run of the suite. The table is plain now, one row a key; what is taken and turned down is the same, and a number that is infinite is turned down as well. The walk ends at what the table doesn't name.

--- a/millweir/settings_table.py
+++ b/millweir/settings_table.py
@@ -1,189 +1,171 @@
 """The keys of the configuration file as the platform's pages define them: presence, type and bounds.
 
-The table below names each key that the relay reads.  Keys that it does not name are not checked here.  Which
-of the other keys a file read at SIGHUP must have is decided in `required_keys.py`, which asks this module
-which keys the pages let a file leave out.
+The table names each key that the relay reads.  Keys that it does not name are not checked here.  Which of the
+other keys a file read at SIGHUP must have is decided in `required_keys.py`, which asks this module which keys
+the pages let a file leave out.
 """
 
 from __future__ import annotations
 
-from enum import Enum
-from typing import Annotated, Any, Literal, get_args, get_origin, get_type_hints
-
-import msgspec
-from msgspec import UNSET, Meta, Struct, UnsetType
+import math
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Any
 
 
 class Presence(Enum):
-    """When a file may leave a key out; without a mark it may not, once a file before it had the key."""
-
-    OPTIONAL = "always"
-    IDEMPOTENT_BY_KEY = "in a class that is not idempotent by key"
-
-
-class InvalidValue(ValueError):
-    """A value has another type than the pages say, or is out of bounds; the text names its key."""
-
-
-IDEMPOTENT_BY_KEY_SEMANTICS = "token"
-Positive = Annotated[float, Meta(gt=0)] | UnsetType
-NotNegative = Annotated[float, Meta(ge=0)] | UnsetType
-Flag = bool | UnsetType
-Text = str | UnsetType
-
-
-class ClassTable(Struct, rename="kebab"):
-    """`settings.grades[]`: the service classes."""
-
-    name: Text = UNSET
-    credit: NotNegative = UNSET
-    objective_us: Positive = UNSET
-    give_up_us: Positive = UNSET
-    late_share: NotNegative = UNSET
-    semantics: Literal["pure", "token", "side_effect"] | UnsetType = UNSET
-    streamed: Flag = UNSET
-    kinds: list[str] | UnsetType = UNSET
-    key_scope: Annotated[Text, Presence.IDEMPOTENT_BY_KEY] = UNSET
-    dedup_window_us: Annotated[NotNegative, Presence.IDEMPOTENT_BY_KEY] = UNSET
-    one_at_a_time: Annotated[Flag, Presence.OPTIONAL] = UNSET
-    aim_stretch: Annotated[NotNegative, Presence.OPTIONAL] = UNSET
-
-
-class FamilyTable(Struct, rename="kebab"):
-    """`settings.family-info`: the properties of the service type."""
-
-    slots: Positive = UNSET
-    bundle_max: list[Annotated[int, Meta(ge=0)]] | UnsetType = UNSET
-    kind_apart: list[bool] | UnsetType = UNSET
-    carriage: list[float] | UnsetType = UNSET
-    late: Text = UNSET
+    """When a file may leave a key out."""
 
+    REQUIRED = auto()  # not once a file before it had the key
+    OPTIONAL = auto()
+    IDEMPOTENT_BY_KEY = auto()  # it may, but for a class that is idempotent by key
 
-class CeilingsTable(Struct, rename="kebab"):
-    """`settings.ceilings`: what the site permits."""
 
-    max_attempts: Positive = UNSET
-    max_open: NotNegative = UNSET
-    cancel: Flag = UNSET
-    second_copies: Flag = UNSET
-    retry_after: Flag = UNSET
-    max_retry_after_us: NotNegative = UNSET
-    idle_close_us: NotNegative = UNSET
-    connect_timeout_us: NotNegative = UNSET
+class ValueType(Enum):
+    """The JSON type of a value."""
 
+    TEXT = "a text"
+    FLAG = "true or false"
+    NUMBER = "a number"
+    OBJECT = "an object"
+    LIST = "a list"
 
-class ObligationsTable(Struct, rename="kebab"):
-    """`settings.obligations`: the figures of the rules."""
+    def admits(self, value: Any) -> bool:
+        if self is ValueType.NUMBER:
+            is_number = isinstance(value, int | float) and not isinstance(value, bool)
+            return is_number and math.isfinite(value)
+        return isinstance(value, PYTHON_TYPES[self])
 
-    answer_slack_us: NotNegative = UNSET
-    must_ask_in_us: NotNegative = UNSET
-    cold_from: NotNegative = UNSET
-    cold_us: NotNegative = UNSET
-    drain_grace_us: NotNegative = UNSET
-    fall_multiple: NotNegative = UNSET
-    fall_us: NotNegative = UNSET
-    key_quiet_us: Annotated[NotNegative, Presence.OPTIONAL] = UNSET
 
+PYTHON_TYPES = {ValueType.TEXT: str, ValueType.FLAG: bool, ValueType.OBJECT: dict, ValueType.LIST: list}
 
-class TenantTable(Struct, rename="kebab"):
-    """`settings.customers[]`: the tenants."""
 
-    name: Text = UNSET
-    quota_rps: NotNegative = UNSET
-
-
-class ReportTable(Struct, rename="kebab"):
-    """`settings.report`: the load reports."""
-
-    fields: list[str] | UnsetType = UNSET
-
-
-class SettingsTable(Struct, rename="kebab"):
-    """`settings`."""
-
-    grades: list[ClassTable] | UnsetType = UNSET
-    family_info: FamilyTable | UnsetType = UNSET
-    ceilings: CeilingsTable | UnsetType = UNSET
-    obligations: ObligationsTable | UnsetType = UNSET
-    customers: list[TenantTable] | UnsetType = UNSET
-    report: ReportTable | UnsetType = UNSET
-    balancers: Positive = UNSET
-    period_us: NotNegative = UNSET
-    locality: NotNegative = UNSET
-    localities: list[str] | UnsetType = UNSET
-    skus: list[str] | UnsetType = UNSET
-    over_share_worth: NotNegative = UNSET
-    membership_mode: Text = UNSET
-    weight_source: Text = UNSET
-
-
-class LimitsTable(Struct):
-    """`limits`: of the machine."""
+class InvalidValue(ValueError):
+    """A value has another type than the pages say, or is out of bounds; the text names its key."""
 
-    cores: Positive = UNSET
-    memory_mb: Positive = UNSET
-    sockets: Positive = UNSET
-    disk_mb: Positive = UNSET
 
+@dataclass(frozen=True, slots=True)
+class Key:
+    """What the pages say of one key."""
 
-class FileTable(Struct):
-    """The whole file; its addresses and its seed are checked where they are read."""
+    type: ValueType
+    presence: Presence = Presence.REQUIRED
+    above: float = -math.inf  # a number is above it
+    at_least: float = -math.inf
+    choices: frozenset[str] = frozenset()  # a text is one of them, where there are any
 
-    settings: SettingsTable | UnsetType = UNSET
-    limits: LimitsTable | UnsetType = UNSET
+    def admits(self, value: Any) -> bool:
+        if not self.type.admits(value):
+            return False
+        if self.type is ValueType.NUMBER:
+            return value > self.above and value >= self.at_least
+        return not self.choices or value in self.choices
 
 
-def check_types(document: dict[str, Any]) -> None:
+TEXT = Key(ValueType.TEXT)
+FLAG = Key(ValueType.FLAG)
+NUMBER = Key(ValueType.NUMBER)
+POSITIVE = Key(ValueType.NUMBER, above=0)
+NOT_NEGATIVE = Key(ValueType.NUMBER, at_least=0)
+OBJECT = Key(ValueType.OBJECT)
+LIST = Key(ValueType.LIST)
+IDEMPOTENT_BY_KEY_SEMANTICS = "token"
+SEMANTICS = frozenset(("pure", IDEMPOTENT_BY_KEY_SEMANTICS, "side_effect"))
+
+# By the key's name: dotted, with `[]` behind each list.
+KEYS = {
+    "settings": OBJECT,
+    "settings.balancers": POSITIVE,
+    "settings.period-us": NOT_NEGATIVE,
+    "settings.membership-mode": TEXT,
+    "settings.weight-source": TEXT,
+    "settings.locality": NOT_NEGATIVE,
+    "settings.localities": LIST,
+    "settings.localities[]": TEXT,
+    "settings.skus": LIST,
+    "settings.skus[]": TEXT,
+    "settings.over-share-worth": NOT_NEGATIVE,
+    "settings.grades": LIST,
+    "settings.grades[]": OBJECT,
+    "settings.grades[].name": TEXT,
+    "settings.grades[].credit": NOT_NEGATIVE,
+    "settings.grades[].objective-us": POSITIVE,
+    "settings.grades[].give-up-us": POSITIVE,
+    "settings.grades[].late-share": NOT_NEGATIVE,
+    "settings.grades[].semantics": Key(ValueType.TEXT, choices=SEMANTICS),
+    "settings.grades[].streamed": FLAG,
+    "settings.grades[].kinds": LIST,
+    "settings.grades[].kinds[]": TEXT,
+    "settings.grades[].key-scope": Key(ValueType.TEXT, Presence.IDEMPOTENT_BY_KEY),
+    "settings.grades[].dedup-window-us": Key(ValueType.NUMBER, Presence.IDEMPOTENT_BY_KEY, at_least=0),
+    "settings.grades[].one-at-a-time": Key(ValueType.FLAG, Presence.OPTIONAL),
+    "settings.grades[].aim-stretch": Key(ValueType.NUMBER, Presence.OPTIONAL, at_least=0),
+    "settings.family-info": OBJECT,
+    "settings.family-info.slots": POSITIVE,
+    "settings.family-info.bundle-max": LIST,
+    "settings.family-info.bundle-max[]": NOT_NEGATIVE,
+    "settings.family-info.kind-apart": LIST,
+    "settings.family-info.kind-apart[]": FLAG,
+    "settings.family-info.carriage": LIST,
+    "settings.family-info.carriage[]": NUMBER,
+    "settings.family-info.late": TEXT,
+    "settings.ceilings": OBJECT,
+    "settings.ceilings.max-attempts": POSITIVE,
+    "settings.ceilings.max-open": NOT_NEGATIVE,
+    "settings.ceilings.cancel": FLAG,
+    "settings.ceilings.second-copies": FLAG,
+    "settings.ceilings.retry-after": FLAG,
+    "settings.ceilings.max-retry-after-us": NOT_NEGATIVE,
+    "settings.ceilings.idle-close-us": NOT_NEGATIVE,
+    "settings.ceilings.connect-timeout-us": NOT_NEGATIVE,
+    "settings.obligations": OBJECT,
+    "settings.obligations.answer-slack-us": NOT_NEGATIVE,
+    "settings.obligations.must-ask-in-us": NOT_NEGATIVE,
+    "settings.obligations.cold-from": NOT_NEGATIVE,
+    "settings.obligations.cold-us": NOT_NEGATIVE,
+    "settings.obligations.drain-grace-us": NOT_NEGATIVE,
+    "settings.obligations.fall-multiple": NOT_NEGATIVE,
+    "settings.obligations.fall-us": NOT_NEGATIVE,
+    "settings.obligations.key-quiet-us": Key(ValueType.NUMBER, Presence.OPTIONAL, at_least=0),
+    "settings.customers": LIST,
+    "settings.customers[]": OBJECT,
+    "settings.customers[].name": TEXT,
+    "settings.customers[].quota-rps": NOT_NEGATIVE,
+    "settings.report": OBJECT,
+    "settings.report.fields": LIST,
+    "settings.report.fields[]": TEXT,
+    "limits": OBJECT,
+    "limits.cores": POSITIVE,
+    "limits.memory_mb": POSITIVE,
+    "limits.sockets": POSITIVE,
+    "limits.disk_mb": POSITIVE,
+}
+
+
+def check_types(value: Any, name: str = "") -> None:
     """Raise InvalidValue unless each value that the table names has its type and is within its bounds.
 
     A null is no value; whether its key needs one is decided in `required_keys.py`, except that a key which
     the pages let a file leave out is left out or has a value.
     """
-    try:
-        msgspec.convert(_drop_nulls(document, ""), FileTable)
-    except msgspec.ValidationError as error:
-        raise InvalidValue(str(error)) from error
+    key = KEYS.get(name)
+    if key is None and name:  # nothing in it is in the table either
+        return
+    if value is None and key and key.presence is Presence.REQUIRED:
+        return
+    if key and not key.admits(value):
+        raise InvalidValue(f"{name} is not {key.type.value}, or out of bounds")
+    if isinstance(value, dict):
+        for inner_name, inner in value.items():
+            check_types(inner, f"{name}.{inner_name}" if name else inner_name)
+    elif isinstance(value, list):
+        for inner in value:
+            check_types(inner, f"{name}[]")
 
 
 def may_be_absent(name: str, siblings: dict[str, Any]) -> bool:
-    """Whether the pages let a file leave a key out; `siblings`: the object that lacks it.
-
-    `name`: the key, dotted, with `[]` behind each list, from `settings` on.
-    """
-    presence = PRESENCE.get(name)
+    """Whether the pages let a file leave a key out; `siblings`: the object that lacks it."""
+    presence = KEYS[name].presence if name in KEYS else Presence.REQUIRED
     if presence is Presence.IDEMPOTENT_BY_KEY:
         return siblings.get("semantics") != IDEMPOTENT_BY_KEY_SEMANTICS
     return presence is Presence.OPTIONAL
-
-
-def _drop_nulls(value: Any, name: str) -> Any:
-    if isinstance(value, list):
-        return [_drop_nulls(inner, f"{name}[]") for inner in value]
-    if not isinstance(value, dict):
-        return value
-    return {
-        key: _drop_nulls(inner, f"{name}.{key}")
-        for key, inner in value.items()
-        if inner is not None or f"{name}.{key}".lstrip(".") in PRESENCE
-    }
-
-
-def _list_presence(table: type[Struct], name: str) -> dict[str, Presence]:
-    """The marked keys of a table and of those in it."""
-    found: dict[str, Presence] = {}
-    hints = get_type_hints(table, include_extras=True)
-    for field in msgspec.structs.fields(table):
-        inner_name = f"{name}.{field.encode_name}".lstrip(".")
-        hint = hints[field.name]
-        for mark in getattr(hint, "__metadata__", ()):
-            if isinstance(mark, Presence):
-                found[inner_name] = mark
-        for inner in get_args(hint):
-            is_list = get_origin(inner) is list
-            inner_table = get_args(inner)[0] if is_list else inner
-            if isinstance(inner_table, type) and issubclass(inner_table, Struct):
-                found |= _list_presence(inner_table, inner_name + "[]" * is_list)
-    return found
-
-
-PRESENCE = _list_presence(FileTable, "")
