--- a/millweir/net/concurrent/monitor.py
+++ b/millweir/net/concurrent/monitor.py
@@ -43,7 +43,7 @@
         "_is_closed",
         "_journal",
         "_journals",
-        "_upkeep_at",
+        "_late_records_at",
         "_log",
         "_loop",
         "turns",
@@ -63,7 +63,7 @@
         self._journals = ConcurrentJournals(journal.folder, journal.list_other_file_names())
         self.turns = KeyTurns(journal.slot, service_classes.keeps_order)
         self.set_key_quiet_time(service_classes.settings)
-        self._adopt_at = self._upkeep_at = 0
+        self._adopt_at = self._late_records_at = 0
         self._is_closed = False
 
     @property
@@ -124,16 +124,13 @@
 
     def _take_stock(self, now: int) -> None:
         self._read_journals()
-        had_company = self.are_present
         self._adopt_orphans(now)
+        self._handler.read_shared_files()
         if freed_keys := self.turns.end_quiet_times(now):
             self._handler.update_keys(freed_keys)
-        is_due = now >= self._upkeep_at
-        if is_due:
-            self._upkeep_at = now + self._bounds.client_grace_ns
+        if now >= self._late_records_at:
+            self._late_records_at = now + self._bounds.client_grace_ns
             self._journal.write_late_records()
-        if is_due or had_company:
-            self._handler.read_shared_files()
 
     def _read_journals(self) -> None:
         try:
--- a/tests/lab/test_checker.py
+++ b/tests/lab/test_checker.py
@@ -12,6 +12,7 @@
     Answered,
     Called,
     Copied,
+    Cordoned,
     Ended,
     Fallen,
     History,
@@ -20,6 +21,7 @@
     Noticed,
     Offered,
     Ready,
+    Replaced,
     Returned,
     Started,
     Struck,
@@ -150,6 +152,22 @@
         call(at=2 * S, number=2),
     ),
     "lost with its machine": (accepted_message(), Struck(S, "lose", "r1"), Ready(8 * S, "r1")),
+    "to a host cordoned at another relay, within the grace period, and after the cordon": (
+        accepted_message("a"),
+        accepted_message("b", relay="r2"),
+        accepted_message("c"),
+        Cordoned(S - S // 4, "r1", "h"),
+        call("a"),
+        call("b", 2 * S, 2),
+        Cordoned(3 * S, "r1", "h", over=True),
+        call("c", 4 * S, 3),
+    ),
+    "a retry-after to a process as it was replaced": (
+        accepted_message(),
+        call(status=429, wait=2 * S),
+        Replaced(S + S // 10 + READ_MARGIN_NS // 2, "r1"),
+        call(at=2 * S, number=2),
+    ),
 }
 INVALID = {
     "no outcome": (1, (accepted_message(),)),
@@ -197,6 +215,16 @@
             call(at=5 * S, number=2, status=410),
         ),
     ),
+    "to a cordoned host": (3, (accepted_message(), Cordoned(S // 4, "r1", "h"), call())),
+    "a retry-after to a process that was replaced later": (
+        6,
+        (
+            accepted_message(),
+            call(status=429, wait=2 * S),
+            Replaced(S + S // 2, "r1"),
+            call(at=2 * S, number=2),
+        ),
+    ),
     "delivered and sent again": (1, (accepted_message(), call(), call(at=2 * S, number=2))),
     "delivered and sent again before the copy": (
         1,
