A look-up of an id does nothing more than the one stat where there is no other process

Cause: the look-up of an id went through the list of other processes' files, and through what they had changed, although there were none. It returns after the stat of the folder now.

--- a/millweir/net/concurrent/journal_files.py
+++ b/millweir/net/concurrent/journal_files.py
@@ -77,18 +77,25 @@
 
     def __contains__(self, message_id: bytes) -> bool:
         """Whether another process has accepted the id; OSError where that can't be found out."""
-        self.read()
-        return any(message_id in file.view.ids for file in self.files.values())
+        return self.read() and any(message_id in file.view.ids for file in self.files.values())
 
-    def read(self) -> None:
-        """Read what is new in all files; OSError where that can't be done.
+    def read(self) -> bool:
+        """Read what is new in all files; returns whether there were any; OSError where that can't be done.
 
         A file is removed once its process has ended and another one has taken over what it owed.  That one
         has written it before, so the others are read again then.
         """
         self._list_files()
+        if not self.files:
+            return False
         while removed := [slot for slot, file in self.files.items() if not _read_if_there(file)]:
             self._removed += [self.files.pop(slot) for slot in removed]
+        return True
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether there may be changes that were not taken."""
+        return bool(self.files or self._removed)
 
     def take_removed(self) -> list[JournalFile]:
         """The files that were removed since the last call."""
--- a/millweir/net/concurrent/monitor.py
+++ b/millweir/net/concurrent/monitor.py
@@ -90,7 +90,8 @@
         except OSError as error:
             self._log.info(f"journal-failed concurrent {error}")
             return False
-        self._apply_journal_changes()
+        if self._journals.has_changes:
+            self._apply_journal_changes()
         return is_known
 
     def record_accepted(self, message: OwedMessage) -> None:
