Two programs of one test drew the same port, and one took the other's requests

One of two whole runs of the suite failed: test_unreadable_cordons_and_waits..., two of its twelve contents timed out. Trace: their two logs name one port (36593). The twelve draw a port at the same time and bind it 0.2 s later, and relays share a port (SO_REUSEPORT), so that one gets the other's requests. `rig.free_port` gives no port twice.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -343,10 +343,17 @@
     return value
 
 
+_drawn_ports = set()
+
+
 def free_port():
-    """A port that nothing uses now."""
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        return free.getsockname()[1]
+    """A port that nothing uses and no other caller was given: relays share one without an error."""
+    while True:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            port = free.getsockname()[1]
+        if port not in _drawn_ports:
+            _drawn_ports.add(port)
+            return port
 
 
 def reply(status, body=b"", **fields):
