--- a/millweir/lab/cluster.py
+++ b/millweir/lab/cluster.py
@@ -106,6 +106,7 @@
         self._keep = folder is not None
         self.folder.mkdir(parents=True, exist_ok=True)
         self.rng = random.Random(seed ^ 0x5EED)
+        self._change_rng = random.Random(seed ^ 0xC4A46E)  # of replacements, commands and configuration files
         self.host = rig_address(number)
         self.history, self.injected_faults = History(), FaultRecord(scenario.names)
         self.platform = Platform((self.host, 7900), self.history, random.Random(seed ^ 0xC0B1E5))
@@ -377,16 +378,16 @@
             relay.set_clock_skew(0)
         elif fault.kind == "reload":
             for _ in range(RELOAD_SIGNALS):
-                relay.write_config(draw_setting_changes(self.rng))
+                relay.write_config(draw_setting_changes(self._change_rng))
                 relay.signal(signal.SIGHUP)
                 await asyncio.sleep(seconds / RELOAD_SIGNALS)
             if (rejected := await relay.count_rejected_files()) and relay.up:
                 self.failures.append(f"{relay.name} turned {rejected} good files down")
         elif fault.kind == "replace":
             parked_group, hosts = self.scenario.groups, self._draw_host_pair()
-            await replace_process(relay, self._clients, parked_group, hosts, self.history, self.rng)
+            await replace_process(relay, self._clients, parked_group, hosts, self.history, self._change_rng)
         elif fault.kind == "cordon":
-            await cordon_hosts(relay, self._draw_host_pair(), seconds, self.history, self.rng)
+            await cordon_hosts(relay, self._draw_host_pair(), seconds, self.history, self._change_rng)
         elif relay.alive:
             if fault.kind == "term":
                 await relay.terminate()
@@ -410,7 +411,7 @@
                 await self.restart(relay, fault.wait / 1e9 if fault.kind == "slow" else 0.0)
 
     def _draw_host_pair(self) -> list[str]:
-        return [host.name for host in self.rng.sample(self.hosts, 2)]
+        return [host.name for host in self._change_rng.sample(self.hosts, 2)]
 
     def _record_and_kill(self, relay: Relay) -> None:
         """Kill the current process and record it: another fault may have restarted it meanwhile."""
--- a/millweir/lab/standins.py
+++ b/millweir/lab/standins.py
@@ -426,22 +426,30 @@
         self, name: str, address: Address, key: str, connection: Connection | None
     ) -> None:
         """Send a message with a key on that connection, or on a new one."""
+        ident = self._draw_id()
         grade = next(grade for grade in SETTINGS["grades"] if grade.get("one-at-a-time"))
         group = int(key, 36) % self._groups
-        await self._offer(name, address, grade, key, grade["give-up-us"] // 1000, group, [connection])
+        await self._offer(ident, name, address, grade, key, grade["give-up-us"] // 1000, group, [connection])
 
     async def send_due(self, name: str, address: Address, group: int, seconds: float) -> None:
         """Send a message for that destination whose time is up in so many seconds."""
-        await self._offer(name, address, SETTINGS["grades"][0], "", round(seconds * 1000), group, [None])
+        ident, grade = self._draw_id(), SETTINGS["grades"][0]
+        await self._offer(ident, name, address, grade, "", round(seconds * 1000), group, [None])
+
+    def _draw_id(self) -> str:
+        self._number += 1
+        return f"{self._rng.getrandbits(48):012x}{self._number:04x}"
 
     async def _send_message(self, name: str, address: Address) -> None:
+        ident = self._draw_id()  # first, so that a seed goes on drawing the same messages
         grade = self._rng.choice(SETTINGS["grades"])
         key = f"k{self._rng.randrange(20)}" if grade.get("one-at-a-time") else ""
         group = self._rng.randrange(self._groups)
-        await self._offer(name, address, grade, key, grade["give-up-us"] // 1000, group)
+        await self._offer(ident, name, address, grade, key, grade["give-up-us"] // 1000, group)
 
     async def _offer(
         self,
+        ident: str,
         name: str,
         address: Address,
         grade: dict,
@@ -451,8 +459,6 @@
         connections: list[Connection | None] | None = None,
     ) -> None:
         """Send a message; `connections`: those to try, None for a new one, instead of one kept before."""
-        self._number += 1
-        ident = f"{self._rng.getrandbits(48):012x}{self._number:04x}"
         fields = {
             "X-Correlation-Id": ident,
             "X-Service-Class": grade["name"],
